--- /dev/null
+++ b/primrosepitch/bin/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points of the programs."""
--- /dev/null
+++ b/primrosepitch/config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration that operators publish."""
--- /dev/null
+++ b/primrosepitch/errors.py
@@ -0,0 +1,321 @@
+"""Typed errors with codes and messages that name the remedy."""
+
+from __future__ import annotations
+
+__all__ = [
+    "ERRORS",
+    "AppendUnconfirmedError",
+    "FrameError",
+    "MessageError",
+    "SettingsError",
+    "ConfigError",
+    "ConfigRaceError",
+    "DeadlinePassedError",
+    "EndpointFailedError",
+    "EndpointUnavailableError",
+    "KeyMissingError",
+    "KeyUnknownError",
+    "KeyWithdrawnError",
+    "LogUnavailableError",
+    "MessageTooLargeError",
+    "NoStateError",
+    "OutcomeUnknownError",
+    "PrimroseError",
+    "QueueFullError",
+    "QueueNotAllowedError",
+    "QueueUnknownError",
+    "RepeatRunningError",
+    "StoppingError",
+    "TeamLimitError",
+    "VoidCommandError",
+    "WitnessesMissingError",
+    "register_error",
+]
+
+ERRORS: dict[str, type[PrimroseError]] = {}
+"""Every error kind by its code."""
+
+
+def register_error(cls: type[PrimroseError]) -> type[PrimroseError]:
+    """Add an error kind to the registry.
+
+    :param cls: error class with a unique ``code``
+    :returns: the same class
+    :raises ValueError: if another class has the code
+    """
+    if cls.code in ERRORS:
+        raise ValueError(f"error code {cls.code} is registered twice")
+    ERRORS[cls.code] = cls
+    return cls
+
+
+class PrimroseError(Exception):
+    """Base class of all errors of the project.
+
+    :param detail: what was seen, appended to the summary
+
+    ``code`` is unique, ``summary`` says what is wrong, ``remedy`` what to do, and
+    ``status`` is the HTTP status where a caller or an operator sees the error.
+    """
+
+    code = "PRP-0000"
+    status = 500
+    summary = "internal error"
+    remedy = "report it with the log lines around it"
+
+    def __init__(self, detail: str = "") -> None:
+        """Keep the detail and build the message."""
+        self.detail = detail
+        super().__init__(self.message())
+
+    def message(self) -> str:
+        """Return code, summary, detail and remedy in one line."""
+        detail = f" ({self.detail})" if self.detail else ""
+        return f"{self.code} {self.summary}{detail}: {self.remedy}"
+
+
+# 1xxx: process, log and configuration
+
+
+@register_error
+class SettingsError(PrimroseError):
+    """A process setting is missing or has a wrong value."""
+
+    code = "PRP-1001"
+    summary = "process settings are invalid"
+    remedy = "correct the named setting in the settings file or the environment"
+
+
+@register_error
+class ConfigError(PrimroseError):
+    """A configuration folder has a mistake; nothing was changed."""
+
+    code = "PRP-1101"
+    status = 422
+    summary = "configuration is invalid"
+    remedy = "correct the named file and setting, then publish again"
+
+
+@register_error
+class ConfigRaceError(PrimroseError):
+    """Another operator published after the base of this configuration."""
+
+    code = "PRP-1102"
+    status = 409
+    summary = "configuration was changed by another operator"
+    remedy = "run 'primrosectl diff', merge the named changes and publish again"
+
+
+@register_error
+class LogUnavailableError(PrimroseError):
+    """The platform's log does not answer."""
+
+    code = "PRP-1201"
+    status = 503
+    summary = "the platform's log is unavailable"
+    remedy = "try again when the platform's log is back"
+
+
+@register_error
+class AppendUnconfirmedError(PrimroseError):
+    """An append has not been read back before its deadline."""
+
+    code = "PRP-1202"
+    status = 504
+    summary = "the record was sent but not read back"
+    remedy = "run 'primrosectl show' before repeating; a repeat is harmless"
+
+
+@register_error
+class VoidCommandError(PrimroseError):
+    """A command no longer fitted the state at its offset."""
+
+    code = "PRP-1203"
+    status = 409
+    summary = "the command did not fit the state in force"
+    remedy = "read the named reason, run 'primrosectl show' and decide again"
+
+
+@register_error
+class NoStateError(PrimroseError):
+    """The process has not yet read a state from the log or a peer."""
+
+    code = "PRP-1204"
+    status = 503
+    summary = "not run: this entry has no state yet"
+    remedy = "try again in a few seconds"
+
+
+# 2xxx: requests and teams
+
+
+@register_error
+class KeyMissingError(PrimroseError):
+    """The queue needs a key and the request has none."""
+
+    code = "PRP-2101"
+    status = 401
+    summary = "not run: key missing"
+    remedy = "send the team's key in the Primrose-Key header"
+
+
+@register_error
+class KeyUnknownError(PrimroseError):
+    """The key belongs to no team."""
+
+    code = "PRP-2102"
+    status = 401
+    summary = "not run: key unknown"
+    remedy = "check the key or ask the operator for a new one"
+
+
+@register_error
+class KeyWithdrawnError(PrimroseError):
+    """The operators have withdrawn the key."""
+
+    code = "PRP-2103"
+    status = 401
+    summary = "not run: key withdrawn"
+    remedy = "ask the operator for a new key"
+
+
+@register_error
+class QueueNotAllowedError(PrimroseError):
+    """The team may not use the queue."""
+
+    code = "PRP-2104"
+    status = 403
+    summary = "not run: the team may not use this queue"
+    remedy = "ask the operator to add the queue to the team"
+
+
+@register_error
+class QueueUnknownError(PrimroseError):
+    """No service has a queue of this name."""
+
+    code = "PRP-2105"
+    status = 404
+    summary = "not run: no such queue"
+    remedy = "check the queue's name in the path"
+
+
+@register_error
+class TeamLimitError(PrimroseError):
+    """The team had no unit of its upper limit before the deadline."""
+
+    code = "PRP-2201"
+    status = 429
+    summary = "not run: the team's upper limit is in use"
+    remedy = "try again later or ask the operator for a higher limit"
+
+
+@register_error
+class QueueFullError(PrimroseError):
+    """The queue is full or the expected wait exceeds the time left."""
+
+    code = "PRP-2202"
+    status = 503
+    summary = "not run: the queue is full"
+    remedy = "try again later or allow more time"
+
+
+@register_error
+class DeadlinePassedError(PrimroseError):
+    """The deadline passed before the request was sent to an endpoint."""
+
+    code = "PRP-2203"
+    status = 503
+    summary = "not run: the deadline passed while the request was waiting"
+    remedy = "try again or allow more time"
+
+
+@register_error
+class EndpointUnavailableError(PrimroseError):
+    """No endpoint took the request."""
+
+    code = "PRP-2204"
+    status = 503
+    summary = "not run: no endpoint is available"
+    remedy = "try again later"
+
+
+@register_error
+class OutcomeUnknownError(PrimroseError):
+    """The request was sent and no answer of its own came back."""
+
+    code = "PRP-2301"
+    status = 504
+    summary = "unknown: the request may have run"
+    remedy = "check its effect, then repeat it with the same request id"
+
+
+@register_error
+class EndpointFailedError(PrimroseError):
+    """The endpoint answered with something that cannot be passed on."""
+
+    code = "PRP-2302"
+    status = 502
+    summary = "the endpoint ran the request and its answer is unusable"
+    remedy = "check the effect of the request before repeating it"
+
+
+@register_error
+class RepeatRunningError(PrimroseError):
+    """A request with the same id is still running."""
+
+    code = "PRP-2303"
+    status = 409
+    summary = "a request with this id is still running"
+    remedy = "wait and repeat it with the same request id to get its answer"
+
+
+@register_error
+class WitnessesMissingError(PrimroseError):
+    """Too few entries of the data centre can confirm that an id is new."""
+
+    code = "PRP-2304"
+    status = 503
+    summary = "not run: too few entries can check the request id"
+    remedy = "try again in a few seconds"
+
+
+@register_error
+class StoppingError(PrimroseError):
+    """The entry is stopping and takes no new work."""
+
+    code = "PRP-2401"
+    status = 503
+    summary = "not run: this entry is stopping"
+    remedy = "try again; the balancer will choose another entry"
+
+
+@register_error
+class MessageError(PrimroseError):
+    """An HTTP message is malformed."""
+
+    code = "PRP-2402"
+    status = 400
+    summary = "not run: malformed HTTP message"
+    remedy = "correct the request"
+
+
+@register_error
+class MessageTooLargeError(PrimroseError):
+    """An HTTP message exceeds a size limit."""
+
+    code = "PRP-2403"
+    status = 413
+    summary = "not run: the message is too large"
+    remedy = "send a smaller message"
+
+
+# 4xxx: network between processes
+
+
+@register_error
+class FrameError(PrimroseError):
+    """A frame from a peer is too long, truncated or corrupt."""
+
+    code = "PRP-4101"
+    summary = "malformed frame from a peer"
+    remedy = "check that both processes run compatible versions"
--- /dev/null
+++ b/primrosepitch/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""State that every process folds from the log."""
--- /dev/null
+++ b/primrosepitch/fleet/counts.py
@@ -0,0 +1,111 @@
+"""Escrow of counts that processes which cannot see each other must not overdraw."""
+
+from __future__ import annotations
+
+import msgspec
+
+from primrosepitch.ids import CountKey, InstanceId, SessionId, TeamId
+
+__all__ = ["Count", "conns_key", "limit_key", "slots_key"]
+
+
+def limit_key(team: TeamId) -> CountKey:
+    """Return the count of a team's upper limit."""
+    return CountKey(f"limit/{team}")
+
+
+def slots_key(instance: InstanceId) -> CountKey:
+    """Return the count of an endpoint's slots."""
+    return CountKey(f"slots/{instance}")
+
+
+def conns_key(instance: InstanceId) -> CountKey:
+    """Return the count of an endpoint's connections."""
+    return CountKey(f"conns/{instance}")
+
+
+class Count(msgspec.Struct):
+    """Units of one count; ``reserve + sum(held) == total`` always holds.
+
+    :param total: units that exist
+    :param reserve: units that no session holds
+    :param held: units by session; sessions without units are absent
+    :param frozen: whether nothing can be taken from the reserve
+    """
+
+    total: int = 0
+    reserve: int = 0
+    held: dict[SessionId, int] = {}
+    frozen: bool = False
+
+    @classmethod
+    def of(cls, total: int) -> Count:
+        """Return a count whose units are all in the reserve."""
+        return cls(total=total, reserve=total, held={})
+
+    def held_by(self, session: SessionId) -> int:
+        """Return the units that a session holds."""
+        return self.held.get(session, 0)
+
+    def take(self, session: SessionId, units: int) -> int:
+        """Move units from the reserve to a session.
+
+        :returns: units that were moved; less than asked when the reserve has less
+        """
+        granted = 0 if self.frozen else max(0, min(units, self.reserve))
+        if granted:
+            self.reserve -= granted
+            self.held[session] = self.held_by(session) + granted
+        return granted
+
+    def give(self, session: SessionId, units: int, to: SessionId | None) -> bool:
+        """Move units from a session to another one or to the reserve.
+
+        A frozen count sends the units to the reserve whoever was named.
+
+        :returns: whether the session held that many units
+        """
+        held = self.held_by(session)
+        if units <= 0 or held < units:
+            return False
+        self._set(session, held - units)
+        if to is None or self.frozen:
+            self.reserve += units
+        else:
+            self.held[to] = self.held_by(to) + units
+        return True
+
+    def release(self, session: SessionId) -> None:
+        """Return all units of a session to the reserve."""
+        self.reserve += self.held.pop(session, 0)
+
+    def resize(self, total: int) -> None:
+        """Change the total; a lower one takes from the reserve first.
+
+        What the reserve lacks is taken from the holders in proportion to their units,
+        by largest remainder with ties in the order of session ids.
+        """
+        change = total - self.total
+        self.total = total
+        if change >= -self.reserve:
+            self.reserve += change
+            return
+        self.reserve = 0
+        self._scale(total)
+
+    def _scale(self, total: int) -> None:
+        """Scale holdings so that they sum up to ``total``."""
+        held_sum = sum(self.held.values())
+        parts = {s: n * total // held_sum for s, n in self.held.items()}
+        rest = total - sum(parts.values())
+        order = sorted(self.held, key=lambda s: (-(self.held[s] * total % held_sum), s))
+        for session in order[:rest]:
+            parts[session] += 1
+        self.held = {s: n for s, n in parts.items() if n}
+
+    def _set(self, session: SessionId, units: int) -> None:
+        """Set the units of a session and forget it at zero."""
+        if units:
+            self.held[session] = units
+        else:
+            self.held.pop(session, None)
--- /dev/null
+++ b/primrosepitch/fleet/fold.py
@@ -0,0 +1,507 @@
+"""Fold of the log: the one pure function that gives all processes the same state."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Callable
+from typing import TypeVar
+
+import msgspec
+
+from primrosepitch.config.model import PUBLIC_TEAM, KeySpec, merge
+from primrosepitch.errors import ConfigError
+from primrosepitch.fleet import records as rec
+from primrosepitch.fleet.counts import Count, conns_key, limit_key, slots_key
+from primrosepitch.fleet.state import (
+    FleetState,
+    Instance,
+    Key,
+    Lease,
+    Phase,
+    Session,
+    SessionState,
+    Wave,
+    WaveState,
+)
+from primrosepitch.ids import (
+    CountKey,
+    DcId,
+    InstanceId,
+    Offset,
+    PoolId,
+    SessionId,
+    WaveId,
+)
+
+__all__ = ["Outcome", "Void", "budget_allows", "fold"]
+
+RECENT_RECORDS = 4096
+"""Record ids remembered to fold repeated appends once."""
+
+PUBLIC_LIMIT = 1_000_000
+"""Upper limit of the built-in team when the configuration names none."""
+
+
+class Void(enum.Enum):
+    """Why a record has no effect."""
+
+    REPEATED = "repeated append"
+    STALE_BASE = "the state has changed since the base offset"
+    STALE_TERM = "the planner lease has another term"
+    BUDGET = "an availability budget does not allow it"
+    NOT_DRAINED = "the instance has not drained"
+    WRONG_PHASE = "the instance is in another phase"
+    UNKNOWN_NAME = "no such name"
+    NOT_HELD = "the session does not hold the units"
+    SESSION_STATE = "the session is in another state"
+    WITHDRAWN = "the key was withdrawn"
+    INVALID = "the merged configuration is invalid"
+    WAVE_STATE = "the wave is in another state"
+    OLDER = "the state in force is newer"
+
+
+class Outcome(msgspec.Struct, frozen=True):
+    """Result of folding one record.
+
+    :param void: why it has no effect; ``None`` if it was accepted
+    :param detail: what was in the way
+    """
+
+    offset: Offset
+    record: rec.Record
+    void: Void | None = None
+    detail: str = ""
+
+
+class RejectedError(Exception):
+    """A folder found that its record does not fit the state."""
+
+    def __init__(self, void: Void, detail: str = "") -> None:
+        """Keep the reason."""
+        super().__init__(void.value)
+        self.void = void
+        self.detail = detail
+
+
+R = TypeVar("R", bound=rec.Record)
+Folder = Callable[[FleetState, Offset, R], None]
+_FOLDERS: dict[type, Callable[..., None]] = {}
+
+
+def folds(kind: type[R]) -> Callable[[Folder[R]], Folder[R]]:
+    """Register the folder of a record kind.
+
+    A folder checks everything before it changes the state, and raises
+    ``RejectedError`` if the record does not fit.
+    """
+
+    def register(folder: Folder[R]) -> Folder[R]:
+        _FOLDERS[kind] = folder
+        return folder
+
+    return register
+
+
+def fold(state: FleetState, offset: Offset, record: rec.Record) -> Outcome:
+    """Fold one record into the state, in place.
+
+    :param state: state at the offset before
+    :param offset: offset of the record
+    :param record: the record
+    :returns: whether it was accepted, or why it is void
+    """
+    state.offset = offset
+    if record.record_id in state.recent:
+        return Outcome(offset, record, Void.REPEATED)
+    _remember(state, offset, record)
+    folder = _FOLDERS.get(type(record))
+    if folder is None:
+        return Outcome(offset, record)
+    try:
+        folder(state, offset, record)
+    except RejectedError as exc:
+        return Outcome(offset, record, exc.void, exc.detail)
+    return Outcome(offset, record)
+
+
+def _remember(state: FleetState, offset: Offset, record: rec.Record) -> None:
+    """Remember the record id and forget the oldest beyond the bound."""
+    state.recent[record.record_id] = offset
+    if len(state.recent) > RECENT_RECORDS:
+        del state.recent[next(iter(state.recent))]
+
+
+# Configuration and keys
+
+
+@folds(rec.ConfigPublished)
+def _config(state: FleetState, offset: Offset, r: rec.ConfigPublished) -> None:
+    if r.base_offset != state.config_offset:
+        raise RejectedError(
+            Void.STALE_BASE, f"in force since offset {state.config_offset}"
+        )
+    documents = {k: v for k, v in state.documents.items() if k not in r.removed}
+    documents.update(r.documents)
+    try:
+        cfg = merge(documents)
+    except ConfigError as exc:
+        raise RejectedError(Void.INVALID, exc.detail) from exc
+    state.documents = documents
+    state.config = cfg
+    state.config_offset = offset
+    _apply_instances(state, offset)
+    _apply_totals(state)
+
+
+def _apply_instances(state: FleetState, offset: Offset) -> None:
+    """Add instances that the configuration names and drop those it no longer names."""
+    specs = state.config.instances
+    for name, spec in specs.items():
+        if name not in state.instances:
+            state.instances[name] = Instance(
+                pool=spec.pool, dc=spec.dc, rack=spec.rack, changed=offset
+            )
+    for name in [n for n in state.instances if n not in specs]:
+        del state.instances[name]
+
+
+def _apply_totals(state: FleetState) -> None:
+    """Set the totals of all counts from the configuration."""
+    totals: dict[CountKey, int] = {limit_key(PUBLIC_TEAM): PUBLIC_LIMIT}
+    for team, spec in state.config.teams.items():
+        totals[limit_key(team)] = spec.limit
+    for name, inst in state.config.instances.items():
+        totals[slots_key(name)] = inst.slots
+        totals[conns_key(name)] = inst.connections
+    for key, total in totals.items():
+        if key in state.counts:
+            state.counts[key].resize(total)
+        else:
+            state.counts[key] = Count.of(total)
+    for key in [k for k in state.counts if k not in totals]:
+        del state.counts[key]
+
+
+@folds(rec.KeyGiven)
+def _key_given(state: FleetState, offset: Offset, r: rec.KeyGiven) -> None:
+    if r.key_id in state.withdrawn:
+        raise RejectedError(Void.WITHDRAWN, r.key_id)
+    if r.team not in state.config.teams:
+        raise RejectedError(Void.UNKNOWN_NAME, f"team {r.team}")
+    state.given_keys[r.key_id] = Key(r.team, KeySpec(salt=r.salt, digest=r.digest))
+
+
+@folds(rec.KeyWithdrawn)
+def _key_withdrawn(state: FleetState, offset: Offset, r: rec.KeyWithdrawn) -> None:
+    state.withdrawn.setdefault(r.key_id, r.at)
+    state.given_keys.pop(r.key_id, None)
+
+
+# Sessions and slices
+
+
+def _open_session(state: FleetState, session: SessionId) -> Session:
+    found = state.sessions.get(session)
+    if found is None or found.state is not SessionState.OPEN:
+        raise RejectedError(Void.SESSION_STATE, session)
+    return found
+
+
+def _bump_epoch(state: FleetState, dc: DcId) -> None:
+    state.epochs[dc] = state.epochs.get(dc, 0) + 1
+
+
+@folds(rec.SessionOpened)
+def _session_opened(state: FleetState, offset: Offset, r: rec.SessionOpened) -> None:
+    if r.session in state.sessions:
+        raise RejectedError(Void.SESSION_STATE, r.session)
+    for found in state.sessions.values():
+        same = found.peer_address == r.peer_address and found.role is r.role
+        if same and found.state is SessionState.OPEN:
+            found.state = SessionState.ENDED
+            found.ended = offset
+    state.sessions[r.session] = Session(
+        role=r.role,
+        dc=r.dc,
+        instance=r.instance,
+        peer_address=r.peer_address,
+        http_address=r.http_address,
+        opened=offset,
+        renewed=offset,
+    )
+    if r.role is rec.Role.ENTRY:
+        _bump_epoch(state, r.dc)
+
+
+@folds(rec.SessionRenewed)
+def _session_renewed(state: FleetState, offset: Offset, r: rec.SessionRenewed) -> None:
+    for session in r.sessions:
+        found = state.sessions.get(session)
+        if found is not None and found.state is SessionState.OPEN:
+            found.renewed = offset
+
+
+@folds(rec.SessionClosed)
+def _session_closed(state: FleetState, offset: Offset, r: rec.SessionClosed) -> None:
+    found = _open_session(state, r.session)
+    _forget_session(state, r.session)
+    if found.role is rec.Role.ENTRY:
+        _bump_epoch(state, found.dc)
+
+
+@folds(rec.SessionEnded)
+def _session_ended(state: FleetState, offset: Offset, r: rec.SessionEnded) -> None:
+    found = _open_session(state, r.session)
+    if found.renewed > r.renewed_offset:
+        raise RejectedError(Void.STALE_BASE, f"renewed at offset {found.renewed}")
+    found.state = SessionState.ENDED
+    found.ended = offset
+    found.proof = r.proof
+    if found.role is rec.Role.ENTRY:
+        _bump_epoch(state, found.dc)
+
+
+@folds(rec.SessionSettled)
+def _session_settled(state: FleetState, offset: Offset, r: rec.SessionSettled) -> None:
+    found = state.sessions.get(r.session)
+    if found is None or found.state is not SessionState.ENDED:
+        raise RejectedError(Void.SESSION_STATE, r.session)
+    _forget_session(state, r.session)
+
+
+def _forget_session(state: FleetState, session: SessionId) -> None:
+    """Drop a session and return all its units."""
+    for count in state.counts.values():
+        count.release(session)
+    del state.sessions[session]
+
+
+@folds(rec.SliceTake)
+def _slice_take(state: FleetState, offset: Offset, r: rec.SliceTake) -> None:
+    _open_session(state, r.by)
+    for key, units in r.units.items():
+        if key in state.counts:
+            state.counts[key].take(r.by, units)
+
+
+@folds(rec.SliceGive)
+def _slice_give(state: FleetState, offset: Offset, r: rec.SliceGive) -> None:
+    _open_session(state, r.by)
+    to = r.to
+    if to is not None:
+        receiver = state.sessions.get(to)
+        if receiver is None or receiver.state is not SessionState.OPEN:
+            to = None
+    # A lower limit may have clamped the holding after the giver decided, so each
+    # count moves what is still held.
+    for key, units in r.units.items():
+        count = state.counts.get(key)
+        if count is not None:
+            count.give(r.by, min(units, count.held_by(r.by)), to)
+
+
+# Planner leases, drains, moves and stops
+
+
+@folds(rec.PlannerLease)
+def _planner_lease(state: FleetState, offset: Offset, r: rec.PlannerLease) -> None:
+    _open_session(state, r.session)
+    lease = state.leases.get(r.dc)
+    term = lease.term if lease else 0
+    renewal = lease is not None and lease.session == r.session and r.term == term
+    if not renewal and r.term != term + 1:
+        raise RejectedError(Void.STALE_TERM, f"term {term} is in force")
+    state.leases[r.dc] = Lease(session=r.session, term=r.term, renewed=offset)
+
+
+def _check_term(state: FleetState, dc: DcId, term: int, by: SessionId) -> None:
+    lease = state.leases.get(dc)
+    if lease is None or lease.term != term or lease.session != by:
+        raise RejectedError(Void.STALE_TERM, f"data centre {dc}")
+
+
+def _instance(state: FleetState, name: InstanceId) -> Instance:
+    found = state.instances.get(name)
+    if found is None:
+        raise RejectedError(Void.UNKNOWN_NAME, f"instance {name}")
+    return found
+
+
+def budget_allows(state: FleetState, pool: PoolId, losses: int = 1) -> str:
+    """Check the availability budgets of the services of a pool.
+
+    :param losses: available instances that would become unavailable
+    :returns: empty if they hold, else what is in the way
+    """
+    left = state.available_in(pool) - losses
+    for name, service in state.config.services.items():
+        if service.pool == pool and left < service.min_available:
+            return f"service {name} needs {service.min_available}, {left} would be left"
+    return ""
+
+
+@folds(rec.DrainStarted)
+def _drain_started(state: FleetState, offset: Offset, r: rec.DrainStarted) -> None:
+    inst = _instance(state, r.instance)
+    if r.term is None:
+        if inst.changed > r.base_offset:
+            raise RejectedError(Void.STALE_BASE, f"changed at offset {inst.changed}")
+    else:
+        _check_term(state, r.dc or inst.dc, r.term, r.by)
+    if inst.phase is not Phase.ACTIVE:
+        raise RejectedError(Void.WRONG_PHASE, inst.phase.value)
+    if r.reason is rec.DrainReason.MOVE and r.to_pool not in state.config.pools:
+        raise RejectedError(Void.UNKNOWN_NAME, f"pool {r.to_pool}")
+    if r.wave is not None:
+        _check_wave_step(state, r)
+    problem = budget_allows(state, inst.pool) if inst.available else ""
+    if problem:
+        raise RejectedError(Void.BUDGET, problem)
+    inst.phase = Phase.DRAINING
+    inst.reason = r.reason
+    inst.to_pool = r.to_pool
+    inst.wave = r.wave
+    inst.changed = offset
+    _freeze(state, r.instance, frozen=True)
+
+
+def _check_wave_step(state: FleetState, r: rec.DrainStarted) -> None:
+    wave = state.waves.get(r.wave) if r.wave else None
+    if wave is None or wave.state is not WaveState.RUNNING:
+        raise RejectedError(Void.WAVE_STATE, r.wave or "")
+    if r.instance not in wave.instances or r.instance in wave.done:
+        raise RejectedError(Void.WAVE_STATE, f"{r.instance} is not pending")
+    handled = [i for i in state.instances.values() if i.wave == r.wave]
+    stopped = sum(1 for i in handled if i.phase is not Phase.ACTIVE)
+    if stopped >= wave.max_parallel:
+        raise RejectedError(Void.WAVE_STATE, f"{stopped} instances are stopped already")
+
+
+def _freeze(state: FleetState, instance: InstanceId, frozen: bool) -> None:
+    """Forbid or allow to take units of an instance."""
+    for key in (slots_key(instance), conns_key(instance)):
+        if key in state.counts:
+            state.counts[key].frozen = frozen
+
+
+def _reactivate(state: FleetState, name: InstanceId, offset: Offset) -> None:
+    """Make an instance active again."""
+    inst = state.instances[name]
+    inst.phase = Phase.ACTIVE
+    inst.reason = None
+    inst.to_pool = None
+    inst.changed = offset
+    _freeze(state, name, frozen=False)
+
+
+@folds(rec.DrainCancelled)
+def _drain_cancelled(state: FleetState, offset: Offset, r: rec.DrainCancelled) -> None:
+    inst = _instance(state, r.instance)
+    if inst.phase is not Phase.DRAINING:
+        raise RejectedError(Void.WRONG_PHASE, inst.phase.value)
+    _reactivate(state, r.instance, offset)
+    inst.wave = None
+
+
+@folds(rec.StopRequested)
+def _stop_requested(state: FleetState, offset: Offset, r: rec.StopRequested) -> None:
+    inst = _instance(state, r.instance)
+    _check_term(state, r.dc, r.term, r.by)
+    if not state.drained(r.instance):
+        raise RejectedError(Void.NOT_DRAINED, r.instance)
+    if inst.reason is rec.DrainReason.MOVE:
+        raise RejectedError(Void.WRONG_PHASE, "the instance is moving")
+    inst.phase = Phase.STOPPING
+    inst.up = False
+    inst.changed = offset
+    if r.incarnation:
+        inst.incarnation = r.incarnation
+
+
+@folds(rec.MoveFinished)
+def _move_finished(state: FleetState, offset: Offset, r: rec.MoveFinished) -> None:
+    inst = _instance(state, r.instance)
+    _check_term(state, r.dc, r.term, r.by)
+    if inst.reason is not rec.DrainReason.MOVE or inst.to_pool is None:
+        raise RejectedError(Void.WRONG_PHASE, inst.phase.value)
+    if not state.drained(r.instance):
+        raise RejectedError(Void.NOT_DRAINED, r.instance)
+    inst.pool = inst.to_pool
+    inst.up = False
+    _reactivate(state, r.instance, offset)
+
+
+@folds(rec.InstanceUp)
+def _instance_up(state: FleetState, offset: Offset, r: rec.InstanceUp) -> None:
+    inst = _instance(state, r.instance)
+    _check_term(state, r.dc, r.term, r.by)
+    if inst.phase is Phase.STOPPING:
+        if r.incarnation == inst.incarnation:
+            raise RejectedError(Void.WRONG_PHASE, "the instance has not restarted yet")
+        inst.maintained = offset
+        _reactivate(state, r.instance, offset)
+        _finish_wave_step(state, r.instance, inst)
+    inst.up = True
+    inst.incarnation = r.incarnation
+    inst.changed = offset
+
+
+def _finish_wave_step(state: FleetState, name: InstanceId, inst: Instance) -> None:
+    """Count the instance as done in its wave."""
+    wave = state.waves.get(inst.wave) if inst.wave else None
+    inst.wave = None
+    if wave is None or name in wave.done:
+        return
+    wave.done = [*wave.done, name]
+    if len(wave.done) == len(wave.instances) and wave.state is WaveState.RUNNING:
+        wave.state = WaveState.DONE
+
+
+@folds(rec.InstanceDown)
+def _instance_down(state: FleetState, offset: Offset, r: rec.InstanceDown) -> None:
+    inst = _instance(state, r.instance)
+    _check_term(state, r.dc, r.term, r.by)
+    inst.up = False
+    inst.changed = offset
+
+
+# Waves
+
+
+@folds(rec.WaveStarted)
+def _wave_started(state: FleetState, offset: Offset, r: rec.WaveStarted) -> None:
+    if r.wave in state.waves:
+        raise RejectedError(Void.WAVE_STATE, r.wave)
+    for name in r.instances:
+        _instance(state, name)
+    state.waves[r.wave] = Wave(
+        instances=list(r.instances), max_parallel=r.max_parallel, done=[]
+    )
+
+
+def _change_wave(
+    state: FleetState, name: WaveId, allowed: set[WaveState], to: WaveState
+) -> Wave:
+    wave = state.waves.get(name)
+    if wave is None or wave.state not in allowed:
+        raise RejectedError(Void.WAVE_STATE, name)
+    wave.state = to
+    return wave
+
+
+@folds(rec.WavePaused)
+def _wave_paused(state: FleetState, offset: Offset, r: rec.WavePaused) -> None:
+    wave = _change_wave(state, r.wave, {WaveState.RUNNING}, WaveState.PAUSED)
+    wave.cause = r.cause
+
+
+@folds(rec.WaveResumed)
+def _wave_resumed(state: FleetState, offset: Offset, r: rec.WaveResumed) -> None:
+    wave = _change_wave(state, r.wave, {WaveState.PAUSED}, WaveState.RUNNING)
+    wave.cause = ""
+
+
+@folds(rec.WaveCancelled)
+def _wave_cancelled(state: FleetState, offset: Offset, r: rec.WaveCancelled) -> None:
+    live = {WaveState.RUNNING, WaveState.PAUSED}
+    _change_wave(state, r.wave, live, WaveState.CANCELLED)
--- /dev/null
+++ b/primrosepitch/gen/__init__.py
@@ -0,0 +1,1 @@
+"""Code generated from idl/primrose.thrift by the thrift compiler 0.17."""
--- /dev/null
+++ b/primrosepitch/gen/primrose/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/primrosepitch/ids.py
@@ -0,0 +1,57 @@
+"""Identifier types shared by every module."""
+
+from typing import NewType
+
+__all__ = [
+    "CallId",
+    "ConnId",
+    "CountKey",
+    "DcId",
+    "InstanceId",
+    "KeyId",
+    "Offset",
+    "PoolId",
+    "QueueId",
+    "RecordId",
+    "RequestId",
+    "SessionId",
+    "TaskId",
+    "TeamId",
+    "WaveId",
+]
+
+CallId = NewType("CallId", int)
+"""Number of a request inside one entry process."""
+
+ConnId = NewType("ConnId", int)
+"""Number of a connection to an endpoint inside one entry process."""
+
+CountKey = NewType("CountKey", str)
+"""Name of a count: ``limit/TEAM``, ``slots/INSTANCE`` or ``conns/INSTANCE``."""
+
+DcId = NewType("DcId", str)
+InstanceId = NewType("InstanceId", str)
+
+KeyId = NewType("KeyId", str)
+"""Public prefix of a team's key; it is not secret."""
+
+Offset = NewType("Offset", int)
+"""Position of a record in the platform's log; -1 is before the first record."""
+
+PoolId = NewType("PoolId", str)
+
+QueueId = NewType("QueueId", str)
+"""Name of a service; each service has one queue of its own name."""
+
+RecordId = NewType("RecordId", str)
+"""Unique id of a log record; a repeated append keeps the id."""
+
+RequestId = NewType("RequestId", str)
+"""Id that travels with a request from the caller to the endpoint."""
+
+SessionId = NewType("SessionId", str)
+"""One run of one process; a restarted process opens a new session."""
+
+TaskId = NewType("TaskId", str)
+TeamId = NewType("TeamId", str)
+WaveId = NewType("WaveId", str)
--- /dev/null
+++ b/primrosepitch/net/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, HTTP, thrift frames and the platform's client."""
--- /dev/null
+++ b/primrosepitch/planning/__init__.py
@@ -0,0 +1,1 @@
+"""Pools, availability budgets, waves and placement."""
--- /dev/null
+++ b/primrosepitch/request/__init__.py
@@ -0,0 +1,1 @@
+"""Path of a request from caller to endpoint."""
--- /dev/null
+++ b/primrosepitch/teams/__init__.py
@@ -0,0 +1,1 @@
+"""Keys, upper limits and shares of teams."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, endpoints and callers, for tests and the demo."""
