--- a/primrosepitch/errors.py
+++ b/primrosepitch/errors.py
@@ -14,6 +14,7 @@
     "EndpointFailedError",
     "EndpointUnavailableError",
     "KeyMissingError",
+    "KeyStaleError",
     "KeyUnknownError",
     "KeyWithdrawnError",
     "LogUnavailableError",
@@ -199,6 +200,16 @@
     remedy = "check the queue's name in the path"
 
 
+@register_error
+class KeyStaleError(PrimroseError):
+    """The entry has not read the log for longer than the team allows."""
+
+    code = "PRP-2106"
+    status = 503
+    summary = "not run: this entry cannot check for withdrawn keys"
+    remedy = "send the request to another data centre or try again later"
+
+
 @register_error
 class TeamLimitError(PrimroseError):
     """The team had no unit of its upper limit before the deadline."""
--- /dev/null
+++ b/primrosepitch/teams/keys.py
@@ -0,0 +1,156 @@
+"""Keys of teams: creation, verification and admission of requests."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import re
+from collections.abc import Container
+from typing import NamedTuple
+
+from primrosepitch.config.model import PUBLIC_TEAM, KeySpec, TeamSpec
+from primrosepitch.errors import (
+    KeyMissingError,
+    KeyStaleError,
+    KeyUnknownError,
+    KeyWithdrawnError,
+    QueueNotAllowedError,
+    QueueUnknownError,
+)
+from primrosepitch.fleet.state import FleetState
+from primrosepitch.ids import KeyId, QueueId, TeamId
+
+__all__ = ["Admission", "MALFORMED_KEY", "admit", "new_key", "split_key", "verify"]
+
+SECRET_BYTES = 32
+KEY_ID_DIGITS = 12
+SALT_DIGITS = 32
+
+MALFORMED_KEY = KeyId("malformed")
+"""Stands for a key of another form, whose text may hold a secret and is not kept."""
+
+_RAW_KEY = re.compile(rf"([0-9a-f]{{{KEY_ID_DIGITS}}})\.([0-9a-f]{{64}})")
+
+_NO_KEY = KeySpec(salt="0" * SALT_DIGITS, digest="0" * 64)
+"""Hashed in place of an unknown key, so that both cases take the same time."""
+
+
+class Admission(NamedTuple):
+    """Decision about the key and the queue of a request.
+
+    :param team: team that the request counts for; ``None`` if refused
+    :param code: code of ``primrosepitch.errors``; empty if admitted
+    """
+
+    team: TeamId | None
+    code: str
+
+
+def new_key(random_bytes: bytes) -> tuple[str, KeyId, KeySpec]:
+    """Make a key of the form ``KEYID.SECRET``.
+
+    :param random_bytes: at least 32 bytes from the system's random source
+    :returns: raw key to hand to the team, its public id, and the hash to store
+    :raises ValueError: if there are too few random bytes
+    """
+    if len(random_bytes) < SECRET_BYTES:
+        raise ValueError(f"a key needs {SECRET_BYTES} random bytes")
+    secret = random_bytes[:SECRET_BYTES].hex()
+    key_id = KeyId(_derive(b"id", random_bytes)[:KEY_ID_DIGITS])
+    salt = _derive(b"salt", random_bytes)[:SALT_DIGITS]
+    raw = f"{key_id}.{secret}"
+    return raw, key_id, KeySpec(salt=salt, digest=_digest(salt, raw))
+
+
+def _derive(label: bytes, random_bytes: bytes) -> str:
+    """Return hexadecimal digits that do not reveal the random bytes."""
+    return hmac.new(random_bytes, label, hashlib.sha256).hexdigest()
+
+
+def _digest(salt: str, raw: str) -> str:
+    """Return the salted hash of a raw key in hexadecimal."""
+    return hashlib.sha256(salt.encode() + raw.encode()).hexdigest()
+
+
+def split_key(raw: str) -> tuple[KeyId, str]:
+    """Split a raw key into its public id and its secret.
+
+    :returns: empty strings without a key; ``MALFORMED_KEY`` and an empty secret for
+        a text of another form
+    """
+    if not raw:
+        return KeyId(""), ""
+    match = _RAW_KEY.fullmatch(raw)
+    if match is None:
+        return MALFORMED_KEY, ""
+    return KeyId(match[1]), match[2]
+
+
+def verify(fleet: FleetState, raw: str) -> bool:
+    """Check a raw key against the stored hash.
+
+    An unknown key takes the same hash and comparison as a known one.
+    """
+    key_id, _ = split_key(raw)
+    key = fleet.find_key(key_id)
+    spec = key.spec if key else _NO_KEY
+    same = hmac.compare_digest(_digest(spec.salt, raw), spec.digest)
+    return same and key is not None
+
+
+def admit(
+    fleet: FleetState,
+    queue: QueueId,
+    key_id: KeyId,
+    key_valid: bool,
+    pending_withdrawn: Container[KeyId],
+    contact_age_s: float,
+) -> Admission:
+    """Decide for which team a request is accepted.
+
+    On a queue open to all, a key that would be refused elsewhere is ignored.
+
+    :param key_id: public id of the key that came with the request; empty without
+    :param key_valid: whether the secret matched the stored hash
+    :param pending_withdrawn: keys withdrawn while the log was down
+    :param contact_age_s: seconds since the last contact with the log
+    """
+    service = fleet.config.services.get(queue)
+    if service is None:
+        return Admission(None, QueueUnknownError.code)
+    found = _admit_key(
+        fleet, queue, key_id, key_valid, pending_withdrawn, contact_age_s
+    )
+    if found.team is None and service.open:
+        return Admission(PUBLIC_TEAM, "")
+    return found
+
+
+def _admit_key(
+    fleet: FleetState,
+    queue: QueueId,
+    key_id: KeyId,
+    key_valid: bool,
+    pending_withdrawn: Container[KeyId],
+    contact_age_s: float,
+) -> Admission:
+    """Decide about a queue that needs a key."""
+    if not key_id:
+        return Admission(None, KeyMissingError.code)
+    if key_id in fleet.withdrawn or key_id in pending_withdrawn:
+        return Admission(None, KeyWithdrawnError.code)
+    key = fleet.find_key(key_id)
+    team = fleet.config.teams.get(key.team) if key else None
+    if key is None or team is None or not key_valid:
+        return Admission(None, KeyUnknownError.code)
+    if team.queues and queue not in team.queues:
+        return Admission(None, QueueNotAllowedError.code)
+    if _stale(team, contact_age_s):
+        return Admission(None, KeyStaleError.code)
+    return Admission(key.team, "")
+
+
+def _stale(team: TeamSpec, contact_age_s: float) -> bool:
+    """Whether the contact with the log is too old to trust the team's keys."""
+    deadline_s = team.stale_key_deadline_s
+    return deadline_s is not None and contact_age_s > deadline_s
