Add the holdings of an entry session

An entry has to know which units it may use, take, ask for and give. holdings.py keeps a floor per session, returns idle units above it and subtracts given units before their record is appended.

--- /dev/null
+++ b/primrosepitch/teams/holdings.py
@@ -0,0 +1,499 @@
+"""Units of counts that one entry session takes, asks for and gives."""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+import msgspec
+
+from primrosepitch.fleet import records as rec
+from primrosepitch.fleet.counts import Count, conns_key, slots_key
+from primrosepitch.fleet.fold import Outcome
+from primrosepitch.fleet.state import FleetState, SessionState
+from primrosepitch.ids import CountKey, DcId, InstanceId, RecordId, SessionId
+
+__all__ = ["Holdings", "HoldingsPlan"]
+
+RECORD_INTERVAL_S = 1.0
+"""At most one take and one give record are appended in this time."""
+
+ASK_INTERVAL_S = 1.0
+"""Time between two questions to peers."""
+
+ROTATE_S = 2.0
+"""Time for which a unit that several sessions compete for stays with one of them."""
+
+PROMISE_S = 5.0
+"""Time after which a peer's question that could not be met is dropped."""
+
+OWN_RECORDS = 256
+"""Own record ids remembered to tell a repeated append from one never seen."""
+
+_RESCAN = (
+    rec.ConfigPublished,
+    rec.SessionOpened,
+    rec.SessionClosed,
+    rec.SessionEnded,
+    rec.SessionSettled,
+    rec.Snapshot,
+)
+"""Records that may change the floors or totals of many counts."""
+
+_INSTANCE = (
+    rec.DrainStarted,
+    rec.DrainCancelled,
+    rec.InstanceUp,
+    rec.MoveFinished,
+)
+"""Records that freeze or release the counts of one instance."""
+
+
+class HoldingsPlan(NamedTuple):
+    """What a session does about its holdings.
+
+    :param take: units to take from reserves, in one ``SliceTake``
+    :param give: units to return to reserves, in one ``SliceGive``; they are no
+        longer free
+    :param ask: units to ask for, by peer
+    """
+
+    take: dict[CountKey, int]
+    give: dict[CountKey, int]
+    ask: dict[SessionId, dict[CountKey, int]]
+
+
+class _Promise(msgspec.Struct):
+    """Units in use that go to a competing session as they become idle."""
+
+    units: int
+    until: float
+
+
+class Holdings:
+    """Units that one entry session holds and uses.
+
+    A session keeps a floor, the equal part of each count, whether it uses it or not,
+    so that a data centre that is cut off can go on. Units above the floor move to
+    where the demand is. Nothing is started against units that are being given away.
+
+    :param session: own session
+    """
+
+    def __init__(self, session: SessionId) -> None:
+        """Start without units."""
+        self.session = session
+        self._in_use: Counter[CountKey] = Counter()
+        self._peak: dict[CountKey, int] = {}
+        self._giving: Counter[CountKey] = Counter()
+        self._taking: Counter[CountKey] = Counter()
+        self._pending: list[rec.SliceTake | rec.SliceGive] = []
+        self._settled: deque[RecordId] = deque(maxlen=OWN_RECORDS)
+        self._take_due = self._give_due = self._ask_due = float("-inf")
+        self._promised: dict[CountKey, _Promise] = {}
+        self._yielded: dict[CountKey, float] = {}
+        self._since: dict[CountKey, float] = {}
+        self._window: dict[CountKey, float] = {}
+        self._below: set[CountKey] = set()
+        self._leaving: set[CountKey] = set()
+        self._turns: Counter[CountKey] = Counter()
+        self._changed: set[CountKey] = set()
+        self._rescan = True
+        self._members: dict[DcId | None, int] = {}
+        self._dc: DcId | None = None
+
+    # Use of units
+
+    def free(self, fleet: FleetState, key: CountKey) -> int:
+        """Return the units on which work may start now."""
+        if not self._open(fleet):
+            return 0
+        promise = self._promised.get(key)
+        return max(0, self._idle(fleet, key) - (promise.units if promise else 0))
+
+    def use(self, key: CountKey) -> None:
+        """Count a unit as in use."""
+        units = self._in_use[key] + 1
+        self._in_use[key] = units
+        if units > self._peak.get(key, 0):
+            self._peak[key] = units
+
+    def release(self, key: CountKey) -> None:
+        """Count a unit as no longer in use.
+
+        :raises ValueError: if none is in use
+        """
+        units = self._in_use[key]
+        if units <= 0:
+            raise ValueError(f"no unit of {key} is in use")
+        if units == 1:
+            del self._in_use[key]
+        else:
+            self._in_use[key] = units - 1
+
+    def in_use(self, key: CountKey) -> int:
+        """Return the units in use."""
+        return self._in_use.get(key, 0)
+
+    def _open(self, fleet: FleetState) -> bool:
+        """Whether the own session may use its units."""
+        own = fleet.sessions.get(self.session)
+        return own is not None and own.state is SessionState.OPEN
+
+    def _held(self, fleet: FleetState, key: CountKey) -> int:
+        """Return the units held that are not being given away."""
+        count = fleet.counts.get(key)
+        if count is None:
+            return 0
+        return count.held_by(self.session) - self._giving.get(key, 0)
+
+    def _idle(self, fleet: FleetState, key: CountKey) -> int:
+        """Return the units held that are neither in use nor being given away."""
+        return self._held(fleet, key) - self._in_use.get(key, 0)
+
+    # Floors
+
+    def _floor(self, fleet: FleetState, key: CountKey) -> int:
+        """Return the equal part of a count; 0 if it is frozen or of no use here."""
+        count = fleet.counts.get(key)
+        if count is None or count.frozen:
+            return 0
+        return count.total // self._sharers(fleet, key)
+
+    def _sharers(self, fleet: FleetState, key: CountKey) -> int:
+        """Return how many open entry sessions may use a count."""
+        dc = None if key.startswith("limit/") else self._dc
+        return max(1, self._members.get(dc, 0))
+
+    def _usable(self, fleet: FleetState, key: CountKey) -> bool:
+        """Whether this session's data centre may use a count."""
+        kind, _, name = key.partition("/")
+        if kind == "limit":
+            return True
+        inst = fleet.instances.get(InstanceId(name))
+        return inst is not None and inst.dc == self._dc
+
+    def _refresh(self, now: float, fleet: FleetState) -> None:
+        """Look at the counts that changed since the last plan."""
+        if self._rescan:
+            self._rescan = False
+            self._dc = fleet.sessions[self.session].dc
+            self._members = {d: len(fleet.open_entries(d)) for d in (None, self._dc)}
+            self._changed.update(fleet.counts)
+        for key in self._changed:
+            self._classify(now, fleet, key)
+        self._changed.clear()
+
+    def _classify(self, now: float, fleet: FleetState, key: CountKey) -> None:
+        """Note what is to be done about one count."""
+        self._below.discard(key)
+        self._leaving.discard(key)
+        self._window.pop(key, None)
+        count = fleet.counts.get(key)
+        if count is None or not self._usable(fleet, key):
+            return
+        held, floor = self._held(fleet, key), self._floor(fleet, key)
+        if count.frozen and held:
+            self._leaving.add(key)
+        elif held > floor:
+            self._start_window(now, key)
+            self._since.setdefault(key, now)
+            return
+        elif held < floor:
+            self._below.add(key)
+        self._since.pop(key, None)
+
+    def _start_window(self, now: float, key: CountKey) -> None:
+        """Observe the units in use from now on."""
+        self._window[key] = now
+        self._peak[key] = self._in_use.get(key, 0)
+
+    # Plan
+
+    def plan(
+        self, now: float, fleet: FleetState, wanted: Mapping[CountKey, int]
+    ) -> HoldingsPlan:
+        """Decide what to take, give and ask for.
+
+        The caller appends one ``SliceTake`` of ``take`` and one ``SliceGive`` of
+        ``give`` without a receiver, and sends the questions of ``ask``.
+
+        :param now: boot-time clock in seconds
+        :param wanted: units that waiting work needs, by count
+        """
+        if not self._open(fleet):
+            return HoldingsPlan({}, {}, {})
+        self._refresh(now, fleet)
+        give = self._plan_give(now, fleet)
+        short = self._shortage(fleet, wanted)
+        take = self._plan_take(now, fleet, short)
+        ask = self._plan_ask(now, fleet, short)
+        return HoldingsPlan(take, give, ask)
+
+    def _shortage(
+        self, fleet: FleetState, wanted: Mapping[CountKey, int]
+    ) -> dict[CountKey, int]:
+        """Return the units that are wanted and not free."""
+        short = {}
+        for key, units in wanted.items():
+            missing = units - max(0, self._idle(fleet, key))
+            if missing > 0 and not self._promised.get(key):
+                short[key] = missing
+        return short
+
+    def _plan_take(
+        self, now: float, fleet: FleetState, short: Mapping[CountKey, int]
+    ) -> dict[CountKey, int]:
+        """Choose units to take; the reserve's odd units are not taken at once."""
+        if now < self._take_due or self._taking:
+            return {}
+        take: dict[CountKey, int] = {}
+        for key in self._below | short.keys():
+            count = fleet.counts.get(key)
+            if count is None or count.frozen or count.reserve <= 0:
+                continue
+            missing = max(0, self._floor(fleet, key) - self._held(fleet, key))
+            extra = max(0, short.get(key, 0) - missing)
+            if extra and self._yielded.get(key, now) > now:
+                extra = 0
+            odd = max(0, count.reserve - missing)
+            units = min(missing, count.reserve) + min(extra, (odd + 1) // 2)
+            if units:
+                take[key] = units
+        if take:
+            self._take_due = now + RECORD_INTERVAL_S
+            self._taking.update(take)
+            self._pending.append(self._take_record(take))
+        return take
+
+    def _plan_give(self, now: float, fleet: FleetState) -> dict[CountKey, int]:
+        """Choose units to return to reserves."""
+        if now < self._give_due or self._giving:
+            return {}
+        give: dict[CountKey, int] = {}
+        for key in list(self._leaving):
+            self._add(give, key, self._idle(fleet, key))
+        for key in list(self._promised):
+            self._keep_promise(now, fleet, key, give)
+        self._return_idle(now, fleet, give)
+        if give:
+            self._subtract(now, give, None)
+        return give
+
+    @staticmethod
+    def _add(units: dict[CountKey, int], key: CountKey, more: int) -> None:
+        """Add units of a count if there are any."""
+        if more > 0:
+            units[key] = units.get(key, 0) + more
+
+    def _keep_promise(
+        self, now: float, fleet: FleetState, key: CountKey, give: dict[CountKey, int]
+    ) -> None:
+        """Give promised units that have become idle."""
+        promise = self._promised[key]
+        above = self._held(fleet, key) - self._floor(fleet, key)
+        units = min(promise.units, above, self._idle(fleet, key))
+        if units > 0:
+            self._add(give, key, units)
+            promise.units -= units
+            self._since.pop(key, None)
+            self._yielded[key] = now + RECORD_INTERVAL_S
+        if promise.units <= 0 or above <= 0 or now >= promise.until:
+            del self._promised[key]
+
+    def _return_idle(
+        self, now: float, fleet: FleetState, give: dict[CountKey, int]
+    ) -> None:
+        """Return units above the floor that were idle for a whole window."""
+        idle_s = fleet.config.fleet.idle_return_s
+        while self._window:
+            key, start = next(iter(self._window.items()))
+            if start + idle_s > now:
+                return
+            del self._window[key]
+            held = self._held(fleet, key) - give.get(key, 0)
+            above = held - self._floor(fleet, key)
+            peak = max(self._peak.get(key, 0), self._in_use.get(key, 0))
+            units = min(above, held - peak)
+            self._add(give, key, units)
+            if above > max(0, units):
+                self._start_window(now, key)
+
+    def _subtract(
+        self, now: float, units: dict[CountKey, int], to: SessionId | None
+    ) -> rec.SliceGive:
+        """Subtract units before the record that gives them is appended."""
+        self._give_due = now + RECORD_INTERVAL_S
+        self._giving.update(units)
+        record = rec.SliceGive(
+            record_id=RecordId(""), by=self.session, units=dict(units), to=to
+        )
+        self._pending.append(record)
+        return record
+
+    def _take_record(self, units: dict[CountKey, int]) -> rec.SliceTake:
+        return rec.SliceTake(record_id=RecordId(""), by=self.session, units=dict(units))
+
+    # Questions between peers
+
+    def _plan_ask(
+        self, now: float, fleet: FleetState, short: Mapping[CountKey, int]
+    ) -> dict[SessionId, dict[CountKey, int]]:
+        """Choose a peer to ask for each count whose reserve is empty."""
+        if now < self._ask_due or not short:
+            return {}
+        ask: dict[SessionId, dict[CountKey, int]] = {}
+        for key, units in short.items():
+            count = fleet.counts.get(key)
+            if count is None or count.frozen or count.reserve > 0:
+                continue
+            peer = self._choose_peer(fleet, key, count)
+            if peer is not None:
+                ask.setdefault(peer, {})[key] = units
+        if ask:
+            self._ask_due = now + ASK_INTERVAL_S
+        return ask
+
+    def _choose_peer(
+        self, fleet: FleetState, key: CountKey, count: Count
+    ) -> SessionId | None:
+        """Return the peer that holds most, and another one at each further turn."""
+        holders = [
+            s
+            for s, n in count.held.items()
+            if s != self.session and n > self._keep(fleet, key, s)
+        ]
+        holders = [s for s in holders if fleet.sessions[s].state is SessionState.OPEN]
+        if not holders:
+            return None
+        holders.sort(key=lambda s: (-count.held[s], s))
+        turn = self._turns[key]
+        self._turns[key] += 1
+        return holders[turn % len(holders)]
+
+    def _keep(self, fleet: FleetState, key: CountKey, peer: SessionId) -> int:
+        """Return the units that are not lent between this session and a peer.
+
+        Within a data centre half of the floor can be lent, since the peers of a
+        data centre that is cut off still hold its whole part.
+        """
+        floor = self._floor(fleet, key)
+        found = fleet.sessions.get(peer)
+        if found is not None and found.dc == self._dc:
+            return (floor + 1) // 2
+        return floor
+
+    def asked(
+        self,
+        now: float,
+        fleet: FleetState,
+        session: SessionId,
+        units: dict[CountKey, int],
+    ) -> rec.SliceGive | None:
+        """Answer a peer that asks for units.
+
+        Idle units are given at once. Of units in use, the peer's part is promised and
+        returns to the reserve as work ends.
+
+        :returns: record to append; ``None`` if nothing can be given now
+        """
+        if not self._open(fleet):
+            return None
+        self._refresh(now, fleet)
+        give: dict[CountKey, int] = {}
+        may_give = now >= self._give_due and not self._giving
+        for key, asked in units.items():
+            count = fleet.counts.get(key)
+            if count is None or count.frozen:
+                continue
+            spare = self._held(fleet, key) - self._keep(fleet, key, session)
+            idle = min(asked, spare, self.free(fleet, key)) if may_give else 0
+            self._add(give, key, idle)
+            self._promise(now, fleet, session, key, asked - max(0, idle))
+        return self._subtract(now, give, session) if give else None
+
+    def _promise(
+        self,
+        now: float,
+        fleet: FleetState,
+        session: SessionId,
+        key: CountKey,
+        missing: int,
+    ) -> None:
+        """Promise units above the floor to a session that holds fewer."""
+        floor = self._floor(fleet, key)
+        above = self._held(fleet, key) - floor
+        if missing <= 0 or above <= 0 or key in self._promised:
+            return
+        theirs = fleet.holding(key, session) - floor
+        units = (above - theirs) // 2
+        if units == 0 and above > theirs:
+            units = int(now - self._since.get(key, now) >= ROTATE_S)
+        if units > 0:
+            promised = min(units, missing, above)
+            self._promised[key] = _Promise(promised, now + PROMISE_S)
+
+    # Folded records
+
+    def folded(self, outcome: Outcome) -> None:
+        """Take note of a folded record; called after each one, in order."""
+        record = outcome.record
+        if isinstance(record, rec.SliceTake | rec.SliceGive):
+            self._slice_folded(outcome, record)
+        elif isinstance(record, _RESCAN):
+            self._rescan = True
+        elif isinstance(record, _INSTANCE):
+            self._changed.update(
+                (slots_key(record.instance), conns_key(record.instance))
+            )
+
+    def loaded(self) -> None:
+        """Take note that the state was replaced by a newer one."""
+        self._rescan = True
+
+    def _slice_folded(
+        self, outcome: Outcome, record: rec.SliceTake | rec.SliceGive
+    ) -> None:
+        """Settle an own record; note units that came from a peer."""
+        if record.by == self.session:
+            self._settle(outcome, record)
+        elif isinstance(record, rec.SliceGive) and record.to == self.session:
+            self._note(record.units)
+
+    def _note(self, keys: Iterable[CountKey]) -> None:
+        """Look at counts again in the next plan."""
+        self._changed.update(keys)
+
+    def _settle(self, outcome: Outcome, record: rec.SliceTake | rec.SliceGive) -> None:
+        """End the pending take or give that has been read back.
+
+        A repeated append settles nothing if its first copy did: a later record with
+        the same content may still be on its way.
+        """
+        if record.record_id in self._settled:
+            return
+        self._settled.append(record.record_id)
+        for pending in self._pending:
+            if self._same(pending, record):
+                break
+        else:
+            return
+        self._pending.remove(pending)
+        counter = self._taking if isinstance(record, rec.SliceTake) else self._giving
+        for key, units in record.units.items():
+            counter[key] -= units
+            if counter[key] <= 0:
+                del counter[key]
+        self._note(record.units)
+
+    @staticmethod
+    def _same(
+        pending: rec.SliceTake | rec.SliceGive, record: rec.SliceTake | rec.SliceGive
+    ) -> bool:
+        """Whether a record read back has the content of a pending one."""
+        if type(pending) is not type(record) or pending.units != record.units:
+            return False
+        if isinstance(pending, rec.SliceGive) and isinstance(record, rec.SliceGive):
+            return pending.to == record.to
+        return True
