Keep units in use out of reach after a limit was lowered and raised

A lowered total clamped holdings at once. An instance could also count as drained while clamped work ran on it. A count now remembers by session the units that it clamped (owed); as many stay in the reserve until the session's SliceGive clears them or the session is settled. A count whose team or instance was removed stays at 0 units until then. Holdings clear what their own work has left, and plan in an order that does not depend on hash seeds.

--- a/primrosepitch/fleet/counts.py
+++ b/primrosepitch/fleet/counts.py
@@ -31,12 +31,17 @@
     :param reserve: units that no session holds
     :param held: units by session; sessions without units are absent
     :param frozen: whether nothing can be taken from the reserve
+    :param owed: units by session that a lower total took while its work may still run
+        on them; until the session clears them, as many stay in the reserve. Without
+        this, lowering and raising a total again would let others start on units that
+        are still in use.
     """
 
     total: int = 0
     reserve: int = 0
     held: dict[SessionId, int] = {}
     frozen: bool = False
+    owed: dict[SessionId, int] = {}
 
     @classmethod
     def of(cls, total: int) -> Count:
@@ -47,12 +52,17 @@
         """Return the units that a session holds."""
         return self.held.get(session, 0)
 
+    @property
+    def available(self) -> int:
+        """Units of the reserve that can be taken."""
+        return 0 if self.frozen else max(0, self.reserve - sum(self.owed.values()))
+
     def take(self, session: SessionId, units: int) -> int:
         """Move units from the reserve to a session.
 
         :returns: units that were moved; less than asked when the reserve has less
         """
-        granted = 0 if self.frozen else max(0, min(units, self.reserve))
+        granted = max(0, min(units, self.available))
         if granted:
             self.reserve -= granted
             self.held[session] = self.held_by(session) + granted
@@ -75,9 +85,23 @@
             self.held[to] = self.held_by(to) + units
         return True
 
+    def clear(self, session: SessionId, units: int) -> int:
+        """Note that no work of a session runs on units that it owed.
+
+        :returns: units that were cleared
+        """
+        owed = self.owed.get(session, 0)
+        cleared = min(units, owed)
+        if cleared < owed:
+            self.owed[session] = owed - cleared
+        else:
+            self.owed.pop(session, None)
+        return cleared
+
     def release(self, session: SessionId) -> None:
         """Return all units of a session to the reserve."""
         self.reserve += self.held.pop(session, 0)
+        self.owed.pop(session, None)
 
     def resize(self, total: int) -> None:
         """Change the total; a lower one takes from the reserve first.
@@ -101,6 +125,10 @@
         order = sorted(self.held, key=lambda s: (-(self.held[s] * total % held_sum), s))
         for session in order[:rest]:
             parts[session] += 1
+        for session, units in self.held.items():
+            if units > parts[session]:
+                lost = units - parts[session]
+                self.owed[session] = self.owed.get(session, 0) + lost
         self.held = {s: n for s, n in parts.items() if n}
 
     def _set(self, session: SessionId, units: int) -> None:
--- a/primrosepitch/fleet/fold.py
+++ b/primrosepitch/fleet/fold.py
@@ -179,6 +179,15 @@
         else:
             state.counts[key] = Count.of(total)
     for key in [k for k in state.counts if k not in totals]:
+        _remove_count(state, key)
+
+
+def _remove_count(state: FleetState, key: CountKey) -> None:
+    """Drop a count, or keep it at 0 units while work may still run on them."""
+    count = state.counts[key]
+    count.resize(0)
+    count.frozen = False
+    if not count.owed:
         del state.counts[key]
 
 
@@ -292,12 +301,13 @@
         receiver = state.sessions.get(to)
         if receiver is None or receiver.state is not SessionState.OPEN:
             to = None
-    # A lower limit may have clamped the holding after the giver decided, so each
-    # count moves what is still held.
+    # A lower limit may have clamped the holding after the giver decided, so units
+    # that it owes are cleared first and each count moves what is still held.
     for key, units in r.units.items():
         count = state.counts.get(key)
         if count is not None:
-            count.give(r.by, min(units, count.held_by(r.by)), to)
+            rest = units - count.clear(r.by, units)
+            count.give(r.by, min(rest, count.held_by(r.by)), to)
 
 
 # Planner leases, drains, moves and stops
--- a/primrosepitch/fleet/state.py
+++ b/primrosepitch/fleet/state.py
@@ -196,7 +196,7 @@
         if self.instances[instance].phase is not Phase.DRAINING:
             return False
         counts = (self.counts[slots_key(instance)], self.counts[conns_key(instance)])
-        return all(c.reserve == c.total for c in counts)
+        return all(c.reserve == c.total and not c.owed for c in counts)
 
     def available_in(self, pool: PoolId) -> int:
         """Return how many instances of a pool are available."""
--- a/primrosepitch/teams/holdings.py
+++ b/primrosepitch/teams/holdings.py
@@ -90,13 +90,14 @@
         self._taking: Counter[CountKey] = Counter()
         self._pending: list[rec.SliceTake | rec.SliceGive] = []
         self._settled: deque[RecordId] = deque(maxlen=OWN_RECORDS)
-        self._take_due = self._give_due = self._ask_due = float("-inf")
+        self._scan_due = self._take_due = self._give_due = self._ask_due = float("-inf")
         self._promised: dict[CountKey, _Promise] = {}
         self._yielded: dict[CountKey, float] = {}
         self._since: dict[CountKey, float] = {}
         self._window: dict[CountKey, float] = {}
         self._below: set[CountKey] = set()
         self._leaving: set[CountKey] = set()
+        self._owing: set[CountKey] = set()
         self._turns: Counter[CountKey] = Counter()
         self._changed: set[CountKey] = set()
         self._rescan = True
@@ -142,11 +143,15 @@
         return own is not None and own.state is SessionState.OPEN
 
     def _held(self, fleet: FleetState, key: CountKey) -> int:
-        """Return the units held that are not being given away."""
+        """Return the units held that are not being given away.
+
+        The fold takes given units from those owed first.
+        """
         count = fleet.counts.get(key)
         if count is None:
             return 0
-        return count.held_by(self.session) - self._giving.get(key, 0)
+        giving = self._giving.get(key, 0) - count.owed.get(self.session, 0)
+        return count.held_by(self.session) - max(0, giving)
 
     def _idle(self, fleet: FleetState, key: CountKey) -> int:
         """Return the units held that are neither in use nor being given away."""
@@ -181,7 +186,7 @@
             self._dc = fleet.sessions[self.session].dc
             self._members = {d: len(fleet.open_entries(d)) for d in (None, self._dc)}
             self._changed.update(fleet.counts)
-        for key in self._changed:
+        for key in sorted(self._changed):
             self._classify(now, fleet, key)
         self._changed.clear()
 
@@ -189,9 +194,14 @@
         """Note what is to be done about one count."""
         self._below.discard(key)
         self._leaving.discard(key)
+        self._owing.discard(key)
         self._window.pop(key, None)
         count = fleet.counts.get(key)
-        if count is None or not self._usable(fleet, key):
+        if count is None:
+            return
+        if self.session in count.owed:
+            self._owing.add(key)
+        if not self._usable(fleet, key):
             return
         held, floor = self._held(fleet, key), self._floor(fleet, key)
         if count.frozen and held:
@@ -238,7 +248,7 @@
         short = {}
         for key, units in wanted.items():
             missing = units - max(0, self._idle(fleet, key))
-            if missing > 0 and not self._promised.get(key):
+            if missing > 0 and key not in self._promised:
                 short[key] = missing
         return short
 
@@ -249,16 +259,20 @@
         if now < self._take_due or self._taking:
             return {}
         take: dict[CountKey, int] = {}
-        for key in self._below | short.keys():
+        below: set[CountKey] = set()
+        if now >= self._scan_due:
+            self._scan_due = now + RECORD_INTERVAL_S
+            below = self._below
+        for key in sorted(below | short.keys()):
             count = fleet.counts.get(key)
-            if count is None or count.frozen or count.reserve <= 0:
+            if count is None or count.available <= 0:
                 continue
             missing = max(0, self._floor(fleet, key) - self._held(fleet, key))
             extra = max(0, short.get(key, 0) - missing)
             if extra and self._yielded.get(key, now) > now:
                 extra = 0
-            odd = max(0, count.reserve - missing)
-            units = min(missing, count.reserve) + min(extra, (odd + 1) // 2)
+            odd = max(0, count.available - missing)
+            units = min(missing, count.available) + min(extra, (odd + 1) // 2)
             if units:
                 take[key] = units
         if take:
@@ -272,8 +286,10 @@
         if now < self._give_due or self._giving:
             return {}
         give: dict[CountKey, int] = {}
-        for key in list(self._leaving):
+        for key in sorted(self._leaving):
             self._add(give, key, self._idle(fleet, key))
+        for key in sorted(self._owing):
+            self._add(give, key, self._clearable(fleet, key))
         for key in list(self._promised):
             self._keep_promise(now, fleet, key, give)
         self._return_idle(now, fleet, give)
@@ -287,6 +303,12 @@
         if more > 0:
             units[key] = units.get(key, 0) + more
 
+    def _clearable(self, fleet: FleetState, key: CountKey) -> int:
+        """Return the units owed on which no own work runs any more."""
+        count = fleet.counts.get(key)
+        owed = count.owed.get(self.session, 0) if count else 0
+        return min(owed, owed + self._idle(fleet, key))
+
     def _keep_promise(
         self, now: float, fleet: FleetState, key: CountKey, give: dict[CountKey, int]
     ) -> None:
@@ -346,7 +368,7 @@
         ask: dict[SessionId, dict[CountKey, int]] = {}
         for key, units in short.items():
             count = fleet.counts.get(key)
-            if count is None or count.frozen or count.reserve > 0:
+            if count is None or count.frozen or count.available > 0:
                 continue
             peer = self._choose_peer(fleet, key, count)
             if peer is not None:
