--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,7 @@
 format: setup
 	.venv/bin/ruff format .
 	.venv/bin/ruff check --fix .
+
+.PHONY: catalogues
+catalogues: setup
+	$(PY) scripts/write_catalogues.py
