--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measures of the project against their bounds and baselines."""
