Correct the fold's handling of removals, leases and waves

Cause: the fold dropped the counts of a removed instance or team at once, so that their units existed twice when the name came back; it accepted records under the lease of an ended session and of another data centre, a wave across racks, a wave that could never end, a publication that removes instances that a budget needs or a pool in use, a repeated key id, and a stop without a known incarnation; a record at an old offset set the state's offset back. Change: counts that nothing names stay frozen until their units are back; the lease check needs an open planner session of the instance's data centre; the fold keeps a wave to one rack; StopRequested and MoveFinished are void when failures have made a healthy instance needed; withdrawals are pruned after 400 days unless a file still lists the key; old offsets are ignored.

--- a/primrosepitch/fleet/counts.py
+++ b/primrosepitch/fleet/counts.py
@@ -31,12 +31,15 @@
     :param reserve: units that no session holds
     :param held: units by session; sessions without units are absent
     :param frozen: whether nothing can be taken from the reserve
+    :param abandoned: whether the configuration no longer names it; it is dropped
+        once its units are all back in the reserve
     """
 
     total: int = 0
     reserve: int = 0
     held: dict[SessionId, int] = {}
     frozen: bool = False
+    abandoned: bool = False
 
     @classmethod
     def of(cls, total: int) -> Count:
--- a/primrosepitch/fleet/fold.py
+++ b/primrosepitch/fleet/fold.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from primrosepitch.config.model import PUBLIC_TEAM, KeySpec, merge
+from primrosepitch.config.model import PUBLIC_TEAM, Config, KeySpec, merge
 from primrosepitch.errors import ConfigError
 from primrosepitch.fleet import records as rec
 from primrosepitch.fleet.counts import Count, conns_key, limit_key, slots_key
@@ -38,6 +38,12 @@
 RECENT_RECORDS = 4096
 """Record ids remembered to fold repeated appends once."""
 
+WITHDRAWN_KEPT_S = 400 * 86400.0
+"""Seconds for which a withdrawn key id is remembered."""
+
+FINISHED_WAVES = 16
+"""Finished waves kept for operators; older ones are dropped from the state."""
+
 PUBLIC_LIMIT = 1_000_000
 """Upper limit of the built-in team when the configuration names none."""
 
@@ -83,6 +89,7 @@
         self.detail = detail
 
 
+_Fenced = rec.StopRequested | rec.MoveFinished | rec.InstanceUp
 R = TypeVar("R", bound=rec.Record)
 Folder = Callable[[FleetState, Offset, R], None]
 _FOLDERS: dict[type, Callable[..., None]] = {}
@@ -110,6 +117,8 @@
     :param record: the record
     :returns: whether it was accepted, or why it is void
     """
+    if offset <= state.offset:
+        return Outcome(offset, record, Void.OLDER)
     state.offset = offset
     if record.record_id in state.recent:
         return Outcome(offset, record, Void.REPEATED)
@@ -146,6 +155,8 @@
         cfg = merge(documents)
     except ConfigError as exc:
         raise RejectedError(Void.INVALID, exc.detail) from exc
+    _check_removed_pools(state, cfg)
+    _check_removed_instances(state, cfg)
     state.documents = documents
     state.config = cfg
     state.config_offset = offset
@@ -153,20 +164,65 @@
     _apply_totals(state)
 
 
+def _check_removed_pools(state: FleetState, cfg: Config) -> None:
+    """Reject a configuration that removes a pool that instances are in or move to."""
+    removed = state.config.pools.keys() - cfg.pools.keys()
+    for name, inst in state.instances.items():
+        used = removed & {inst.pool, inst.to_pool}
+        if used and name in cfg.instances:
+            raise RejectedError(
+                Void.INVALID, f"pool {min(used, key=str)} still has instance {name}"
+            )
+
+
+def _check_removed_instances(state: FleetState, cfg: Config) -> None:
+    """Reject a configuration whose removed instances an availability budget needs."""
+    for name, service in cfg.services.items():
+        before = state.available_in(service.pool)
+        left = sum(
+            1
+            for key, inst in state.instances.items()
+            if inst.pool == service.pool and inst.available and key in cfg.instances
+        )
+        if left < before and left < service.min_available:
+            raise RejectedError(
+                Void.BUDGET,
+                f"service {name} needs {service.min_available}, {left} would be left",
+            )
+
+
 def _apply_instances(state: FleetState, offset: Offset) -> None:
     """Add instances that the configuration names and drop those it no longer names."""
     specs = state.config.instances
     for name, spec in specs.items():
-        if name not in state.instances:
+        found = state.instances.get(name)
+        if found is None:
             state.instances[name] = Instance(
                 pool=spec.pool, dc=spec.dc, rack=spec.rack, changed=offset
             )
+        else:
+            found.dc = spec.dc
+            found.rack = spec.rack
     for name in [n for n in state.instances if n not in specs]:
         del state.instances[name]
+        _drop_from_waves(state, name)
+
+
+def _drop_from_waves(state: FleetState, name: InstanceId) -> None:
+    """Take an instance out of the waves, so that they can finish without it."""
+    for wave in state.waves.values():
+        if name in wave.instances:
+            wave.instances = [i for i in wave.instances if i != name]
+            wave.done = [i for i in wave.done if i != name]
+            _finish_wave(wave)
 
 
 def _apply_totals(state: FleetState) -> None:
-    """Set the totals of all counts from the configuration."""
+    """Set the totals of all counts from the configuration.
+
+    A count that is no longer named stays frozen until all its units are back. Were it
+    dropped at once and then named again, its units would exist twice.
+    """
     totals: dict[CountKey, int] = {limit_key(PUBLIC_TEAM): PUBLIC_LIMIT}
     for team, spec in state.config.teams.items():
         totals[limit_key(team)] = spec.limit
@@ -176,9 +232,25 @@
     for key, total in totals.items():
         if key in state.counts:
             state.counts[key].resize(total)
+            state.counts[key].abandoned = False
         else:
             state.counts[key] = Count.of(total)
     for key in [k for k in state.counts if k not in totals]:
+        state.counts[key].abandoned = True
+        _drop_if_whole(state, key)
+    for name, found in state.instances.items():
+        _freeze(state, name, frozen=found.phase is not Phase.ACTIVE)
+    for team in state.config.teams:
+        state.counts[limit_key(team)].frozen = False
+
+
+def _drop_if_whole(state: FleetState, key: CountKey) -> None:
+    """Drop a count that nothing names once its units are all back."""
+    count = state.counts[key]
+    if not count.abandoned:
+        return
+    count.frozen = True
+    if count.reserve == count.total:
         del state.counts[key]
 
 
@@ -188,6 +260,8 @@
         raise RejectedError(Void.WITHDRAWN, r.key_id)
     if r.team not in state.config.teams:
         raise RejectedError(Void.UNKNOWN_NAME, f"team {r.team}")
+    if state.find_key(r.key_id) is not None:
+        raise RejectedError(Void.INVALID, f"key {r.key_id} exists already")
     state.given_keys[r.key_id] = Key(r.team, KeySpec(salt=r.salt, digest=r.digest))
 
 
@@ -195,6 +269,18 @@
 def _key_withdrawn(state: FleetState, offset: Offset, r: rec.KeyWithdrawn) -> None:
     state.withdrawn.setdefault(r.key_id, r.at)
     state.given_keys.pop(r.key_id, None)
+    _prune_withdrawn(state, r.at)
+
+
+def _prune_withdrawn(state: FleetState, at: float) -> None:
+    """Forget old withdrawals of keys that no configuration file lists any more."""
+    old = [k for k, t in state.withdrawn.items() if t < at - WITHDRAWN_KEPT_S]
+    if not old:
+        return
+    listed = {k for team in state.config.teams.values() for k in team.keys}
+    for key in old:
+        if key not in listed:
+            del state.withdrawn[key]
 
 
 # Sessions and slices
@@ -217,9 +303,11 @@
         raise RejectedError(Void.SESSION_STATE, r.session)
     for found in state.sessions.values():
         same = found.peer_address == r.peer_address and found.role is r.role
-        if same and found.state is SessionState.OPEN:
+        if r.peer_address and same and found.state is SessionState.OPEN:
             found.state = SessionState.ENDED
             found.ended = offset
+            if found.role is rec.Role.ENTRY and found.dc != r.dc:
+                _bump_epoch(state, found.dc)
     state.sessions[r.session] = Session(
         role=r.role,
         dc=r.dc,
@@ -271,8 +359,10 @@
 
 def _forget_session(state: FleetState, session: SessionId) -> None:
     """Drop a session and return all its units."""
-    for count in state.counts.values():
-        count.release(session)
+    for key, count in list(state.counts.items()):
+        if session in count.held:
+            count.release(session)
+            _drop_if_whole(state, key)
     del state.sessions[session]
 
 
@@ -298,6 +388,7 @@
         count = state.counts.get(key)
         if count is not None:
             count.give(r.by, min(units, count.held_by(r.by)), to)
+            _drop_if_whole(state, key)
 
 
 # Planner leases, drains, moves and stops
@@ -305,7 +396,9 @@
 
 @folds(rec.PlannerLease)
 def _planner_lease(state: FleetState, offset: Offset, r: rec.PlannerLease) -> None:
-    _open_session(state, r.session)
+    found = _open_session(state, r.session)
+    if found.role is not rec.Role.PLANNER or found.dc != r.dc or r.by != r.session:
+        raise RejectedError(Void.SESSION_STATE, f"no planner of data centre {r.dc}")
     lease = state.leases.get(r.dc)
     term = lease.term if lease else 0
     renewal = lease is not None and lease.session == r.session and r.term == term
@@ -318,6 +411,14 @@
     lease = state.leases.get(dc)
     if lease is None or lease.term != term or lease.session != by:
         raise RejectedError(Void.STALE_TERM, f"data centre {dc}")
+    _open_session(state, by)
+
+
+def _check_own(state: FleetState, inst: Instance, r: _Fenced) -> None:
+    """Check the lease of a record that only the instance's data centre may append."""
+    _check_term(state, r.dc, r.term, r.by)
+    if r.dc != inst.dc:
+        raise RejectedError(Void.STALE_TERM, f"the instance is in {inst.dc}")
 
 
 def _instance(state: FleetState, name: InstanceId) -> Instance:
@@ -347,11 +448,13 @@
         if inst.changed > r.base_offset:
             raise RejectedError(Void.STALE_BASE, f"changed at offset {inst.changed}")
     else:
-        _check_term(state, r.dc or inst.dc, r.term, r.by)
+        _check_term(state, inst.dc, r.term, r.by)
     if inst.phase is not Phase.ACTIVE:
         raise RejectedError(Void.WRONG_PHASE, inst.phase.value)
     if r.reason is rec.DrainReason.MOVE and r.to_pool not in state.config.pools:
         raise RejectedError(Void.UNKNOWN_NAME, f"pool {r.to_pool}")
+    if r.reason is rec.DrainReason.MOVE and r.to_pool == inst.pool:
+        raise RejectedError(Void.INVALID, f"the instance is in {inst.pool} already")
     if r.wave is not None:
         _check_wave_step(state, r)
     problem = budget_allows(state, inst.pool) if inst.available else ""
@@ -371,10 +474,23 @@
         raise RejectedError(Void.WAVE_STATE, r.wave or "")
     if r.instance not in wave.instances or r.instance in wave.done:
         raise RejectedError(Void.WAVE_STATE, f"{r.instance} is not pending")
-    handled = [i for i in state.instances.values() if i.wave == r.wave]
-    stopped = sum(1 for i in handled if i.phase is not Phase.ACTIVE)
-    if stopped >= wave.max_parallel:
-        raise RejectedError(Void.WAVE_STATE, f"{stopped} instances are stopped already")
+    stopped = [
+        i
+        for i in (state.instances[name] for name in wave.instances)
+        if i.wave == r.wave and i.phase is not Phase.ACTIVE
+    ]
+    if len(stopped) >= wave.max_parallel:
+        raise RejectedError(
+            Void.WAVE_STATE, f"{len(stopped)} instances are stopped already"
+        )
+    # Planners of several data centres work on one wave, so only the fold can keep it
+    # to one rack at a time.
+    inst = state.instances[r.instance]
+    for other in stopped:
+        if (other.dc, other.rack) != (inst.dc, inst.rack):
+            raise RejectedError(
+                Void.WAVE_STATE, f"rack {other.dc}/{other.rack} is in work"
+            )
 
 
 def _freeze(state: FleetState, instance: InstanceId, frozen: bool) -> None:
@@ -406,11 +522,14 @@
 @folds(rec.StopRequested)
 def _stop_requested(state: FleetState, offset: Offset, r: rec.StopRequested) -> None:
     inst = _instance(state, r.instance)
-    _check_term(state, r.dc, r.term, r.by)
+    _check_own(state, inst, r)
     if not state.drained(r.instance):
         raise RejectedError(Void.NOT_DRAINED, r.instance)
     if inst.reason is rec.DrainReason.MOVE:
         raise RejectedError(Void.WRONG_PHASE, "the instance is moving")
+    _check_still_spared(state, inst)
+    if not r.incarnation and not inst.incarnation:
+        raise RejectedError(Void.WRONG_PHASE, "the incarnation is unknown")
     inst.phase = Phase.STOPPING
     inst.up = False
     inst.changed = offset
@@ -418,14 +537,25 @@
         inst.incarnation = r.incarnation
 
 
+def _check_still_spared(state: FleetState, inst: Instance) -> None:
+    """Reject taking an instance away that failures of others have made needed.
+
+    The drain can still be cancelled, which returns the instance to its pool.
+    """
+    problem = budget_allows(state, inst.pool, losses=0) if inst.up else ""
+    if problem:
+        raise RejectedError(Void.BUDGET, problem)
+
+
 @folds(rec.MoveFinished)
 def _move_finished(state: FleetState, offset: Offset, r: rec.MoveFinished) -> None:
     inst = _instance(state, r.instance)
-    _check_term(state, r.dc, r.term, r.by)
+    _check_own(state, inst, r)
     if inst.reason is not rec.DrainReason.MOVE or inst.to_pool is None:
         raise RejectedError(Void.WRONG_PHASE, inst.phase.value)
     if not state.drained(r.instance):
         raise RejectedError(Void.NOT_DRAINED, r.instance)
+    _check_still_spared(state, inst)
     inst.pool = inst.to_pool
     inst.up = False
     _reactivate(state, r.instance, offset)
@@ -434,7 +564,9 @@
 @folds(rec.InstanceUp)
 def _instance_up(state: FleetState, offset: Offset, r: rec.InstanceUp) -> None:
     inst = _instance(state, r.instance)
-    _check_term(state, r.dc, r.term, r.by)
+    _check_own(state, inst, r)
+    if inst.up and inst.incarnation == r.incarnation:
+        return
     if inst.phase is Phase.STOPPING:
         if r.incarnation == inst.incarnation:
             raise RejectedError(Void.WRONG_PHASE, "the instance has not restarted yet")
@@ -453,7 +585,12 @@
     if wave is None or name in wave.done:
         return
     wave.done = [*wave.done, name]
-    if len(wave.done) == len(wave.instances) and wave.state is WaveState.RUNNING:
+    _finish_wave(wave)
+
+
+def _finish_wave(wave: Wave) -> None:
+    """End a running wave in which every instance is done."""
+    if wave.state is WaveState.RUNNING and set(wave.done) >= set(wave.instances):
         wave.state = WaveState.DONE
 
 
@@ -461,8 +598,9 @@
 def _instance_down(state: FleetState, offset: Offset, r: rec.InstanceDown) -> None:
     inst = _instance(state, r.instance)
     _check_term(state, r.dc, r.term, r.by)
-    inst.up = False
-    inst.changed = offset
+    if inst.up:
+        inst.up = False
+        inst.changed = offset
 
 
 # Waves
@@ -472,11 +610,27 @@
 def _wave_started(state: FleetState, offset: Offset, r: rec.WaveStarted) -> None:
     if r.wave in state.waves:
         raise RejectedError(Void.WAVE_STATE, r.wave)
+    if r.max_parallel < 1:
+        raise RejectedError(Void.INVALID, "max_parallel must be at least 1")
     for name in r.instances:
         _instance(state, name)
-    state.waves[r.wave] = Wave(
-        instances=list(r.instances), max_parallel=r.max_parallel, done=[]
+    _forget_old_waves(state)
+    wave = Wave(
+        instances=list(dict.fromkeys(r.instances)),
+        max_parallel=r.max_parallel,
+        done=[],
     )
+    state.waves[r.wave] = wave
+    _finish_wave(wave)
+
+
+def _forget_old_waves(state: FleetState) -> None:
+    """Keep the newest of the waves that have ended and that no instance is in."""
+    used = {i.wave for i in state.instances.values()}
+    over = {WaveState.DONE, WaveState.CANCELLED}
+    ended = [n for n, w in state.waves.items() if w.state in over and n not in used]
+    for name in ended[: max(0, len(ended) - FINISHED_WAVES)]:
+        del state.waves[name]
 
 
 def _change_wave(
@@ -499,6 +653,7 @@
 def _wave_resumed(state: FleetState, offset: Offset, r: rec.WaveResumed) -> None:
     wave = _change_wave(state, r.wave, {WaveState.PAUSED}, WaveState.RUNNING)
     wave.cause = ""
+    _finish_wave(wave)
 
 
 @folds(rec.WaveCancelled)
--- a/primrosepitch/fleet/state.py
+++ b/primrosepitch/fleet/state.py
@@ -179,8 +179,9 @@
         """Return a key that is not withdrawn."""
         if key_id in self.withdrawn:
             return None
-        if key_id in self.given_keys:
-            return self.given_keys[key_id]
+        given = self.given_keys.get(key_id)
+        if given is not None:
+            return given if given.team in self.config.teams else None
         for team, spec in self.config.teams.items():
             if key_id in spec.keys:
                 return Key(team, spec.keys[key_id])
