--- /dev/null
+++ b/standins/endpoint.py
@@ -0,0 +1,369 @@
+"""Stand-in of an endpoint: a worker with slots and connections over HTTP/1.1.
+
+A request works for the header ``Work-Ms``, the query value ``work_ms`` or the setting
+``--work-ms``. The answer repeats ``Primrose-Request-Id`` and is a JSON object with
+``request_id``, ``instance``, ``team``, the SHA-256 of the request's body, and ``pad``
+of ``?size=N`` bytes.
+
+``GET /counts`` tells what ran by request id and the largest numbers of concurrent
+requests and connections; ``GET /intervals`` the monotonic start and end, team and id of
+each run. ``POST /mode {"mode", "seconds", "count"}`` switches a fault on, for the next
+``count`` requests or until it is changed:
+
+``normal``     no fault
+``slow``       the work takes ``seconds`` longer
+``silent``     the request runs, its connection never answers any more
+``stale``      connections that are open now never answer any more and lose what is
+               sent over them; new ones work
+``failing``    the request runs and is answered with 500
+``truncated``  the request runs, half of the answer's body is sent
+``crossed``    the request runs, and gets the answer of another request
+``late``       the answer comes ``seconds`` after ``Primrose-Timeout-Ms`` has passed
+``closing``    a connection closes without an answer as it is used again
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import hashlib
+import signal
+import sys
+import time
+from contextlib import suppress
+from typing import Any
+
+import msgspec
+
+from standins.http import (
+    Answer,
+    Close,
+    ConnectionLostError,
+    Hang,
+    Peer,
+    Request,
+    Response,
+    Server,
+    call,
+    json_response,
+)
+
+__all__ = ["Endpoint", "EndpointSettings", "main"]
+
+CONTROL_PATHS = ("/counts", "/intervals", "/mode")
+MODES = (
+    "normal",
+    "slow",
+    "silent",
+    "stale",
+    "failing",
+    "truncated",
+    "crossed",
+    "late",
+    "closing",
+)
+KEPT_INTERVALS = 200_000
+POLL_MS = 1000
+RETRY_S = 0.2
+DEFAULT_FAULT_S = 1.0
+
+
+class EndpointSettings(msgspec.Struct, frozen=True):
+    """Settings of one endpoint stand-in.
+
+    :param slots: requests that it runs at a time; more are answered with 503
+    :param connections: connections that it accepts; more are closed
+    :param platform: ``IP:port`` of the platform stand-in; empty to run alone
+    :param reboot_s: seconds between the end of a reboot's stop and the next start
+    """
+
+    instance: str = "endpoint"
+    dc: str = "dc1"
+    rack: str = "rack1"
+    address: str = "127.0.0.1"
+    port: int = 0
+    slots: int = 8
+    connections: int = 64
+    work_ms: float = 0.0
+    platform: str = ""
+    reboot_s: float = 0.5
+
+
+DEFAULTS = EndpointSettings()
+
+
+class Counts(msgspec.Struct):
+    """What an endpoint has done.
+
+    :param runs: how often each request id ran
+    :param teams: largest number of concurrent requests by team
+    :param over_slots: requests beyond the slots, which did not run
+    :param over_connections: connections beyond the limit
+    """
+
+    instance: str
+    incarnation: str = ""
+    mode: str = "normal"
+    requests: int = 0
+    running: int = 0
+    max_running: int = 0
+    connections: int = 0
+    max_connections: int = 0
+    over_slots: int = 0
+    over_connections: int = 0
+    runs: dict[str, int] = {}
+    teams: dict[str, int] = {}
+
+
+class Mode(msgspec.Struct):
+    """The fault that is switched on.
+
+    :param left: requests for which it lasts; ``None`` until it is changed
+    """
+
+    mode: str = "normal"
+    seconds: float = DEFAULT_FAULT_S
+    left: int | None = None
+
+
+class Endpoint:
+    """One endpoint worker."""
+
+    def __init__(self, settings: EndpointSettings = DEFAULTS) -> None:
+        """Start with nothing run."""
+        self.settings = settings
+        self.server = Server(self._handle, self._on_head)
+        self.counts = Counts(settings.instance, runs={}, teams={})
+        self.mode = Mode()
+        self.stopped = asyncio.Event()
+        self._intervals: list[tuple[float, float, str, str]] = []
+        self._running_of: dict[str, int] = {}
+        self._last: tuple[str, Response] | None = None
+        self._watcher: asyncio.Task[None] | None = None
+
+    @property
+    def port(self) -> int:
+        """Port that it listens on."""
+        return self.server.port
+
+    async def start(self) -> None:
+        """Listen, register with the platform and obey its signals."""
+        await self.server.start(self.settings.address, self.port or self.settings.port)
+        if self.settings.platform:
+            self._watcher = asyncio.create_task(self._watch())
+
+    async def stop(self) -> None:
+        """Stop gracefully: what runs ends first."""
+        if self._watcher is not None:
+            self._watcher.cancel()
+        await self.server.stop()
+        if self.settings.platform:
+            with suppress(OSError, ConnectionLostError):
+                await self._platform("POST", f"/ended/{self.settings.instance}")
+        self.stopped.set()
+
+    # Requests
+
+    def _on_head(self, req: Request, peer: Peer) -> Answer | None:
+        """Answer before the body is read, when a fault or a limit says so."""
+        if peer.silent:
+            return Hang()
+        if req.path in CONTROL_PATHS:
+            peer.counted = False
+            return None
+        self.counts.requests += 1
+        open_now = sum(p.counted for p in self.server.peers)
+        self.counts.max_connections = max(self.counts.max_connections, open_now)
+        if peer.requests == 1 and open_now > self.settings.connections:
+            self.counts.over_connections += 1
+            return Close()
+        if self.mode.mode == "closing" and peer.requests > 1:
+            self._use_mode()
+            return Close()
+        return None
+
+    async def _handle(self, req: Request, peer: Peer) -> Answer:
+        if req.path in CONTROL_PATHS:
+            return self._control(req)
+        request_id = req.headers.get("primrose-request-id", "")
+        team = req.headers.get("primrose-team", "")
+        mode = self._use_mode()
+        running = self.counts.running + 1
+        self.counts.max_running = max(self.counts.max_running, running)
+        if running > self.settings.slots:
+            self.counts.over_slots += 1
+            return self._answer(req, request_id, team, 503)
+        self._begin(request_id, team)
+        started = time.monotonic()
+        try:
+            await asyncio.sleep(self._work_s(req, mode))
+        finally:
+            self._end(request_id, team, started)
+        answer = self._answer(req, request_id, team, 200)
+        return self._spoil(answer, mode, request_id)
+
+    def _begin(self, request_id: str, team: str) -> None:
+        counts = self.counts
+        counts.running += 1
+        counts.runs[request_id] = counts.runs.get(request_id, 0) + 1
+        self._running_of[team] = self._running_of.get(team, 0) + 1
+        counts.teams[team] = max(counts.teams.get(team, 0), self._running_of[team])
+
+    def _end(self, request_id: str, team: str, started: float) -> None:
+        self.counts.running -= 1
+        self._running_of[team] -= 1
+        if len(self._intervals) < KEPT_INTERVALS:
+            self._intervals.append((started, time.monotonic(), team, request_id))
+
+    def _use_mode(self) -> Mode:
+        """Return the fault for this request and count it."""
+        mode = self.mode
+        if mode.left is not None:
+            mode.left -= 1
+            if mode.left <= 0:
+                self.mode = Mode()
+        return mode
+
+    def _work_s(self, req: Request, mode: Mode) -> float:
+        text = req.headers.get("work-ms") or req.query.get("work_ms")
+        work_s = float(text if text else self.settings.work_ms) / 1000
+        if mode.mode == "slow":
+            work_s += mode.seconds
+        if mode.mode == "late":
+            left_ms = float(req.headers.get("primrose-timeout-ms", "0"))
+            work_s = left_ms / 1000 + mode.seconds
+        return work_s
+
+    def _answer(
+        self, req: Request, request_id: str, team: str, status: int
+    ) -> Response:
+        body = {
+            "request_id": request_id,
+            "instance": self.settings.instance,
+            "team": team,
+            "body_sha256": hashlib.sha256(req.body).hexdigest(),
+            "pad": "x" * int(req.query.get("size", "0")),
+        }
+        found = json_response(body, status)
+        headers = {**found.headers, "Primrose-Request-Id": request_id}
+        return msgspec.structs.replace(found, headers=headers)
+
+    def _spoil(self, answer: Response, mode: Mode, request_id: str) -> Answer:
+        """Return the answer as the fault leaves it."""
+        other = self._last
+        self._last = (request_id, answer)
+        if mode.mode == "silent":
+            return Hang()
+        if mode.mode == "failing":
+            return msgspec.structs.replace(answer, status=500)
+        if mode.mode == "truncated":
+            return msgspec.structs.replace(answer, truncated=True)
+        if mode.mode == "crossed":
+            if other is not None and other[0] != request_id:
+                return other[1]
+            headers = {**answer.headers, "Primrose-Request-Id": "another-request"}
+            return msgspec.structs.replace(answer, headers=headers)
+        return answer
+
+    # Control
+
+    def _control(self, req: Request) -> Answer:
+        if req.path == "/intervals":
+            return json_response(self._intervals)
+        if req.path == "/mode":
+            return self._set_mode(req)
+        self.counts.mode = self.mode.mode
+        self.counts.connections = sum(p.counted for p in self.server.peers)
+        return json_response(msgspec.to_builtins(self.counts))
+
+    def _set_mode(self, req: Request) -> Answer:
+        try:
+            value = req.json()
+            name = value["mode"]
+            seconds = float(value.get("seconds", DEFAULT_FAULT_S))
+            left = int(value["count"]) if "count" in value else None
+        except (ValueError, KeyError, TypeError) as exc:
+            return json_response({"error": repr(exc)}, 400)
+        if name not in MODES:
+            return json_response({"error": f"modes: {', '.join(MODES)}"}, 400)
+        if name != "stale":
+            self.mode = Mode(name, seconds, left)
+            return json_response({})
+        for peer in self.server.peers:
+            peer.silent = peer.silent or peer.counted
+        return json_response({})
+
+    # Platform
+
+    async def _platform(self, method: str, target: str, value: object = None) -> Any:
+        headers = {"Platform-Dc": self.settings.dc}
+        address = self.settings.platform
+        answer = await call(address, method, target, value, headers)
+        if answer.status >= 300:
+            raise ConnectionLostError(f"the platform answered {answer.status}")
+        return answer.json()
+
+    async def _watch(self) -> None:
+        """Keep the registration and obey signals."""
+        registered = False
+        while True:
+            try:
+                if not registered:
+                    await self._register()
+                registered = await self._obey()
+            except (OSError, ConnectionLostError):
+                await asyncio.sleep(RETRY_S)
+
+    async def _register(self) -> None:
+        me = self.settings
+        row = {"instance": me.instance, "dc": me.dc, "rack": me.rack}
+        found = await self._platform("POST", "/register", row)
+        self.counts.incarnation = found["incarnation"]
+
+    async def _obey(self) -> bool:
+        """Poll once; returns whether the platform still lists the instance."""
+        name = self.settings.instance
+        found = await self._platform("GET", f"/signals/{name}?wait_ms={POLL_MS}")
+        if not found["signal"]:
+            return bool(found["registered"])
+        await self.server.stop()
+        await self._platform("POST", f"/ended/{name}")
+        if found["signal"] == "stop":
+            self.stopped.set()
+            await asyncio.Event().wait()
+        await asyncio.sleep(self.settings.reboot_s)
+        await self.server.start(self.settings.address, self.port)
+        return False
+
+
+async def _run(settings: EndpointSettings) -> None:
+    endpoint = Endpoint(settings)
+    term = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, term.set)
+    await endpoint.start()
+    print(f"listening {settings.address}:{endpoint.port}", flush=True)
+    waits = [asyncio.create_task(e.wait()) for e in (term, endpoint.stopped)]
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    await endpoint.stop()
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run one endpoint until SIGTERM or until the platform stops it."""
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    for name in DEFAULTS.__struct_fields__:
+        value = getattr(DEFAULTS, name)
+        option = "--" + name.replace("_", "-")
+        parser.add_argument(
+            option, type=type(value), default=value, help=f"default {value!r}"
+        )
+    values = vars(parser.parse_args(argv))
+    asyncio.run(_run(EndpointSettings(**values)))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
