Test the faults of the stand-ins

A stand-in that is kinder than the real system hides faults of the product, so its own faults need tests. The feature covers offsets, retention, lost answers, long polls, outages, truncation, a lagging list, graceful reboots, tasks with leases, and each endpoint mode.

--- /dev/null
+++ b/features/standins.feature
@@ -0,0 +1,105 @@
+Feature: The stand-ins fail as the platform and endpoints do
+  A stand-in that is kinder than the real system would hide faults of the product.
+
+  # Guards against a log that loses, reorders or repeats records by itself.
+  Scenario: The log gives offsets in order and keeps a bounded number of records
+    Given a platform stand-in that keeps 3 records
+    When 5 records are appended to its log
+    Then the offsets were 0 to 4
+    And a read from 2 gives the records 2 to 4
+    And a read from 1 is answered with 410
+
+  # Guards against a stand-in that loses the write together with the answer.
+  Scenario: A lost answer leaves the record in the log
+    Given a platform stand-in that keeps 100 records
+    And the platform fault "lose_answers" with {"count": 1}
+    When a record is appended without an answer
+    And 1 records are appended to its log
+    Then a read from 0 gives the records 0 to 1
+
+  # Guards against long polls that miss a record or outlive a fault.
+  Scenario Outline: A waiting reader learns of a change at once
+    Given a platform stand-in that keeps 100 records
+    When a reader waits for offset 0 and then <change>
+    Then the reader got <answer>
+
+    Examples:
+      | change                                        | answer   |
+      | a record is appended                          | 1 record |
+      | the fault "outage" is set to {"log": true}    | 503      |
+      | the fault "cut" is set to {"dc": "dc1", "cut": true} | a close  |
+
+  # Guards against an outage that still takes records, and against one without end.
+  Scenario: An outage refuses appends and lists until it ends
+    Given a platform stand-in that keeps 100 records
+    And the platform fault "outage" with {"log": true, "list": true}
+    Then an append is answered with 503
+    And the list is answered with 503
+    When the platform fault "outage" ends with {"log": false, "list": false}
+    Then an append is answered with 200
+    And the list is answered with 200
+
+  # Guards against a log that ends where readers left off after a restore.
+  Scenario: A truncated log ends below what was read
+    Given a platform stand-in that keeps 100 records
+    When 5 records are appended to its log
+    And the platform fault "truncate" ends with {"high": 2}
+    Then a read from 0 gives the records 0 to 2
+    And the next record gets offset 3
+
+  # Guards against a list that is always up to date.
+  Scenario: The list lags behind
+    Given a platform stand-in that keeps 100 records
+    And the platform fault "list_lag" with {"seconds": 1000}
+    And the platform fault "instance" with {"instance": "i1", "dc": "dc1", "rack": "r1"}
+    Then the list shows no instance
+    When the platform fault "list_lag" ends with {"seconds": 0}
+    Then the list shows "i1" as "live"
+    When the platform fault "leaving" ends with {"instance": "i1"}
+    Then the list shows "i1" as "leaving"
+
+  # Guards against a reboot that kills running work or keeps the incarnation.
+  Scenario: A reboot ends running requests first and changes the incarnation
+    Given a platform stand-in that keeps 100 records
+    And the platform fault "list_lag" with {"seconds": 0}
+    And an endpoint stand-in "i1" that registers with it
+    When a request of 200 ms runs while the platform reboots "i1"
+    Then the request was answered with 200
+    And the endpoint came back with another incarnation
+
+  # Guards against a worker that takes more than fits, and leases without end.
+  Scenario: Tasks are bound by what fits and by their lease
+    Given a platform stand-in that keeps 100 records
+    And the platform fault "instance" with {"instance": "i1", "dc": "dc1", "rack": "r1"}
+    Then a task "a" of 10 cores with a lease of 60 s is answered with 201
+    And a task "b" of 10 cores with a lease of 60 s is answered with 409
+    And the command "checkpoint" for task "a" is answered with 200
+    And a task "c" of 10 cores with a lease of 0 s is answered with 201
+    And task "c" gets the state "lapsed"
+    And the command "renew" for task "c" is answered with 404
+
+  # Guards against fault modes that do not do what bench and the features rely on.
+  Scenario Outline: An endpoint fails in the way that was asked for
+    Given an endpoint stand-in "i1" that runs alone
+    And a request with id "r1" was answered
+    When the endpoint gets the mode "<mode>"
+    Then the next request on the same connection gets <answer> and ran <runs> times
+
+    Examples:
+      | mode      | answer               | runs |
+      | normal    | 200                  | 1    |
+      | slow      | 200                  | 1    |
+      | silent    | no answer            | 1    |
+      | stale     | no answer            | 0    |
+      | failing   | 500                  | 1    |
+      | truncated | a close              | 1    |
+      | crossed   | the answer of "r1"   | 1    |
+      | late      | 200 after its timeout | 1    |
+      | closing   | a close              | 0    |
+
+  # Guards against an endpoint that accepts more than its slots and connections.
+  Scenario: An endpoint keeps its slots and connections and tells of breaches
+    Given an endpoint stand-in "i1" with 2 slots and 4 connections
+    When 3 requests run at a time over 5 connections
+    Then one request was answered with 503 and one connection was closed
+    And the counts tell of 3 concurrent requests and 5 connections
