Add the reducer of an entry: admit, queue, route, send, answer

Cause: the entry's shell needs a reducer to integrate against. Change: state, step and handlers for requests without claims: admission, queues by team, routing, connections, retries, ejection, silent connections, list refresh, graceful stop, ended session.

--- /dev/null
+++ b/primrosepitch/request/answers.py
@@ -0,0 +1,96 @@
+"""The one answer that each call gets."""
+
+from __future__ import annotations
+
+import logging
+
+from primrosepitch.errors import (
+    EndpointFailedError,
+    OutcomeUnknownError,
+    PrimroseError,
+    RepeatRunningError,
+)
+from primrosepitch.events import event
+from primrosepitch.ids import CallId, SessionId
+from primrosepitch.request import claims, queueing
+from primrosepitch.request.effects import Outcome, PassAnswer, Refuse, RepeatAnswer
+from primrosepitch.request.events import ClaimVerdict
+from primrosepitch.request.state import Call, EntryState, Stage
+
+__all__ = ["pass_answer", "refuse", "refuse_new", "repeat_answer"]
+
+REFUSED = event(2002, "request_refused", logging.INFO, "A request got no answer.")
+
+KEPT_ANSWER_BYTES = 64 * 1024
+"""Longest answer that is kept for repeats of its request id."""
+
+_OUTCOMES: dict[type[PrimroseError], Outcome] = {
+    OutcomeUnknownError: Outcome.UNKNOWN,
+    RepeatRunningError: Outcome.UNKNOWN,
+    EndpointFailedError: Outcome.ENDPOINT_FAILED,
+}
+"""Outcomes of the errors that do not say "not run"."""
+
+
+def refuse_new(state: EntryState, call: CallId, code: str) -> None:
+    """Refuse a request that was not admitted."""
+    state.emit(Refuse(call=call, outcome=Outcome.NOT_RUN, code=code))
+    state.log(REFUSED, call=call, code=code, outcome=Outcome.NOT_RUN.value)
+
+
+def refuse(
+    state: EntryState, call: Call, kind: type[PrimroseError], detail: str = ""
+) -> None:
+    """Refuse a request.
+
+    A request that may have been sent is never refused as "not run", whatever error
+    the caller of this function chose.
+    """
+    outcome = _OUTCOMES.get(kind, Outcome.NOT_RUN)
+    if outcome is Outcome.NOT_RUN and (call.sent or call.stage is Stage.SENDING):
+        kind, outcome = OutcomeUnknownError, Outcome.UNKNOWN
+    _finish(state, call)
+    claims.ended(state, call, _verdict(call, outcome))
+    state.emit(Refuse(call=call.call, outcome=outcome, code=kind.code, detail=detail))
+    state.log(
+        REFUSED,
+        call=call.call,
+        request_id=call.request_id,
+        queue=call.queue,
+        team=call.team,
+        code=kind.code,
+        outcome=outcome.value,
+        tries=call.tries,
+        detail=detail,
+    )
+
+
+def _verdict(call: Call, outcome: Outcome) -> ClaimVerdict:
+    """Return what repeats of the request learn."""
+    if outcome is Outcome.NOT_RUN or not call.sent:
+        return ClaimVerdict.CLAIMED
+    return ClaimVerdict.LOST
+
+
+def pass_answer(state: EntryState, call: Call, size: int) -> None:
+    """Give the endpoint's answer to the caller."""
+    keep = call.needs_claim and size <= KEPT_ANSWER_BYTES
+    _finish(state, call)
+    claims.ended(state, call, ClaimVerdict.DONE if keep else ClaimVerdict.LOST)
+    state.emit(PassAnswer(call=call.call, keep=keep))
+
+
+def repeat_answer(state: EntryState, call: Call, holder: SessionId) -> None:
+    """Give the first answer of the request id to the caller."""
+    _finish(state, call)
+    state.emit(RepeatAnswer(call=call.call, request_id=call.request_id, holder=holder))
+
+
+def _finish(state: EntryState, call: Call) -> None:
+    """Forget a call that is about to get its answer."""
+    if call.stage is Stage.SENDING:
+        call.sent = True
+    if call.stage is Stage.QUEUED:
+        queueing.remove(state, call)
+    call.stage = Stage.DONE
+    del state.calls[call.call]
--- /dev/null
+++ b/primrosepitch/request/reducer.py
@@ -0,0 +1,313 @@
+"""Reducer of an entry: one pure step from an event to effects."""
+
+from __future__ import annotations
+
+import heapq
+import logging
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+from primrosepitch.errors import (
+    DeadlinePassedError,
+    LogUnavailableError,
+    NoStateError,
+    QueueFullError,
+    StoppingError,
+    WitnessesMissingError,
+)
+from primrosepitch.events import event as register_event
+from primrosepitch.fleet.fold import fold
+from primrosepitch.fleet.records import (
+    PlannerLease,
+    SessionRenewed,
+    SliceGive,
+    SliceTake,
+)
+from primrosepitch.ids import CountKey, RecordId
+from primrosepitch.request import (
+    answers,
+    connections,
+    events,
+    listing,
+    queueing,
+    retries,
+    sending,
+)
+from primrosepitch.request.effects import Append, AskUnits, Effect, Finished
+from primrosepitch.request.state import Call, ConnStage, EntryState, Stage
+from primrosepitch.teams.keys import admit
+
+__all__ = ["on", "step"]
+
+STOPPING = register_event(
+    2401, "entry_stopping", logging.INFO, "The entry takes no new requests."
+)
+SESSION_LOST = register_event(
+    2402,
+    "session_ended_by_log",
+    logging.ERROR,
+    "The log has ended this session; the entry starts nothing more.",
+    "find out who fenced it or why it could not renew",
+)
+
+_QUIET = (SliceTake, SliceGive, SessionRenewed, PlannerLease)
+"""Records that change no pool; they are the frequent ones."""
+
+PLAN_INTERVAL_S = 0.01
+"""Least time between two plans of holdings outside of ticks."""
+
+E = TypeVar("E", bound=events.Event)
+Handler = Callable[[EntryState, E], None]
+_HANDLERS: dict[type, Callable[[EntryState, Any], None]] = {}
+
+
+def on(kind: type[E]) -> Callable[[Handler[E]], Handler[E]]:
+    """Register the handler of an event."""
+
+    def register(handler: Handler[E]) -> Handler[E]:
+        _HANDLERS[kind] = handler
+        return handler
+
+    return register
+
+
+def step(state: EntryState, event: events.Event) -> list[Effect]:
+    """Handle one event.
+
+    :param state: state, changed in place
+    :returns: effects for the shell, in order
+    """
+    state.begin(event.now, getattr(event, "seed", 0))
+    _HANDLERS[type(event)](state, event)
+    sending.dispatch(state)
+    _finish(state)
+    return state.out
+
+
+def _finish(state: EntryState) -> None:
+    """Report once that a stopping entry has nothing left to end."""
+    if not state.stopping or state.finished or state.calls:
+        return
+    connections.close_idle(state)
+    if not state.conns:
+        state.finished = True
+        state.emit(Finished())
+
+
+# Callers
+
+
+@on(events.RequestArrived)
+def _arrived(state: EntryState, event: events.RequestArrived) -> None:
+    if state.stopping:
+        answers.refuse_new(state, event.call, StoppingError.code)
+        return
+    if not state.session_open:
+        answers.refuse_new(state, event.call, NoStateError.code)
+        return
+    if not state.may_start:
+        answers.refuse_new(state, event.call, LogUnavailableError.code)
+        return
+    admission = admit(
+        state.fleet,
+        event.queue,
+        event.key_id,
+        event.key_valid,
+        state.pending_withdrawn,
+        state.now - state.log_contact,
+    )
+    if admission.team is None:
+        answers.refuse_new(state, event.call, admission.code)
+        return
+    cfg = state.settings
+    timeout_s = min(event.timeout_s or cfg.default_request_s, cfg.max_request_s)
+    wait_s = queueing.expected_wait_s(state, event.queue)
+    if queueing.full(state, event.queue, admission.team) or wait_s > timeout_s:
+        answers.refuse_new(state, event.call, QueueFullError.code)
+        return
+    retries.deposit(state)
+    call = Call(
+        call=event.call,
+        queue=event.queue,
+        team=admission.team,
+        request_id=event.request_id,
+        caller_id=event.caller_id,
+        idempotent=event.idempotent,
+        urgent=event.urgent,
+        repeat=event.repeat,
+        arrived=state.now,
+        deadline=state.now + timeout_s,
+    )
+    state.calls[call.call] = call
+    heapq.heappush(state.deadlines, (call.deadline, call.call))
+    if call.needs_claim:
+        call.stage = Stage.CLAIMING
+        answers.refuse(state, call, WitnessesMissingError)
+        return
+    queueing.enqueue(state, call)
+    sending.dispatch(state)
+    if call.stage is Stage.QUEUED and state.now >= state.plan_due:
+        _plan(state)
+
+
+@on(events.CallerGone)
+def _caller_gone(state: EntryState, event: events.CallerGone) -> None:
+    call = state.calls.get(event.call)
+    if call is not None and call.stage is not Stage.SENDING:
+        sending.withdraw(state, call, DeadlinePassedError)
+
+
+# Time
+
+
+@on(events.Tick)
+def _tick(state: EntryState, event: events.Tick) -> None:
+    sending.expire_due(state)
+    connections.settle(state)
+    connections.close_idle(state)
+    listing.refresh(state)
+    _plan(state)
+
+
+@on(events.Resumed)
+def _resumed(state: EntryState, event: events.Resumed) -> None:
+    listing.resumed(state)
+    sending.expire_due(state)
+    connections.settle(state)
+
+
+def _plan(state: EntryState) -> None:
+    """Take, give and ask for units."""
+    if state.stopping and not state.queues:
+        return
+    state.plan_due = state.now + PLAN_INTERVAL_S
+    plan = state.holdings.plan(state.now, state.fleet, queueing.wanted(state))
+    by, no_id = state.session, RecordId("")
+    if plan.take:
+        record = SliceTake(record_id=no_id, by=by, units=_sorted(plan.take))
+        state.emit(Append(record=record))
+    if plan.give:
+        give = SliceGive(record_id=no_id, by=by, units=_sorted(plan.give))
+        state.emit(Append(record=give))
+    for peer, asked in plan.ask.items():
+        state.emit(AskUnits(to=peer, units=_sorted(asked)))
+
+
+def _sorted(units: dict[CountKey, int]) -> dict[CountKey, int]:
+    """Order units by count, since a replay must give the same effects."""
+    return dict(sorted(units.items()))
+
+
+# Connections
+
+
+@on(events.ConnectionOpened)
+def _opened(state: EntryState, event: events.ConnectionOpened) -> None:
+    conn = state.conns.get(event.conn)
+    if conn is not None:
+        sending.opened(state, conn)
+
+
+@on(events.ConnectionFailed)
+def _connect_failed(state: EntryState, event: events.ConnectionFailed) -> None:
+    conn = state.conns.get(event.conn)
+    if conn is not None:
+        sending.fail(state, conn, events.Failure.NOT_SENT)
+
+
+@on(events.ConnectionClosed)
+def _closed(state: EntryState, event: events.ConnectionClosed) -> None:
+    conn = state.conns.get(event.conn)
+    if conn is None:
+        return
+    if conn.stage is ConnStage.OPENING:
+        sending.fail(state, conn, events.Failure.NOT_SENT)
+    else:
+        connections.gone(state, conn)
+
+
+@on(events.SendSkipped)
+def _skipped(state: EntryState, event: events.SendSkipped) -> None:
+    conn = state.conns.get(event.conn)
+    if conn is not None and conn.call == event.call:
+        sending.skipped(state, conn)
+
+
+@on(events.SendFailed)
+def _send_failed(state: EntryState, event: events.SendFailed) -> None:
+    conn = state.conns.get(event.conn)
+    if conn is not None:
+        sending.fail(state, conn, event.failure)
+
+
+@on(events.AnswerReceived)
+def _answered(state: EntryState, event: events.AnswerReceived) -> None:
+    sending.answer(state, event)
+
+
+# Log, platform and peers
+
+
+@on(events.RecordRead)
+def _record_read(state: EntryState, event: events.RecordRead) -> None:
+    outcome = fold(state.fleet, event.offset, event.record)
+    state.holdings.folded(outcome)
+    if not isinstance(event.record, _QUIET):
+        state.members = None
+    _note_session(state)
+
+
+def _note_session(state: EntryState) -> None:
+    """React to what the log says about the own session."""
+    if state.session_open and not state.was_open:
+        state.was_open = True
+        state.renewal_sent = state.now
+    if state.session_lost and not state.stopping:
+        state.stopping = True
+        state.log(SESSION_LOST, session=state.session)
+        sending.stop_waiting(state)
+
+
+@on(events.LogContact)
+def _log_contact(state: EntryState, event: events.LogContact) -> None:
+    state.log_up = event.up
+    if event.up:
+        state.log_contact = state.now
+
+
+@on(events.RenewalConfirmed)
+def _renewed(state: EntryState, event: events.RenewalConfirmed) -> None:
+    state.renewal_sent = max(state.renewal_sent or event.sent, event.sent)
+
+
+@on(events.WithdrawalsPending)
+def _withdrawals(state: EntryState, event: events.WithdrawalsPending) -> None:
+    for key in event.keys:
+        state.pending_withdrawn[key] = None
+
+
+@on(events.InstancesListed)
+def _listed(state: EntryState, event: events.InstancesListed) -> None:
+    listing.take(state, event)
+    connections.close_idle(state)
+
+
+@on(events.UsageReported)
+def _usage(state: EntryState, event: events.UsageReported) -> None:
+    if event.origin not in (state.session, state.dc):
+        state.usage[event.origin] = (state.now, event.running)
+
+
+@on(events.UnitsAsked)
+def _units_asked(state: EntryState, event: events.UnitsAsked) -> None:
+    give = state.holdings.asked(state.now, state.fleet, event.session, event.units)
+    if give is not None:
+        state.emit(Append(record=give))
+
+
+@on(events.StopAsked)
+def _stop_asked(state: EntryState, event: events.StopAsked) -> None:
+    if not state.stopping:
+        state.stopping = True
+        state.log(STOPPING, calls=len(state.calls))
+        connections.close_idle(state)
--- /dev/null
+++ b/primrosepitch/request/routing.py
@@ -0,0 +1,96 @@
+"""Choice of the endpoint that gets a request."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+from primrosepitch.events import event
+from primrosepitch.fleet.counts import slots_key
+from primrosepitch.ids import InstanceId, QueueId
+from primrosepitch.request import connections, ejection
+from primrosepitch.request.state import Call, EntryState
+
+__all__ = ["POLICIES", "Choice", "choose", "policy", "pool_members", "reachable"]
+
+ROUTED = event(2001, "request_routed", logging.INFO, "A request goes to an endpoint.")
+
+
+class Choice(NamedTuple):
+    """An endpoint that could get a request.
+
+    :param free: held slots that are free
+    """
+
+    instance: InstanceId
+    free: int
+
+
+Policy = Callable[[Sequence[Choice], int], Choice]
+POLICIES: dict[str, Policy] = {}
+"""Routing policies by the name in the setting ``routing``."""
+
+
+def policy(name: str) -> Callable[[Policy], Policy]:
+    """Register a routing policy.
+
+    :raises ValueError: if the name is taken
+    """
+
+    def register(function: Policy) -> Policy:
+        if name in POLICIES:
+            raise ValueError(f"routing policy {name} is registered twice")
+        POLICIES[name] = function
+        return function
+
+    return register
+
+
+@policy("least_loaded")
+def _least_loaded(choices: Sequence[Choice], seed: int) -> Choice:
+    """Choose the endpoint with the most free slots, ties by seed."""
+    most = max(c.free for c in choices)
+    best = [c for c in choices if c.free == most]
+    return best[seed % len(best)]
+
+
+@policy("random")
+def _random(choices: Sequence[Choice], seed: int) -> Choice:
+    """Choose any endpoint; the baseline of the measures."""
+    return choices[seed % len(choices)]
+
+
+def pool_members(state: EntryState, queue: QueueId) -> list[InstanceId]:
+    """Return the endpoints of a queue in the own data centre."""
+    if state.members is None:
+        state.members = {}
+        for name, inst in state.fleet.instances.items():
+            if inst.dc == state.dc:
+                state.members.setdefault(inst.pool, []).append(name)
+    service = state.fleet.config.services.get(queue)
+    return state.members.get(service.pool, []) if service else []
+
+
+def reachable(state: EntryState, queue: QueueId) -> bool:
+    """Whether the queue has an endpoint that is not leaving."""
+    return any(state.usable(i) for i in pool_members(state, queue))
+
+
+def choose(state: EntryState, call: Call) -> InstanceId | None:
+    """Choose an endpoint with a free slot and a connection for a request.
+
+    Endpoints that failed the request and those not proved available come last.
+    """
+    choices = []
+    for name in pool_members(state, call.queue):
+        free = state.holdings.free(state.fleet, slots_key(name))
+        if free <= 0 or not state.usable(name) or not ejection.admits(state, name):
+            continue
+        if connections.obtainable(state, call, name):
+            choices.append(Choice(name, free))
+    untried = [c for c in choices if c.instance not in call.tried] or choices
+    up = [c for c in untried if state.fleet.instances[c.instance].up] or untried
+    if not up:
+        return None
+    return POLICIES[state.settings.routing](up, state.draw()).instance
--- /dev/null
+++ b/primrosepitch/request/state.py
@@ -0,0 +1,367 @@
+"""State of one entry process, owned and changed in place by its reducer."""
+
+from __future__ import annotations
+
+import enum
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+
+from primrosepitch.config.model import FleetSettings
+from primrosepitch.events import LogEvent
+from primrosepitch.fleet.state import FleetState, Phase, SessionState
+from primrosepitch.ids import (
+    CallId,
+    ConnId,
+    DcId,
+    InstanceId,
+    KeyId,
+    PoolId,
+    QueueId,
+    RequestId,
+    SessionId,
+    TeamId,
+)
+from primrosepitch.request.effects import Effect, LogLine
+from primrosepitch.request.events import ClaimVerdict
+from primrosepitch.teams.holdings import Holdings
+
+__all__ = [
+    "Call",
+    "ClaimRound",
+    "ClaimTable",
+    "Conn",
+    "ConnStage",
+    "EntryState",
+    "Health",
+    "ListState",
+    "Reply",
+    "RetryBudget",
+    "Row",
+    "Stage",
+    "TeamQueue",
+]
+
+RETRY_BURST = 10.0
+"""Most retries that a burst may use at once."""
+
+
+class Stage(enum.Enum):
+    """Progress of a request; it can have been sent from ``SENDING`` on."""
+
+    CLAIMING = "claiming"
+    QUEUED = "queued"
+    CONNECTING = "connecting"
+    SENDING = "sending"
+    DONE = "done"
+
+
+class ConnStage(enum.Enum):
+    """Use of a connection; ``SPENT`` has a request that was not answered."""
+
+    OPENING = "opening"
+    IDLE = "idle"
+    BUSY = "busy"
+    SPENT = "spent"
+    CLOSING = "closing"
+
+
+class Reply(enum.Enum):
+    """Where the claim of a request id stands at one session."""
+
+    YES = "yes"
+    NO = "no"
+    WAITING = "waiting"
+    RETRY = "retry"
+
+
+@dataclass(slots=True)
+class ClaimRound:
+    """Question to a data centre's entries whether a request id is new.
+
+    :param home: data centre whose entries decide
+    :param members: open entry sessions of that data centre
+    :param answers: verdict and holder by session; ``None`` without an answer
+    :param until: time after which no question is repeated
+    """
+
+    home: DcId
+    epoch: int
+    members: list[SessionId]
+    until: float
+    asked: dict[SessionId, float] = field(default_factory=dict)
+    answers: dict[SessionId, tuple[ClaimVerdict, SessionId] | None] = field(
+        default_factory=dict
+    )
+    reached: bool = False
+
+
+@dataclass(slots=True)
+class Call:
+    """A request of a caller that has not been answered yet.
+
+    :param deadline: boot-time clock
+    :param sent: whether any attempt may have reached an endpoint
+    :param tries: attempts so far
+    :param tried: endpoints of failed attempts
+    :param conn: connection of the current attempt
+    """
+
+    call: CallId
+    queue: QueueId
+    team: TeamId
+    request_id: RequestId
+    caller_id: bool
+    idempotent: bool
+    urgent: bool
+    repeat: bool
+    arrived: float
+    deadline: float
+    stage: Stage = Stage.QUEUED
+    sent: bool = False
+    sent_at: float = 0.0
+    tries: int = 0
+    tried: list[InstanceId] = field(default_factory=list)
+    conn: ConnId | None = None
+    round: ClaimRound | None = None
+
+    @property
+    def needs_claim(self) -> bool:
+        """Whether a second run has to be ruled out at the peers."""
+        return self.caller_id and not self.idempotent
+
+
+@dataclass(slots=True)
+class Conn:
+    """A connection to an endpoint; it has a unit of ``conns/INSTANCE``.
+
+    :param team: team of the attempt whose slot and limit are in use
+    :param queue: queue of that attempt
+    :param hold_until: time until which an unanswered attempt may still run
+    :param gone: whether the shell reported it closed
+    """
+
+    conn: ConnId
+    instance: InstanceId
+    opened: float
+    stage: ConnStage = ConnStage.OPENING
+    call: CallId | None = None
+    team: TeamId | None = None
+    queue: QueueId = QueueId("")
+    hold_until: float = 0.0
+    idle_since: float = 0.0
+    gone: bool = False
+
+
+@dataclass(slots=True)
+class TeamQueue:
+    """Waiting requests of one team in one queue, urgent ones first."""
+
+    urgent: OrderedDict[CallId, Call] = field(default_factory=OrderedDict)
+    normal: OrderedDict[CallId, Call] = field(default_factory=OrderedDict)
+
+    def __len__(self) -> int:
+        """Return how many requests wait."""
+        return len(self.urgent) + len(self.normal)
+
+    def part(self, call: Call) -> OrderedDict[CallId, Call]:
+        """Return the part that a request belongs to."""
+        return self.urgent if call.urgent else self.normal
+
+    def first(self) -> Call:
+        """Return the request whose turn is next."""
+        return next(iter((self.urgent or self.normal).values()))
+
+
+@dataclass(slots=True)
+class Health:
+    """What is known about one endpoint.
+
+    :param recent: success of the newest requests
+    :param row: failures in a row
+    :param ejected_s: length of the current or last ejection; 0 when healthy
+    :param probe: request that probes an ejected endpoint
+    :param silent: unanswered requests in a row on connections of one age
+    :param silent_newest: when the newest of these connections was opened
+    :param answered_opened: when the connection that answered last was opened
+    """
+
+    recent: deque[bool] = field(default_factory=lambda: deque(maxlen=20))
+    row: int = 0
+    ejected_s: float = 0.0
+    ejected_until: float = 0.0
+    probe: CallId | None = None
+    silent: int = 0
+    silent_newest: float = float("-inf")
+    answered_opened: float = float("-inf")
+
+
+@dataclass(slots=True)
+class RetryBudget:
+    """Token bucket of retries."""
+
+    tokens: float = RETRY_BURST
+
+
+@dataclass(slots=True)
+class ListState:
+    """The platform's list as read last.
+
+    :param asked: when the read that gave it was started
+    :param pending: when a read without a result was started
+    :param failed: whether the last read was given up
+    """
+
+    asked: float = float("-inf")
+    leaving: frozenset[InstanceId] = frozenset()
+    pending: float | None = None
+    failed: bool = False
+
+
+@dataclass(slots=True)
+class Row:
+    """Claim of one request id.
+
+    :param outcome: ``RUNNING``, ``DONE`` or ``LOST``; ``CLAIMED`` when the own
+        attempt was never sent, so that the id may be claimed again
+    """
+
+    holder: SessionId
+    outcome: ClaimVerdict
+    made: float
+
+
+@dataclass(slots=True)
+class ClaimTable:
+    """Claims at this entry and how far they are complete.
+
+    :param fresh: whether the claims from before the own session are missing
+    :param settled: whether every claim of an earlier membership is known here
+    :param history: memberships since the table was last settled, newest last
+    :param synced: peers whose claims were read since the last change
+    :param min_epoch: epoch that the peers must have reached
+    """
+
+    rows: dict[RequestId, Row] = field(default_factory=dict)
+    fresh: bool = True
+    settled: bool = False
+    history: list[list[SessionId]] = field(default_factory=list)
+    synced: list[SessionId] = field(default_factory=list)
+    min_epoch: int = 0
+    unsettled_since: float = 0.0
+    sync_due: float = 0.0
+    prune_due: float = 0.0
+
+
+class EntryState:
+    """Everything that the reducer of an entry knows.
+
+    :param session: own session
+    :param dc: own data centre
+    """
+
+    def __init__(self, session: SessionId, dc: DcId) -> None:
+        """Start without a folded state."""
+        self.session = session
+        self.dc = dc
+        self.fleet = FleetState()
+        self.holdings = Holdings(session)
+        self.calls: dict[CallId, Call] = {}
+        self.conns: dict[ConnId, Conn] = {}
+        self.idle: dict[InstanceId, list[ConnId]] = {}
+        self.queues: dict[QueueId, dict[TeamId, TeamQueue]] = {}
+        self.running: dict[QueueId, dict[TeamId, int]] = {}
+        self.usage: dict[str, tuple[float, dict[QueueId, dict[TeamId, int]]]] = {}
+        self.deadlines: list[tuple[float, CallId]] = []
+        self.service_s: dict[QueueId, float] = {}
+        self.members: dict[PoolId, list[InstanceId]] | None = None
+        self.health: dict[InstanceId, Health] = {}
+        self.retries = RetryBudget()
+        self.listed = ListState()
+        self.claims = ClaimTable()
+        self.pending_withdrawn: dict[KeyId, None] = {}
+        self.log_up = True
+        self.log_contact = float("-inf")
+        self.renewal_sent: float | None = None
+        self.was_open = False
+        self.stopping = False
+        self.finished = False
+        self.plan_due = float("-inf")
+        self.settle_due: list[tuple[float, ConnId]] = []
+        self.now = float("-inf")
+        self.out: list[Effect] = []
+        self._seed = 0
+        self._last_conn = 0
+
+    # Effects and random numbers of the current step
+
+    def begin(self, now: float, seed: int) -> None:
+        """Start a step."""
+        self.now = max(self.now, now)
+        self._seed ^= seed
+        self.out = []
+
+    def emit(self, effect: Effect) -> None:
+        """Add an effect to the current step."""
+        self.out.append(effect)
+
+    def log(self, kind: LogEvent, **fields: object) -> None:
+        """Add a log line to the current step."""
+        self.out.append(LogLine(number=kind.number, fields=fields))
+
+    def draw(self) -> int:
+        """Return the next number of the seeded sequence."""
+        self._seed = (self._seed * 6364136223846793005 + 1442695040888963407) % 2**64
+        return self._seed >> 33
+
+    def next_conn(self) -> ConnId:
+        """Return a fresh connection number."""
+        self._last_conn += 1
+        return ConnId(self._last_conn)
+
+    # Settings and the own session
+
+    @property
+    def settings(self) -> FleetSettings:
+        """Settings of the fleet in force."""
+        return self.fleet.config.fleet
+
+    @property
+    def session_open(self) -> bool:
+        """Whether the fold knows the own session as open."""
+        own = self.fleet.sessions.get(self.session)
+        return own is not None and own.state is SessionState.OPEN
+
+    @property
+    def session_lost(self) -> bool:
+        """Whether the log has ended a session that was open."""
+        return self.was_open and not self.session_open
+
+    @property
+    def contact_until(self) -> float:
+        """Time until which the own units may be used without a new renewal."""
+        if self.renewal_sent is None:
+            return float("-inf")
+        return self.renewal_sent + self.settings.isolation_window_s
+
+    @property
+    def may_start(self) -> bool:
+        """Whether new work may be sent to endpoints.
+
+        The log can end the own session, and another process may then use its units.
+        """
+        return self.session_open and self.now < self.contact_until
+
+    def usable(self, instance: InstanceId) -> bool:
+        """Whether an endpoint is neither draining, stopping nor listed as leaving."""
+        inst = self.fleet.instances.get(instance)
+        if inst is None or inst.phase is not Phase.ACTIVE:
+            return False
+        known = instance in self.fleet.config.instances
+        return known and instance not in self.listed.leaving
+
+    def waiting(self) -> dict[QueueId, dict[TeamId, int]]:
+        """Return the waiting requests by queue and team, for reports."""
+        return {
+            queue: {team: len(q) for team, q in teams.items() if len(q)}
+            for queue, teams in self.queues.items()
+        }
