--- a/primrosepitch/request/events.py
+++ b/primrosepitch/request/events.py
@@ -38,6 +38,7 @@
     "LogContact",
     "RecordRead",
     "RequestArrived",
+    "RenewalConfirmed",
     "Resumed",
     "SendSkipped",
     "SendFailed",
@@ -47,6 +48,7 @@
     "Tick",
     "UnitsAsked",
     "UsageReported",
+    "WithdrawalsPending",
 ]
 
 
@@ -209,6 +211,22 @@
     up: bool
 
 
+class RenewalConfirmed(Event, frozen=True, kw_only=True):
+    """The record that opened or renewed the own session was read back.
+
+    :param sent: boot-time clock before the record was first appended or handed to a
+        peer; the session may use its units for ``isolation_window_s`` from then
+    """
+
+    sent: float
+
+
+class WithdrawalsPending(Event, frozen=True, kw_only=True):
+    """Keys were withdrawn by an operator or a peer and are not yet in the log."""
+
+    keys: list[KeyId]
+
+
 class InstancesListed(Event, frozen=True, kw_only=True):
     """The platform's list was read.
 
@@ -324,6 +342,8 @@
     | RecordRead
     | StateLoaded
     | LogContact
+    | RenewalConfirmed
+    | WithdrawalsPending
     | InstancesListed
     | UsageReported
     | UnitsAsked
