--- a/primrosepitch/fleet/counts.py
+++ b/primrosepitch/fleet/counts.py
@@ -31,6 +31,8 @@
     :param reserve: units that no session holds
     :param held: units by session; sessions without units are absent
     :param frozen: whether nothing can be taken from the reserve
+    :param abandoned: whether the configuration no longer names it; it is dropped
+        once its units are all back in the reserve
     :param owed: units by session that a lower total took while its work may still run
         on them; until the session clears them, as many stay in the reserve. Without
         this, lowering and raising a total again would let others start on units that
@@ -41,6 +43,7 @@
     reserve: int = 0
     held: dict[SessionId, int] = {}
     frozen: bool = False
+    abandoned: bool = False
     owed: dict[SessionId, int] = {}
 
     @classmethod
--- a/primrosepitch/teams/holdings.py
+++ b/primrosepitch/teams/holdings.py
@@ -107,8 +107,9 @@
     # Use of units
 
     def free(self, fleet: FleetState, key: CountKey) -> int:
-        """Return the units on which work may start now."""
-        if not self._open(fleet):
+        """Return the units on which work may start now; none of a frozen count."""
+        count = fleet.counts.get(key)
+        if count is None or count.frozen or not self._open(fleet):
             return 0
         promise = self._promised.get(key)
         return max(0, self._idle(fleet, key) - (promise.units if promise else 0))
