--- a/features/fleet_world.py
+++ b/features/fleet_world.py
@@ -109,8 +109,12 @@
         **b, session=x, proof=rec.Proof.FENCED, renewed_offset=s.offset
     ),
     "settle": lambda s, f, b, x: rec.SessionSettled(**b, session=x),
-    "lease": lambda s, f, b, t, dc="": rec.PlannerLease(
-        **b, dc=dc or f["dc"], session=b["by"], term=int(t)
+    "lease": lambda s, f, b, t, dc="", seen=None: rec.PlannerLease(
+        **b,
+        dc=dc or f["dc"],
+        session=b["by"],
+        term=int(t),
+        renewed_offset=int(seen or s.offset),
     ),
     "up": lambda s, f, b, x, i="": rec.InstanceUp(**b, **f, instance=x, incarnation=i),
     "down": lambda s, f, b, x: rec.InstanceDown(**b, **f, instance=x),
--- a/features/fold.feature
+++ b/features/fold.feature
@@ -21,6 +21,60 @@
       | ea | lease 2          | SESSION_STATE |
       | pa | down b11         | ok            |
 
+  # Guards against a takeover that a paused planner decided before the last renewal.
+  Scenario: A takeover is void when the holder has renewed since
+    Given a fleet with budget 4
+    When the records are folded
+      | by  | command         | outcome    |
+      | op  | open pa2        | ok         |
+      | pa  | lease 1         | ok         |
+      | pa2 | lease 2 a 3     | STALE_BASE |
+      | pa2 | lease 2 a       | ok         |
+      | pa  | lease 1         | STALE_TERM |
+
+  # Guards against stops that go on after failures have used the budget up.
+  Scenario: A drained instance that has become needed is not taken away
+    Given a fleet with budget 5
+    When the records are folded
+      | by | command                   | outcome |
+      | pa | drain a11 reboot          | ok      |
+      | pb | down b11                  | ok      |
+      | pa | stop a11                  | BUDGET  |
+      | pa | cancel a11                | ok      |
+      | pb | up b11 boot2              | ok      |
+      | op | drain a11 move to_pool=still | ok   |
+      | pb | down b11                  | ok      |
+      | pa | moved a11                 | BUDGET  |
+
+  # Guards against stops, moves and returns that nothing has proved.
+  Scenario: A stop needs a whole reserve and a return needs a new boot
+    Given a fleet with budget 2
+    When the records are folded
+      | by | command                      | outcome     |
+      | ea | take slots/a11 1             | ok          |
+      | ea | take conns/a12 1             | ok          |
+      | pa | stop a11                     | NOT_DRAINED |
+      | pa | drain a11 reboot             | ok          |
+      | op | drain a11 reboot             | WRONG_PHASE |
+      | op | drain a12 move to_pool=still | ok          |
+      | pa | stop a11                     | NOT_DRAINED |
+      | pa | moved a12                    | NOT_DRAINED |
+      | ea | take slots/a11 1             | ok          |
+      | ea | give slots/a11 1             | ok          |
+      | ea | give conns/a12 1             | ok          |
+      | pa | stop a12                     | WRONG_PHASE |
+      | pa | stop a11                     | ok          |
+      | pa | moved a11                    | WRONG_PHASE |
+      | pa | moved a12                    | ok          |
+      | pa | up a11 boot1                 | WRONG_PHASE |
+      | pa | up a11 boot2                 | ok          |
+
+  # Guards against a paused reader or a truncated log that sets the state back.
+  Scenario: An old offset and a repeated record change nothing
+    Given a fleet with budget 4
+    When the last record is read again at the same and at a later offset
+    Then both are void and the offset has not fallen
+
   # Guards against units that exist twice when a name leaves and comes back.
   Scenario: An instance that is removed and added again keeps its units
     Given a fleet with budget 4
--- a/features/steps/fold.py
+++ b/features/steps/fold.py
@@ -4,6 +4,7 @@
 from behave import given, then, when
 
 from features.fleet_world import command, document, stamp, started
+from primrosepitch.fleet.fold import fold
 from primrosepitch.fleet.state import WaveState
 
 
@@ -73,3 +74,17 @@
 def step_keys(context, one, two):
     assert context.log.state.find_key(one) is None
     assert context.log.state.find_key(two) is not None
+
+
+@when("the last record is read again at the same and at a later offset")
+def step_read_again(context):
+    state, last = context.log.state, context.log.records[-1]
+    context.offset = state.offset
+    context.again = [fold(state, state.offset + n, last) for n in (0, -3, 1)]
+
+
+@then("both are void and the offset has not fallen")
+def step_not_fallen(context):
+    voids = [outcome.void.name for outcome in context.again]
+    assert voids == ["OLDER", "OLDER", "REPEATED"], voids
+    assert context.log.state.offset == context.offset + 1
--- /dev/null
+++ b/features/steps/planner.py
@@ -0,0 +1,232 @@
+"""Steps about planners, entries and a platform on a virtual clock."""
+
+from behave import given, then, when
+
+from features.fleet_world import document
+from features.planner_world import World
+from primrosepitch.fleet import records as rec
+
+
+@given("a running fleet with budget {minimum:d} and seed {seed:d}")
+def step_running(context, minimum, seed):
+    context.minimum = minimum
+    context.world = World(seed=seed, minimum=minimum, entries=2, planners=2)
+    assert context.world.run(60, context.world.all_up)
+
+
+@given("{instances:d} instances of pool press in {racks:d} racks a data centre")
+def step_size(context, instances, racks):
+    context.world = World(
+        seed=7,
+        minimum=context.minimum,
+        entries=2,
+        planners=2,
+        racks=racks,
+        per_rack=instances // racks // 3,
+    )
+    assert context.world.run(60, context.world.all_up)
+
+
+@given("the list lags {seconds:g} s and a reboot takes {reboot:g} s")
+def step_lag(context, seconds, reboot):
+    context.world.list_lag = seconds
+    context.world.reboot_s = reboot
+
+
+@given("{share:d} % of the append answers are lost")
+def step_lost_answers(context, share):
+    context.world.lost_answers = share / 100
+
+
+@when('the command "{text}" is given')
+def step_command(context, text):
+    context.outcome = context.world.run_command("op", text)
+    assert context.outcome.void is None, context.outcome
+
+
+@when('the command "{text}" is void as {void}')
+def step_command_void(context, text, void):
+    outcome = context.world.run_command("op", text)
+    assert outcome.void is not None and outcome.void.name == void, outcome
+
+
+@when("{seconds:d} seconds pass")
+def step_pass(context, seconds):
+    context.world.run(seconds)
+
+
+@when("time passes until {kind} of {name}")
+def step_until_record(context, kind, name):
+    start = len(context.world.outcomes)
+
+    def read():
+        new = context.world.outcomes[start:]
+        return any(
+            type(o.record).__name__ == kind
+            and o.void is None
+            and getattr(o.record, "instance", None) == name
+            for o in new
+        )
+
+    assert context.world.run(200, read), f"no {kind}"
+
+
+@when("process {name} is lost")
+def step_lost(context, name):
+    context.world[name].paused_until = float("inf")
+
+
+@when("process {name} is paused for {seconds:d} seconds")
+def step_paused(context, name, seconds):
+    context.world[name].paused_until = context.world.now + seconds
+
+
+@when("process {name} reads no records for {seconds:d} seconds")
+def step_deaf(context, name, seconds):
+    context.world[name].deaf_until = context.world.now + seconds
+
+
+@when("the platform is {state} for process {name}")
+def step_platform(context, state, name):
+    context.world[name].platform_down = state == "down"
+
+
+@given("process {name} calls the platform {seconds:d} seconds late")
+def step_stall(context, name, seconds):
+    context.world[name].stall = seconds
+
+
+@when("data centre {dc} is cut off")
+def step_cut(context, dc):
+    context.world.cut.add(dc)
+
+
+@when("data centre {dc} is connected again")
+def step_joined(context, dc):
+    context.world.cut.discard(dc)
+
+
+@when("instance {name} fails")
+def step_fails(context, name):
+    context.world.fail(name)
+
+
+@when("rack {rack} of data centre {dc} fails")
+def step_rack_fails(context, rack, dc):
+    for name, inst in context.world.truth.instances.items():
+        if (inst.dc, inst.rack) == (dc, rack):
+            context.world.fail(name)
+
+
+@then("instance {name} is available in pool {pool} within {seconds:d} seconds")
+def step_in_pool(context, name, pool, seconds):
+    inst = context.world.truth.instances[name]
+    ok = context.world.run(seconds, lambda: inst.pool == pool and inst.available)
+    assert ok, inst
+
+
+@then("wave {wave} is {state} within {seconds:d} seconds")
+def step_wave(context, wave, state, seconds):
+    found = context.world.truth.waves[wave]
+    assert context.world.run(seconds, lambda: found.state.value == state), found
+
+
+@then("instance {name} is {phase} after {seconds:d} seconds")
+def step_phase(context, name, phase, seconds):
+    context.world.run(seconds)
+    assert context.world.truth.instances[name].phase.value == phase
+
+
+@then("{count:d} stops followed the failure")
+def step_stops(context, count):
+    kinds = [type(o.record) for o in context.world.outcomes if o.void is None]
+    last = max(i for i, k in enumerate(kinds) if k is rec.WavePaused)
+    assert kinds[last:].count(rec.DrainStarted) == count
+
+
+@then("{count:d} restarts were asked for")
+def step_restarts(context, count):
+    assert len(context.world.restarts) == count, context.world.restarts
+
+
+@then("the invariants held at every offset")
+def step_invariants(context):
+    assert not context.world.problems, context.world.problems[:5]
+    repeated = [o for o in context.world.outcomes if o.void is None]
+    assert len({o.record.record_id for o in repeated}) == len(repeated)
+
+
+@when("{count:d} random faults and commands follow over {seconds:d} seconds")
+def step_random(context, count, seconds):
+    world, rng = context.world, context.world.rng
+    world.lost_answers = 0.1
+    for _ in range(count):
+        _disturb(world, rng, context.minimum)
+        world.run(seconds / count * 2 * rng.random())
+    world.cut.clear()
+    for actor in world.actors:
+        actor.paused_until = 0.0
+    for machine in world.machines.values():
+        if not machine.live and machine.back_at is None:
+            machine.back_at = world.now + 1
+
+
+def _disturb(world, rng, minimum):
+    names = sorted(world.truth.instances)
+    name = rng.choice(names)
+    kind = rng.randrange(10)
+    if kind < 3:
+        pool = rng.choice(["press", "spare", "still"])
+        text = rng.choice([f"drain {name} reboot", f"drain {name} move to_pool={pool}"])
+        base = world.truth.offset - rng.randrange(3)
+        world.run_command("op", f"{text} base={base}")
+    elif kind == 3:
+        some = rng.sample(names, 4)
+        wave = f"w{len(world.log)}"
+        world.run_command("op", f"wave {wave} 2 {' '.join(some)}")
+    elif kind == 4:
+        for wave in world.truth.waves:
+            world.run_command("op", f"resume {wave}")
+    elif kind == 5:
+        world.fail(name, rng.random() * 30)
+    elif kind == 6:
+        actor = rng.choice(world.actors)
+        actor.paused_until = world.now + rng.random() * 40
+    elif kind == 7:
+        world.cut ^= {rng.choice("abc")}
+    elif kind == 8:
+        world.list_lag = rng.random() * 8
+    else:
+        actor = rng.choice(world.entries)
+        if actor.name in world.truth.sessions:
+            actor.paused_until = float("inf")
+            world.run_command("op", f"end {actor.name}")
+
+
+@then("the fleet is whole again within {seconds:d} seconds")
+def step_whole(context, seconds):
+    assert context.world.run(seconds, context.world.all_up), [
+        (n, i.phase, i.up)
+        for n, i in context.world.truth.instances.items()
+        if not i.available
+    ]
+
+
+@when("the budget is raised to {minimum:d}")
+def step_raise(context, minimum):
+    assert context.world.publish(document(minimum=minimum)).void is None
+
+
+@when("instance {name} restarts by itself")
+def step_restarts_itself(context, name):
+    context.world.fail(name, 1.0)
+
+
+@when("a process that is lost, {name}, holds units of {instance}")
+def step_holds(context, name, instance):
+    record = rec.SliceTake(record_id="", by=name, units={f"slots/{instance}": 2})
+    context.world[name].send(record)
+    key = f"slots/{instance}"
+    counts = context.world.truth.counts
+    assert context.world.run(10, lambda: counts[key].held_by(name) >= 1)
+    context.world[name].paused_until = float("inf")
--- a/primrosepitch/fleet/fold.py
+++ b/primrosepitch/fleet/fold.py
@@ -404,9 +404,18 @@
     renewal = lease is not None and lease.session == r.session and r.term == term
     if not renewal and r.term != term + 1:
         raise RejectedError(Void.STALE_TERM, f"term {term} is in force")
+    if not renewal and lease is not None and _newer_renewal(state, lease, r):
+        raise RejectedError(Void.STALE_BASE, f"renewed at offset {lease.renewed}")
     state.leases[r.dc] = Lease(session=r.session, term=r.term, renewed=offset)
 
 
+def _newer_renewal(state: FleetState, lease: Lease, r: rec.PlannerLease) -> bool:
+    """Whether the holder, which still runs, renewed after the takeover was decided."""
+    holder = state.sessions.get(lease.session)
+    open_ = holder is not None and holder.state is SessionState.OPEN
+    return open_ and lease.renewed > r.renewed_offset
+
+
 def _check_term(state: FleetState, dc: DcId, term: int, by: SessionId) -> None:
     lease = state.leases.get(dc)
     if lease is None or lease.term != term or lease.session != by:
--- a/primrosepitch/fleet/records.py
+++ b/primrosepitch/fleet/records.py
@@ -184,11 +184,14 @@
     """A planner takes or renews the lease of a data centre.
 
     :param term: the current term to renew, one more to take over
+    :param renewed_offset: last renewal that a takeover is based on; a newer one makes
+        it void, since the planner that judged it may have been paused
     """
 
     dc: DcId
     session: SessionId
     term: int
+    renewed_offset: Offset = Offset(-1)
 
 
 class DrainStarted(Record, frozen=True, kw_only=True):
--- /dev/null
+++ b/primrosepitch/planning/budgets.py
@@ -0,0 +1,218 @@
+"""Availability of instances, as observed: what is not proved available is not."""
+
+from __future__ import annotations
+
+import logging
+
+from primrosepitch.events import event
+from primrosepitch.fleet import records as rec
+from primrosepitch.fleet.state import Instance, Phase
+from primrosepitch.ids import InstanceId, PoolId, RecordId
+from primrosepitch.planning import lease
+from primrosepitch.planning.effects import Effect, ListInstances, Probe
+from primrosepitch.planning.events import ListedInstance, ListedState
+from primrosepitch.planning.state import PlannerState, ProbeView, append, log
+
+__all__ = [
+    "CLOCK_SKEW_S",
+    "downs_pending",
+    "list_fresh",
+    "listed_after",
+    "look",
+    "proved",
+    "spare_units",
+    "turn",
+]
+
+LIST_S = 2.0
+LIST_FRESH_S = 15.0
+"""Oldest list by which instances are stopped or taken as up."""
+
+UNKNOWN_S = 60.0
+"""Time without a list and without an answer after which an instance is unavailable."""
+
+PROBE_S = 15.0
+PROBE_AGAIN_S = 2.0
+"""Interval after a failed probe; the long one keeps the traffic within its bound."""
+
+SILENT_PROBES = 3
+"""Failed probes in a row after which an instance is silent."""
+
+DC_SILENT_S = 30.0
+"""Time without a lease renewal after which a data centre counts as unavailable."""
+
+CLOCK_SKEW_S = 1.0
+"""Bound of the difference between the platform's wall clock and the own one."""
+
+UP = event(3201, "instance_up", logging.INFO, "An instance was proved available.")
+DOWN = event(
+    3202,
+    "instance_down",
+    logging.WARNING,
+    "An instance failed, is silent, or is missing from the platform's list.",
+    "check the instance if it does not return",
+)
+
+
+def list_fresh(state: PlannerState, now: float) -> bool:
+    """Whether the newest list is recent enough to act on."""
+    return now - state.listing.asked <= LIST_FRESH_S
+
+
+def listed_after(
+    state: PlannerState, now: float, name: InstanceId, wall: float
+) -> ListedInstance | None:
+    """Return the live row of an instance in a list that is true after ``wall``.
+
+    :param wall: wall-clock seconds; the list lags, so an older one proves nothing
+    """
+    row = state.listing.rows.get(name)
+    if row is None or row.state is not ListedState.LIVE:
+        return None
+    if not list_fresh(state, now) or state.listing.as_of <= wall + CLOCK_SKEW_S:
+        return None
+    return row
+
+
+def proved(state: PlannerState, name: InstanceId) -> bool:
+    """Whether a probe was accepted since the present incarnation was listed."""
+    view = state.probes.get(name)
+    since = state.listing.since.get(name)
+    return view is not None and since is not None and view.ok_at >= since
+
+
+def downs_pending(state: PlannerState) -> bool:
+    """Whether a loss that was observed is not in the fold yet."""
+    return any(key.startswith("InstanceDown/") for key in state.pending)
+
+
+def spare_units(state: PlannerState, pool: PoolId) -> int:
+    """Return how many instances of a pool can be stopped within its budgets."""
+    services = state.fleet.config.services.values()
+    needed = [s.min_available for s in services if s.pool == pool]
+    return state.fleet.available_in(pool) - max(needed, default=0)
+
+
+def turn(state: PlannerState, now: float) -> list[Effect]:
+    """Append what was observed of instances; losses come before anything else."""
+    effects: list[Effect] = []
+    if lease.in_force(state, now):
+        for name, inst in state.own_instances():
+            cause = _lost(state, now, name, inst) if inst.up else ""
+            if cause:
+                effects += _down(state, now, name, cause)
+    if lease.leader(state, now):
+        effects += _silent_data_centres(state, now)
+    if lease.in_force(state, now):
+        for name, inst in state.own_instances():
+            if not inst.up and inst.phase is not Phase.STOPPING:
+                effects += _up(state, now, name)
+    return effects
+
+
+def _lost(state: PlannerState, now: float, name: InstanceId, inst: Instance) -> str:
+    """Return why an instance that is up in the fold is not available."""
+    view = state.probes.get(name, ProbeView())
+    if view.failures >= SILENT_PROBES:
+        return "silent"
+    if not list_fresh(state, now):
+        known = max(view.ok_at, state.listing.asked)
+        since = state.leases[state.dc].at if state.dc in state.leases else now
+        unknown = known > float("-inf") and now - max(known, since) > UNKNOWN_S
+        return "unknown" if unknown else ""
+    row = state.listing.rows.get(name)
+    if row is None:
+        return "not listed"
+    if row.state is ListedState.LEAVING:
+        return "leaving"
+    if inst.incarnation and row.incarnation != inst.incarnation:
+        # An older incarnation is what a lagging list shows after a reboot.
+        wall = state.downs.get(name, float("-inf"))
+        newer = state.listing.as_of > wall + CLOCK_SKEW_S
+        return "restarted" if newer else ""
+    return ""
+
+
+def _down(
+    state: PlannerState, now: float, name: InstanceId, cause: str
+) -> list[Effect]:
+    state.downs[name] = state.wall_at(now)
+    record = rec.InstanceDown(
+        record_id=RecordId(""),
+        by=state.session,
+        instance=name,
+        dc=state.dc,
+        term=lease.term(state),
+        cause=cause,
+    )
+    effects = append(state, now, record)
+    return [*effects, *[log(DOWN.number, instance=name, cause=cause)] * len(effects)]
+
+
+def _silent_data_centres(state: PlannerState, now: float) -> list[Effect]:
+    """Take the instances of data centres without a live planner as unavailable."""
+    effects: list[Effect] = []
+    for dc in {i.dc for i in state.fleet.instances.values()} - {state.dc}:
+        if lease.live(state, dc, now, DC_SILENT_S):
+            continue
+        for name, inst in state.fleet.instances.items():
+            if inst.dc == dc and inst.up:
+                effects += _down(state, now, name, "data centre silent")
+    return effects
+
+
+def _up(state: PlannerState, now: float, name: InstanceId) -> list[Effect]:
+    """Append that an active instance is available, if that is proved."""
+    wall = state.downs.get(name, float("-inf"))
+    row = listed_after(state, now, name, wall)
+    if row is None or not proved(state, name) or state.probes[name].failures:
+        return []
+    return up(state, now, name, row.incarnation)
+
+
+def up(
+    state: PlannerState, now: float, name: InstanceId, incarnation: str
+) -> list[Effect]:
+    """Append that an instance is available."""
+    record = rec.InstanceUp(
+        record_id=RecordId(""),
+        by=state.session,
+        instance=name,
+        dc=state.dc,
+        term=lease.term(state),
+        incarnation=incarnation,
+    )
+    effects = append(state, now, record)
+    line = log(UP.number, instance=name, incarnation=incarnation)
+    return [*effects, *[line] * len(effects)]
+
+
+def look(state: PlannerState, now: float) -> list[Effect]:
+    """Ask for the list and probe the instances of the own data centre."""
+    effects: list[Effect] = []
+    if now >= state.listing_due:
+        state.listing_due = now + LIST_S
+        effects.append(ListInstances())
+    if not lease.holds(state):
+        return effects
+    for name, inst in state.own_instances():
+        spec = state.fleet.config.instances.get(name)
+        if spec is None or not _probe_due(state, now, name, inst):
+            continue
+        view = state.probes[name]
+        view.waiting = True
+        view.due = now + PROBE_S
+        effects.append(Probe(target=name, address=f"{spec.address}:{spec.port}"))
+    return effects
+
+
+def _probe_due(
+    state: PlannerState, now: float, name: InstanceId, inst: Instance
+) -> bool:
+    """Whether to probe: by time, or at once when only the proof is missing."""
+    view = state.probes.setdefault(name, ProbeView())
+    if view.waiting:
+        return False
+    listed = name in state.listing.rows
+    unproved = not inst.up and listed and not proved(state, name)
+    return now >= view.due or (unproved and not view.failures)
--- /dev/null
+++ b/primrosepitch/planning/lease.py
@@ -0,0 +1,146 @@
+"""Planner lease of a data centre: renewal, takeover, and who is responsible."""
+
+from __future__ import annotations
+
+import logging
+
+from primrosepitch.events import event
+from primrosepitch.fleet import records as rec
+from primrosepitch.fleet.fold import Outcome, Void
+from primrosepitch.fleet.state import SessionState
+from primrosepitch.ids import DcId, Offset, RecordId
+from primrosepitch.planning.effects import Append, Effect
+from primrosepitch.planning.state import PlannerState, Sight, log
+
+__all__ = [
+    "holds",
+    "in_force",
+    "leader",
+    "live",
+    "on_read",
+    "responsible",
+    "turn",
+]
+
+RENEW_S = 3.0
+TAKEOVER_S = 10.0
+"""Seconds without a renewal, on the own clock, after which another planner takes over.
+
+A holder acts only within this time of *sending* a renewal that it has read back. Every
+other planner reads that renewal later than it was sent, so the two never overlap.
+"""
+
+LEASE_TAKEN = event(
+    3001, "planner_lease_taken", logging.INFO, "This planner holds the lease now."
+)
+LEASE_LOST = event(
+    3002,
+    "planner_lease_lost",
+    logging.WARNING,
+    "Another planner holds the lease; this one starts nothing.",
+)
+
+
+def holds(state: PlannerState) -> bool:
+    """Whether the fold names this planner as the holder of its data centre's lease."""
+    lease = state.fleet.leases.get(state.dc)
+    return (
+        lease is not None
+        and lease.session == state.session
+        and state.own_session() is not None
+    )
+
+
+def in_force(state: PlannerState, now: float) -> bool:
+    """Whether this planner may act: it holds the lease and nobody can have taken it."""
+    return holds(state) and now < state.until
+
+
+def term(state: PlannerState) -> int:
+    """Return the term of the data centre's lease."""
+    lease = state.fleet.leases.get(state.dc)
+    return lease.term if lease else 0
+
+
+def live(state: PlannerState, dc: DcId, now: float, silent_s: float) -> bool:
+    """Whether the lease of a data centre was renewed within ``silent_s``."""
+    seen = state.leases.get(dc)
+    lease = state.fleet.leases.get(dc)
+    if seen is None or lease is None:
+        return False
+    holder = state.fleet.sessions.get(lease.session)
+    open_ = holder is not None and holder.state is SessionState.OPEN
+    return open_ and now - seen.at <= silent_s
+
+
+def leader(state: PlannerState, now: float) -> bool:
+    """Whether this planner holds the lease of the lowest-named live data centre."""
+    if not in_force(state, now):
+        return False
+    lower = (dc for dc in state.fleet.leases if dc < state.dc)
+    return not any(live(state, dc, now, TAKEOVER_S) for dc in lower)
+
+
+def responsible(state: PlannerState, dc: DcId, now: float, silent_s: float) -> bool:
+    """Whether this planner acts for a data centre, its own or a silent one."""
+    if dc == state.dc:
+        return in_force(state, now)
+    return leader(state, now) and not live(state, dc, now, silent_s)
+
+
+def on_read(state: PlannerState, now: float, outcome: Outcome) -> list[Effect]:
+    """Note a lease record that was read."""
+    record = outcome.record
+    if not isinstance(record, rec.PlannerLease):
+        return []
+    own = record.by == state.session and outcome.void is not Void.REPEATED
+    sent = state.sent if own else None
+    if own:
+        state.sent = None
+    if outcome.void is not None:
+        return []
+    before = state.leases.get(record.dc)
+    state.leases[record.dc] = Sight(offset=outcome.offset, at=now)
+    if record.dc != state.dc:
+        return []
+    if own and sent is not None:
+        taken = state.until < now or before is None
+        state.until = sent + TAKEOVER_S
+        return [log(LEASE_TAKEN.number, dc=state.dc, term=record.term)] * taken
+    lost = state.until > float("-inf")
+    state.until = float("-inf")
+    return [log(LEASE_LOST.number, dc=state.dc, term=record.term)] * lost
+
+
+def on_state(state: PlannerState, now: float) -> None:
+    """Take leases of a loaded state as renewed now, since their age is unknown."""
+    for dc, lease in state.fleet.leases.items():
+        seen = state.leases.get(dc)
+        if seen is None or seen.offset != lease.renewed:
+            state.leases[dc] = Sight(offset=Offset(lease.renewed), at=now)
+
+
+def turn(state: PlannerState, now: float) -> list[Effect]:
+    """Renew the lease, or take it when its holder is silent or has ended."""
+    if state.own_session() is None or state.sent is not None or state.stopping:
+        return []
+    number = term(state)
+    seen = state.leases.get(state.dc)
+    if holds(state):
+        if now - state.last_sent < RENEW_S:
+            return []
+    elif live(state, state.dc, now, TAKEOVER_S):
+        return []
+    else:
+        number += 1
+    state.sent = now
+    state.last_sent = now
+    record = rec.PlannerLease(
+        record_id=RecordId(""),
+        by=state.session,
+        dc=state.dc,
+        session=state.session,
+        term=number,
+        renewed_offset=seen.offset if seen else Offset(-1),
+    )
+    return [Append(record=record)]
--- /dev/null
+++ b/primrosepitch/planning/sessions.py
@@ -0,0 +1,146 @@
+"""Sessions of lost processes: proof of their end, and return of their units."""
+
+from __future__ import annotations
+
+import logging
+
+from primrosepitch.events import event
+from primrosepitch.fleet import records as rec
+from primrosepitch.fleet.state import Session, SessionState
+from primrosepitch.ids import RecordId, SessionId
+from primrosepitch.planning import lease
+from primrosepitch.planning.effects import Effect, Probe
+from primrosepitch.planning.state import (
+    PlannerState,
+    ProbeView,
+    Sight,
+    append,
+    log,
+)
+
+__all__ = ["TASK_LEASE_S", "observe", "turn"]
+
+TASK_LEASE_S = 20.0
+"""Lease of a task at the platform; a lost planner's tasks end within this time."""
+
+SETTLE_MARGIN_S = 5.0
+"""Added to the lease of a task for the way of its last renewal."""
+
+REMOVED_S = 30.0
+"""Seconds for which an instance is off the list and unreachable before that counts."""
+
+LIST_FRESH_S = 10.0
+PROBE_S = 5.0
+
+ENDED = event(
+    3101,
+    "session_ended",
+    logging.WARNING,
+    "A session is taken as ended; its units are quarantined.",
+    "none, or restart the process on its address",
+)
+SETTLED = event(
+    3102,
+    "session_settled",
+    logging.INFO,
+    "Nothing of an ended session can still run; its units return.",
+)
+
+
+def observe(state: PlannerState, now: float) -> None:
+    """Note new renewals and ends, each at the own time of their first sight."""
+    limit = state.fleet.config.fleet.max_request_s
+    state.longest_request_s = max(state.longest_request_s, limit)
+    sessions = state.fleet.sessions
+    for name, found in sessions.items():
+        if found.state is SessionState.ENDED:
+            state.renewals.pop(name, None)
+            if name not in state.ends:
+                state.ends[name] = Sight(offset=found.ended, at=now)
+            continue
+        seen = state.renewals.get(name)
+        if seen is None or seen.offset != found.renewed:
+            state.renewals[name] = Sight(offset=found.renewed, at=now)
+    for table in (state.renewals, state.ends, state.absent):
+        for name in [n for n in table if n not in sessions]:
+            del table[name]
+
+
+def turn(state: PlannerState, now: float) -> list[Effect]:
+    """End lost sessions by the rules and settle those that ended long enough ago."""
+    effects: list[Effect] = []
+    for name, found in list(state.fleet.sessions.items()):
+        if not lease.responsible(state, found.dc, now, lease.TAKEOVER_S):
+            continue
+        if found.state is SessionState.ENDED:
+            effects += _settle(state, now, name)
+        else:
+            effects += _judge(state, now, name, found)
+    return effects
+
+
+def _settle(state: PlannerState, now: float, name: SessionId) -> list[Effect]:
+    seen = state.ends.get(name)
+    wait = max(state.longest_request_s, TASK_LEASE_S + SETTLE_MARGIN_S)
+    if seen is None or now - seen.at < wait:
+        return []
+    record = rec.SessionSettled(record_id=RecordId(""), by=state.session, session=name)
+    effects = append(state, now, record)
+    return [*effects, *[log(SETTLED.number, session=name)] * len(effects)]
+
+
+def _judge(
+    state: PlannerState, now: float, name: SessionId, found: Session
+) -> list[Effect]:
+    """Return the end of an open session if one of the rules proves it."""
+    seen = state.renewals.get(name)
+    window = state.fleet.config.fleet.isolation_window_s
+    if seen is not None and now - seen.at > window:
+        return _end(state, now, name, seen, rec.Proof.ISOLATED)
+    if not state.removal_is_final or seen is None:
+        return []
+    effects = _watch_removal(state, now, name, found)
+    if now - state.absent.get(name, now) >= REMOVED_S:
+        effects += _end(state, now, name, seen, rec.Proof.REMOVED)
+    return effects
+
+
+def _end(
+    state: PlannerState, now: float, name: SessionId, seen: Sight, proof: rec.Proof
+) -> list[Effect]:
+    record = rec.SessionEnded(
+        record_id=RecordId(""),
+        by=state.session,
+        session=name,
+        proof=proof,
+        renewed_offset=seen.offset,
+    )
+    effects = append(state, now, record)
+    line = log(ENDED.number, session=name, proof=proof.value)
+    return [*effects, *[line] * len(effects)]
+
+
+def _watch_removal(
+    state: PlannerState, now: float, name: SessionId, found: Session
+) -> list[Effect]:
+    """Time how long an instance that was listed is both off the list and silent."""
+    target = f"session/{name}"
+    gone = (
+        found.instance in state.seen_instances
+        and found.instance not in state.listing.rows
+        and now - state.listing.asked <= LIST_FRESH_S
+    )
+    if not gone:
+        state.absent.pop(name, None)
+        state.probes.pop(target, None)
+        return []
+    view = state.probes.setdefault(target, ProbeView())
+    if view.failures and not view.ok_at > view.failing_since:
+        state.absent.setdefault(name, view.failing_since)
+    else:
+        state.absent.pop(name, None)
+    if view.waiting or now < view.due:
+        return []
+    view.waiting = True
+    view.due = now + PROBE_S
+    return [Probe(target=target, address=found.peer_address)]
--- /dev/null
+++ b/primrosepitch/planning/waves.py
@@ -0,0 +1,273 @@
+"""Maintenance waves: steps across racks, pauses on correlated failures, dry run."""
+
+from __future__ import annotations
+
+import enum
+import logging
+from typing import NamedTuple
+
+from primrosepitch.events import event
+from primrosepitch.fleet import records as rec
+from primrosepitch.fleet.fold import Outcome, budget_allows
+from primrosepitch.fleet.records import DrainReason
+from primrosepitch.fleet.state import FleetState, Instance, Phase, Wave, WaveState
+from primrosepitch.ids import DcId, InstanceId, PoolId, RecordId, WaveId
+from primrosepitch.planning import budgets, lease, pools
+from primrosepitch.planning.effects import Effect
+from primrosepitch.planning.state import Failure, PlannerState, WaveView, append, log
+
+__all__ = ["Step", "StepKind", "correlated", "dry_run", "next_steps", "on_read", "turn"]
+
+NOT_RETURNED_S = 900.0
+"""Time after which an instance that did not return from its stop pauses its wave."""
+
+PAUSED = event(
+    3401,
+    "wave_paused",
+    logging.ERROR,
+    "A wave paused itself since failures correlate with it.",
+    "find the cause, then resume or cancel the wave",
+)
+STEP = event(3402, "wave_step", logging.INFO, "A wave stops an instance.")
+WAITS = event(
+    3403, "wave_waits", logging.INFO, "A wave can stop no instance at present."
+)
+
+
+class StepKind(enum.Enum):
+    """What a wave does with an instance."""
+
+    DONE = "done"
+    IN_WORK = "in work"
+    STOP = "would be stopped now"
+    WAIT = "would wait"
+
+
+class Step(NamedTuple):
+    """What a wave does with an instance, and why not more.
+
+    :param why: what is in the way; empty when nothing is
+    """
+
+    instance: InstanceId
+    kind: StepKind
+    why: str = ""
+
+
+class Before(NamedTuple):
+    """What an instance was before a record about it.
+
+    :param up: whether it was up
+    :param stopping: whether it was being stopped
+    :param wave: wave that it was in
+    """
+
+    up: bool = False
+    stopping: bool = False
+    wave: WaveId | None = None
+
+
+class Rack(NamedTuple):
+    """Failure domain of instances."""
+
+    dc: DcId
+    rack: str
+
+
+def before(fleet: FleetState, record: rec.Record) -> Before:
+    """Return what the instance of a record is before the record is folded."""
+    name = getattr(record, "instance", None)
+    inst = fleet.instances.get(name) if name is not None else None
+    if inst is None:
+        return Before()
+    return Before(inst.up, inst.phase is Phase.STOPPING, inst.wave)
+
+
+def rack_of(inst: Instance) -> Rack:
+    """Return the rack of an instance."""
+    return Rack(inst.dc, inst.rack)
+
+
+def next_steps(
+    fleet: FleetState,
+    wave: Wave,
+    name: WaveId,
+    silent: frozenset[DcId] = frozenset(),
+) -> list[Step]:
+    """Say for each instance of a wave what happens now, and why not.
+
+    :param silent: data centres without a live planner, which are passed over
+    :returns: steps in the order of the wave
+    """
+    working = [
+        n
+        for n in wave.instances
+        if (i := fleet.instances[n]).wave == name and i.phase is not Phase.ACTIVE
+    ]
+    rack = rack_of(fleet.instances[working[0]]) if working else None
+    room = wave.max_parallel - len(working)
+    spent: dict[PoolId, int] = {}
+    steps: list[Step] = []
+    for n in wave.instances:
+        inst = fleet.instances[n]
+        if n in wave.done:
+            steps.append(Step(n, StepKind.DONE))
+        elif n in working:
+            steps.append(Step(n, StepKind.IN_WORK, inst.phase.value))
+        else:
+            why = _obstacle(fleet, wave, inst, rack, room, spent, silent)
+            steps.append(Step(n, StepKind.WAIT if why else StepKind.STOP, why))
+            if not why:
+                rack = rack_of(inst)
+                room -= 1
+                spent[inst.pool] = spent.get(inst.pool, 0) + inst.available
+    return steps
+
+
+def _obstacle(
+    fleet: FleetState,
+    wave: Wave,
+    inst: Instance,
+    rack: Rack | None,
+    room: int,
+    spent: dict[PoolId, int],
+    silent: frozenset[DcId],
+) -> str:
+    """Return why an instance is not stopped now; empty if it can be."""
+    if wave.state is not WaveState.RUNNING:
+        return f"the wave is {wave.state.value}"
+    if inst.phase is not Phase.ACTIVE:
+        return f"the instance is {inst.phase.value} for another reason"
+    if rack is not None and rack != rack_of(inst):
+        return f"rack {rack.dc}/{rack.rack} is in work"
+    if room <= 0:
+        return f"{wave.max_parallel} instances are in work"
+    if inst.dc in silent:
+        return f"no planner of data centre {inst.dc} answers"
+    if not inst.available:
+        return ""
+    return budget_allows(fleet, inst.pool, spent.get(inst.pool, 0) + 1)
+
+
+def dry_run(
+    fleet: FleetState, instances: list[InstanceId], max_parallel: int
+) -> list[Step]:
+    """Say what a wave over instances would do first, without starting it.
+
+    :returns: steps in the order given; unknown instances wait with a reason
+    """
+    known = [n for n in dict.fromkeys(instances) if n in fleet.instances]
+    wave = Wave(instances=known, max_parallel=max_parallel, done=[])
+    steps = {s.instance: s for s in next_steps(fleet, wave, WaveId(""))}
+    missing = "no such instance"
+    return [
+        steps.get(n, Step(n, StepKind.WAIT, missing)) for n in dict.fromkeys(instances)
+    ]
+
+
+def on_read(state: PlannerState, now: float, outcome: Outcome, before: Before) -> None:
+    """Note failures and handled instances of waves as they are read."""
+    record = outcome.record
+    if outcome.void is not None:
+        return
+    if isinstance(record, rec.WaveStarted | rec.WaveResumed):
+        view = state.waves.setdefault(record.wave, WaveView(running_since=now))
+        view.running_since = now
+    elif isinstance(record, rec.InstanceDown) and before.up:
+        inst = state.fleet.instances[record.instance]
+        spec = state.fleet.config.instances.get(record.instance)
+        image = spec.image if spec else ""
+        state.failures.append(Failure(now, record.instance, inst.dc, inst.rack, image))
+    elif isinstance(record, rec.StopRequested | rec.InstanceUp):
+        returned = isinstance(record, rec.InstanceUp) and before.stopping
+        stopped = isinstance(record, rec.StopRequested)
+        if before.wave is not None and (stopped or returned):
+            view = state.waves.setdefault(before.wave, WaveView(running_since=now))
+            view.handled[record.instance] = now
+
+
+def correlated(state: PlannerState, now: float, name: WaveId) -> str:
+    """Return why recent failures correlate with a wave; empty if they do not.
+
+    Two handled instances that fail within the window correlate, and so does any
+    failure in the rack or with the image of an instance handled within the window.
+    """
+    view = state.waves.get(name)
+    if view is None:
+        return ""
+    window = state.fleet.config.fleet.correlation_window_s
+    first = max(now - window, view.running_since)
+    failures = [f for f in state.failures if f.at >= first]
+    own = sorted({f.instance for f in failures if f.instance in view.handled})
+    if len(own) >= 2:
+        return f"handled instances {', '.join(own)} failed"
+    recent = [n for n, at in view.handled.items() if now - at <= window]
+    specs = state.fleet.config.instances
+    racks = {(specs[n].dc, specs[n].rack) for n in recent if n in specs}
+    images = {specs[n].image for n in recent if n in specs} - {""}
+    for failure in failures:
+        if (failure.dc, failure.rack) in racks:
+            return f"{failure.instance} failed in rack {failure.dc}/{failure.rack}"
+        if failure.image in images:
+            return f"{failure.instance} failed with image {failure.image}"
+    return ""
+
+
+def turn(state: PlannerState, now: float) -> list[Effect]:
+    """Pause waves with correlated failures, and start the next stops of the others."""
+    if not lease.in_force(state, now):
+        return []
+    window = state.fleet.config.fleet.correlation_window_s
+    state.failures = [f for f in state.failures if now - f.at <= window]
+    for name in [n for n in state.waves if n not in state.fleet.waves]:
+        del state.waves[name]
+    effects: list[Effect] = []
+    for name, wave in state.fleet.waves.items():
+        if wave.state is not WaveState.RUNNING:
+            continue
+        cause = correlated(state, now, name) or _not_returned(state, now, name)
+        if cause:
+            effects += _pause(state, now, name, cause)
+        elif not budgets.downs_pending(state) and budgets.list_fresh(state, now):
+            effects += _advance(state, now, name, wave)
+    return effects
+
+
+def _not_returned(state: PlannerState, now: float, name: WaveId) -> str:
+    """Return which instance of a wave has not come back from its stop."""
+    for instance, restart in state.restarts.items():
+        late = now - max(restart.since, _since(state, name)) > NOT_RETURNED_S
+        if late and state.fleet.instances[instance].wave == name:
+            return f"{instance} did not return"
+    return ""
+
+
+def _since(state: PlannerState, name: WaveId) -> float:
+    view = state.waves.get(name)
+    return view.running_since if view else float("-inf")
+
+
+def _pause(state: PlannerState, now: float, name: WaveId, cause: str) -> list[Effect]:
+    record = rec.WavePaused(
+        record_id=RecordId(""), by=state.session, wave=name, cause=cause
+    )
+    effects = append(state, now, record)
+    return [*effects, *[log(PAUSED.number, wave=name, cause=cause)] * len(effects)]
+
+
+def _advance(state: PlannerState, now: float, name: WaveId, wave: Wave) -> list[Effect]:
+    """Start the stops that fall to this data centre; the others leave theirs to it."""
+    dcs = {state.fleet.instances[n].dc for n in wave.instances} - {state.dc}
+    silent = frozenset(
+        dc for dc in dcs if not lease.live(state, dc, now, budgets.DC_SILENT_S)
+    )
+    effects: list[Effect] = []
+    for step in next_steps(state.fleet, wave, name, silent):
+        own = state.fleet.instances[step.instance].dc == state.dc
+        if step.kind is StepKind.STOP and own:
+            started = pools.drain(
+                state, now, step.instance, DrainReason.REBOOT, wave=name
+            )
+            line = log(STEP.number, wave=name, instance=step.instance)
+            effects += [*started, *[line] * bool(started)]
+    return effects
