--- /dev/null
+++ b/primrosepitch/bin/entry.py
@@ -0,0 +1,922 @@
+"""Program ``primrose-entry``: passes callers' requests to endpoints."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import re
+import sys
+import uuid
+from collections.abc import Callable, Sequence
+from typing import Any
+from urllib.parse import unquote
+
+import msgspec
+
+from primrosepitch import clock
+from primrosepitch.bin.daemon import Daemon, run_program
+from primrosepitch.bin.operators import OperatorsApi
+from primrosepitch.errors import (
+    ERRORS,
+    LogUnavailableError,
+    MessageError,
+    NoStateError,
+    OutcomeUnknownError,
+    PeerUnavailableError,
+    PrimroseError,
+    QueueUnknownError,
+)
+from primrosepitch.events import CONFIG_IN_FORCE, EVENTS, emit
+from primrosepitch.fleet.counts import limit_key
+from primrosepitch.fleet.fold import Outcome as FoldOutcome
+from primrosepitch.fleet.records import (
+    AnyRecord,
+    ConfigPublished,
+    KeyWithdrawn,
+    Record,
+    Role,
+)
+from primrosepitch.fleet.state import FleetState
+from primrosepitch.gen.primrose.ttypes import (
+    AskUnits,
+    Claim,
+    ClaimAnswer,
+    ClaimDone,
+    ClaimEntry,
+    FetchAnswer,
+    FetchedAnswer,
+    Status,
+    SyncClaims,
+    SyncedClaims,
+)
+from primrosepitch.ids import (
+    CallId,
+    ConnId,
+    CountKey,
+    InstanceId,
+    KeyId,
+    Offset,
+    QueueId,
+    RecordId,
+    RequestId,
+    SessionId,
+)
+from primrosepitch.metrics import Metrics
+from primrosepitch.net.answers import AnswerCache
+from primrosepitch.net.http_client import EndpointConnection, Sending, connect
+from primrosepitch.net.http_messages import (
+    Headers,
+    HttpRequest,
+    HttpResponse,
+    header,
+    without_hop_headers,
+)
+from primrosepitch.net.http_server import Exchange, HttpServer, error_response
+from primrosepitch.net.membership import Report
+from primrosepitch.net.peers import Question
+from primrosepitch.net.usage import Sender, Table, add_up, by_queue, figures, take
+from primrosepitch.request import effects as eff
+from primrosepitch.request import events
+from primrosepitch.request.reducer import step
+from primrosepitch.request.state import EntryState
+from primrosepitch.settings import Settings
+from primrosepitch.teams.keys import split_key, verify
+from primrosepitch.teams.withdrawals import PendingWithdrawals
+from primrosepitch.trace import Recorder
+
+__all__ = ["Entry", "main"]
+
+CLAIM_S = 0.5
+SYNC_S = 3.0
+ANSWER_S = 2.0
+
+SYNC_ROWS = 4096
+"""Claims in one frame; a frame has at most 1 MiB."""
+
+MORE_FOLLOWS = -1
+"""Epoch of all frames of claims but the last."""
+
+IDEMPOTENT = frozenset((b"GET", b"HEAD", b"PUT", b"DELETE", b"OPTIONS"))
+
+PRIVATE_HEADERS = frozenset(
+    (
+        b"primrose-key",
+        b"primrose-request-id",
+        b"primrose-timeout-ms",
+        b"primrose-team",
+        b"primrose-urgent",
+        b"primrose-idempotent",
+        b"primrose-repeat",
+    )
+)
+"""Fields of callers that endpoints do not get, or get with another value."""
+
+ANSWER_HEADERS = frozenset((b"primrose-outcome", b"primrose-code"))
+"""Fields that only an entry may set."""
+
+_REQUEST_ID = re.compile(r"[!-~]{1,128}")
+
+Performer = Callable[["Entry", Any], None]
+_PERFORMERS: dict[type, Performer] = {}
+
+
+def performs(kind: type) -> Callable[[Performer], Performer]:
+    """Register what carries out a kind of effect."""
+
+    def register(performer: Performer) -> Performer:
+        _PERFORMERS[kind] = performer
+        return performer
+
+    return register
+
+
+class CallRecord(msgspec.Struct):
+    """What the shell keeps of a request until it is answered.
+
+    :param response: answer of the endpoint, once it is whole
+    :param sent: boot-time clock of the last write to an endpoint
+    """
+
+    exchange: Exchange
+    request_id: RequestId
+    started: float
+    response: HttpResponse | None = None
+    sent: float = 0.0
+
+
+class Entry(Daemon):
+    """One entry process."""
+
+    role = Role.ENTRY
+    events = events
+
+    def __init__(self, settings: Settings, trace: Recorder) -> None:
+        """Create the parts without opening a socket."""
+        super().__init__(settings, trace)
+        self.state = EntryState(self.session, settings.dc)
+        self.http_port = settings.http_port
+        self.metrics = Metrics()
+        self.server = HttpServer(self._on_exchange)
+        self.answers = AnswerCache()
+        self.withdrawals = PendingWithdrawals()
+        self._operators = OperatorsApi(self)
+        self._calls: dict[CallId, CallRecord] = {}
+        self._conns: dict[ConnId, EndpointConnection] = {}
+        self._connecting: dict[ConnId, asyncio.Task[None]] = {}
+        self._questions: dict[int, Question] = {}
+        self._last_call = 0
+        self._last_token = 0
+        self._usage: dict[str, Table] = {}
+        self._own = Sender(self.session)
+        self._dc_sums = Sender(settings.dc)
+        self._relayed: dict[str, Sender] = {}
+        self._observe()
+
+    def _observe(self) -> None:
+        """Register the gauges."""
+        gauge = self.metrics.observe
+        gauge("http.server.active_requests", "{request}", lambda: len(self._calls))
+        gauge(
+            "http.server.open_connections",
+            "{connection}",
+            lambda: len(self.server.connections),
+        )
+        gauge("http.client.open_connections", "{connection}", lambda: len(self._conns))
+        gauge("primrose.log.offset", "{record}", lambda: self.fleet().offset)
+
+    # Hooks of the base
+
+    def fleet(self) -> FleetState:
+        """Return the folded state."""
+        return self.state.fleet
+
+    def step(self, event: Any) -> Sequence[Any]:
+        """Feed one event to the reducer."""
+        return step(self.state, event)
+
+    def perform(self, effect: Any) -> None:
+        """Carry out one effect."""
+        _PERFORMERS[type(effect)](self, effect)
+
+    def is_busy(self) -> bool:
+        """Whether requests wait or run here."""
+        return bool(self._calls)
+
+    async def open(self) -> None:
+        """Listen for callers and operators."""
+        address = self.settings.address
+        self.http_port = await self.server.listen(address, self.http_port)
+
+    def close(self) -> None:
+        """Close all connections of callers and to endpoints."""
+        self.server.abort()
+        for task in self._connecting.values():
+            task.cancel()
+        for conn in list(self._conns.values()):
+            conn.abandon()
+
+    def stop(self) -> None:
+        """Begin a graceful stop."""
+        self.server.stopping = True
+        super().stop()
+
+    def http_address(self) -> str:
+        """Return the address for callers and operators."""
+        return f"{self.settings.address}:{self.http_port}"
+
+    def record_folded(self, offset: Offset, record: AnyRecord) -> None:
+        """Note a configuration in force and withdrawals that the log has."""
+        fleet = self.fleet()
+        if isinstance(record, ConfigPublished) and fleet.config_offset == offset:
+            emit(CONFIG_IN_FORCE, offset=offset, operator=record.operator)
+        elif isinstance(record, KeyWithdrawn):
+            self.withdrawals.settle(fleet.withdrawn)
+
+    # Callers
+
+    def _on_exchange(self, exchange: Exchange) -> None:
+        target = exchange.request.target
+        if target.startswith(b"/q/"):
+            try:
+                self._begin(exchange)
+            except PrimroseError as exc:
+                self._answer_error(exchange, exc)
+        elif target.startswith(b"/-/"):
+            self.spawn(self._operators.answer(exchange))
+        else:
+            self._answer_error(exchange, QueueUnknownError("paths begin with /q/"))
+
+    def _answer_error(self, exchange: Exchange, error: PrimroseError) -> None:
+        method = exchange.request.method.decode("ascii", "replace")
+        self.metrics.server_request(method, error.status, "not-run", 0.0)
+        exchange.respond(error_response(error))
+
+    def _begin(self, exchange: Exchange) -> None:
+        """Hand a caller's request to the reducer.
+
+        :raises PrimroseError: if it cannot be handed on
+        """
+        if not self.tail.ready.is_set():
+            raise NoStateError
+        now = clock.monotonic()
+        request = exchange.request
+        raw_key = _text(request.headers, b"primrose-key")
+        given_id = _text(request.headers, b"primrose-request-id")
+        if given_id and not _REQUEST_ID.fullmatch(given_id):
+            raise MessageError("Primrose-Request-Id: 1 to 128 visible characters")
+        self._last_call += 1
+        call = CallId(self._last_call)
+        request_id = RequestId(given_id or uuid.uuid4().hex)
+        event = events.RequestArrived(
+            now=now,
+            seed=random.getrandbits(31),
+            call=call,
+            queue=_queue(request.target),
+            key_id=split_key(raw_key)[0],
+            key_valid=bool(raw_key) and verify(self.fleet(), raw_key),
+            request_id=request_id,
+            caller_id=bool(given_id),
+            idempotent=_is_idempotent(request),
+            urgent=_flag(request.headers, b"primrose-urgent"),
+            repeat=_flag(request.headers, b"primrose-repeat"),
+            timeout_s=_timeout_s(request.headers),
+            size=len(request.body),
+        )
+        self._calls[call] = CallRecord(exchange, request_id, now)
+        exchange.on_gone = lambda: self._caller_gone(call)
+        self.handle(event)
+
+    def _caller_gone(self, call: CallId) -> None:
+        if call in self._calls:
+            self.handle(events.CallerGone(now=clock.monotonic(), call=call))
+
+    def answer(self, call: CallId, response: HttpResponse, outcome: str) -> None:
+        """Answer a caller and forget the call."""
+        found = self._calls.pop(call, None)
+        if found is None:
+            return
+        exchange = found.exchange
+        self.metrics.server_request(
+            exchange.request.method.decode("ascii", "replace"),
+            response.status,
+            outcome,
+            clock.monotonic() - found.started,
+        )
+        exchange.respond(response)
+
+    # Endpoints: listener of the connections
+
+    def connection_opened(self, conn: ConnId) -> None:
+        """Tell the reducer."""
+        self.handle(events.ConnectionOpened(now=clock.monotonic(), conn=conn))
+
+    def connection_failed(self, conn: ConnId) -> None:
+        """Tell the reducer."""
+        self._connecting.pop(conn, None)
+        self.handle(events.ConnectionFailed(now=clock.monotonic(), conn=conn))
+
+    def connection_closed(self, conn: ConnId) -> None:
+        """Tell the reducer."""
+        self._conns.pop(conn, None)
+        self.handle(events.ConnectionClosed(now=clock.monotonic(), conn=conn))
+
+    def send_skipped(self, call: CallId, conn: ConnId) -> None:
+        """Tell the reducer that nothing was written."""
+        self.handle(events.SendSkipped(now=clock.monotonic(), call=call, conn=conn))
+
+    def send_failed(self, call: CallId, conn: ConnId, failure: events.Failure) -> None:
+        """Tell the reducer how an exchange failed."""
+        self._conns.pop(conn, None)
+        self._count_exchange(call, failure.value)
+        self.handle(
+            events.SendFailed(
+                now=clock.monotonic(), call=call, conn=conn, failure=failure
+            )
+        )
+
+    def answer_received(
+        self, call: CallId, conn: ConnId, response: HttpResponse, reusable: bool
+    ) -> None:
+        """Keep the answer and tell the reducer."""
+        if not reusable:
+            self._conns.pop(conn, None)
+        found = self._calls.get(call)
+        if found is not None:
+            found.response = response
+        self._count_exchange(call, "answered")
+        self.handle(
+            events.AnswerReceived(
+                now=clock.monotonic(),
+                call=call,
+                conn=conn,
+                status=response.status,
+                size=len(response.body),
+                reusable=reusable,
+            )
+        )
+
+    def _count_exchange(self, call: CallId, result: str) -> None:
+        found = self._calls.get(call)
+        if found is not None and found.sent:
+            self.metrics.client_request(result, clock.monotonic() - found.sent)
+
+    async def open_connection(self, effect: eff.OpenConnection) -> None:
+        """Open a connection to an endpoint."""
+        left = effect.deadline - clock.monotonic()
+        opened = await connect(effect.conn, effect.address, effect.port, left, self)
+        self._connecting.pop(effect.conn, None)
+        if opened is not None:
+            self._conns[effect.conn] = opened
+            self.connection_opened(effect.conn)
+
+    def start_opening(self, effect: eff.OpenConnection) -> None:
+        """Open a connection beside the loop."""
+        self._connecting[effect.conn] = self.spawn(self.open_connection(effect))
+
+    def close_connection(self, conn: ConnId) -> None:
+        """Close a connection; one that is gone already is confirmed again."""
+        opening = self._connecting.pop(conn, None)
+        if opening is not None:
+            opening.cancel()
+        found = self._conns.get(conn)
+        if found is not None:
+            found.close()
+        else:
+            self.connection_closed(conn)
+
+    def send_request(self, effect: eff.SendRequest) -> None:
+        """Write a request to a connection."""
+        call, conn = self._calls.get(effect.call), self._conns.get(effect.conn)
+        if call is None or conn is None:
+            self.send_failed(effect.call, effect.conn, events.Failure.NOT_SENT)
+            return
+        now = clock.monotonic()
+        call.sent = now
+        request = call.exchange.request
+        left_ms = max(1, int((effect.deadline - now) * 1000))
+        kept = without_hop_headers(request.headers)
+        headers: Headers = [(k, v) for k, v in kept if k not in PRIVATE_HEADERS]
+        headers += [
+            (b"primrose-team", effect.team.encode()),
+            (b"primrose-request-id", effect.request_id.encode()),
+            (b"primrose-timeout-ms", str(left_ms).encode()),
+        ]
+        sending = Sending(
+            call=effect.call,
+            request=HttpRequest(request.method, request.target, headers, request.body),
+            request_id=effect.request_id,
+            not_after=effect.not_after,
+            expect=effect.expect,
+        )
+        conn.send(sending)
+
+    async def list_instances(self) -> None:
+        """Read the platform's list for the reducer."""
+        asked = clock.monotonic()
+        try:
+            found = await self.platform.instances()
+        except LogUnavailableError:
+            # The reducer gives up a read that has no result in time.
+            return
+        leaving = [i.instance for i in found.instances if i.state == "leaving"]
+        self.handle(
+            events.InstancesListed(
+                now=clock.monotonic(),
+                asked=asked,
+                leaving=[InstanceId(name) for name in leaving],
+            )
+        )
+
+    # Peers
+
+    def peer_message(self, question: Question) -> None:
+        """Handle a message of another entry."""
+        body = question.body
+        now = clock.monotonic()
+        if isinstance(body, Status):
+            self._take_status(body)
+        elif isinstance(body, AskUnits):
+            units = {CountKey(k): n for k, n in body.units.items()}
+            session = SessionId(body.session)
+            self.handle(events.UnitsAsked(now=now, session=session, units=units))
+        elif isinstance(body, Claim):
+            self.handle(
+                events.ClaimAsked(
+                    now=now,
+                    token=self._token(question),
+                    session=SessionId(body.session),
+                    request_id=RequestId(body.request_id),
+                    epoch=body.epoch,
+                )
+            )
+        elif isinstance(body, ClaimDone):
+            self._take_claim_end(body)
+        elif isinstance(body, SyncClaims):
+            self.handle(
+                events.SyncAsked(
+                    now=now,
+                    token=self._token(question),
+                    session=SessionId(body.session),
+                    min_epoch=body.min_epoch,
+                )
+            )
+        elif isinstance(body, FetchAnswer):
+            question.answer(_fetched(self.answers.get(RequestId(body.request_id))))
+
+    def _token(self, question: Question) -> int:
+        self._last_token += 1
+        self._questions[self._last_token] = question
+        return self._last_token
+
+    def answer_question(self, token: int, body: Any) -> None:
+        """Answer a peer's question; the last message forgets it."""
+        question = self._questions.get(token)
+        if question is not None:
+            question.answer(body)
+
+    def forget_question(self, token: int) -> None:
+        """Forget a question that has its answer."""
+        self._questions.pop(token, None)
+
+    def _take_claim_end(self, body: ClaimDone) -> None:
+        outcome = _verdict(body.outcome)
+        if outcome is not None:
+            self.handle(
+                events.ClaimEnded(
+                    now=clock.monotonic(),
+                    session=SessionId(body.session),
+                    request_id=RequestId(body.request_id),
+                    outcome=outcome,
+                )
+            )
+
+    async def claim(self, effect: eff.SendClaim) -> None:
+        """Claim a request id at a peer and hand on its verdict."""
+        question = Claim(
+            session=self.session, request_id=effect.request_id, epoch=effect.epoch
+        )
+        verdict, epoch, holder = None, 0, SessionId("")
+        try:
+            found = await self.peers.ask(effect.to, question, CLAIM_S)
+            if isinstance(found, ClaimAnswer):
+                verdict = _verdict(found.verdict)
+                epoch, holder = found.epoch, SessionId(found.holder)
+        except PeerUnavailableError:
+            pass
+        self.handle(
+            events.ClaimAnswered(
+                now=clock.monotonic(),
+                call=effect.call,
+                session=effect.to,
+                verdict=verdict,
+                epoch=epoch,
+                holder=holder,
+            )
+        )
+
+    async def sync_claims(self, effect: eff.SendSync) -> None:
+        """Read all claims of a peer; without an answer the reducer asks again."""
+        question = SyncClaims(session=self.session, min_epoch=effect.min_epoch)
+        client = self.peers.client(effect.to)
+        if client is None:
+            return
+        try:
+            parts = await client.ask_parts(question, SYNC_S, _more_claims)
+        except PeerUnavailableError:
+            return
+        rows = [_claim_row(row) for part in parts for row in part.claims]
+        self.handle(
+            events.ClaimsSynced(
+                now=clock.monotonic(),
+                session=effect.to,
+                epoch=parts[-1].epoch,
+                complete=parts[-1].complete,
+                claims=[row for row in rows if row is not None],
+            )
+        )
+
+    async def repeat_answer(self, effect: eff.RepeatAnswer) -> None:
+        """Give a caller the first answer of its request id."""
+        found = self.answers.get(effect.request_id)
+        if found is None and effect.holder != self.session:
+            question = FetchAnswer(request_id=effect.request_id)
+            try:
+                reply = await self.peers.ask(effect.holder, question, ANSWER_S)
+                found = _kept_answer(reply)
+            except PeerUnavailableError:
+                found = None
+        if found is None:
+            error = OutcomeUnknownError("the first answer is no longer held")
+            self.answer(effect.call, error_response(error, "unknown"), "unknown")
+        else:
+            self.answer(effect.call, found, "answered")
+
+    # Usage and withdrawals
+
+    def _take_status(self, status: Status) -> None:
+        now = clock.monotonic()
+        for usage in status.usage:
+            if usage.origin in (self.session, self.settings.dc):
+                continue
+            table = take(self._usage.get(usage.origin, {}), usage)
+            self._usage[usage.origin] = table
+            self.handle(
+                events.UsageReported(
+                    now=now,
+                    origin=usage.origin,
+                    running=by_queue(table, 0),
+                    waiting=by_queue(table, 1),
+                )
+            )
+        keys = [KeyId(k.decode("ascii", "replace")) for k in status.pending_withdrawals]
+        self._withdraw(keys)
+
+    def withdraw_pending(self, key_id: KeyId) -> None:
+        """Withdraw a key while the log is down."""
+        self._withdraw([key_id])
+
+    def _withdraw(self, keys: list[KeyId]) -> None:
+        """Take pending withdrawals; each holder appends them to the log."""
+        fresh = self.withdrawals.merge(keys, self.fleet().withdrawn)
+        if not fresh:
+            return
+        self.handle(
+            events.WithdrawalsPending(
+                now=clock.monotonic(), keys=list(self.withdrawals)
+            )
+        )
+        for key_id in fresh:
+            self.append(
+                KeyWithdrawn(record_id=RecordId(""), by=self.session, key_id=key_id)
+            )
+
+    def each_second(self) -> None:
+        """Prepare the figures of this second and report to other data centres."""
+        known = {*self.fleet().sessions, *self.peers.lowest_entries()}
+        for origin in [o for o in self._usage if not self._is_origin(o, known)]:
+            del self._usage[origin]
+        self._own.update(figures(self.state.running, self.state.waiting()))
+        for origin, sender in self._relayed.items():
+            sender.update(dict(self._usage.get(origin, {})))
+        if self._is_lowest():
+            self._report_dc()
+
+    def _is_origin(self, origin: str, known: set[Any]) -> bool:
+        return origin in known or origin in self.fleet().epochs
+
+    def _is_lowest(self) -> bool:
+        entries = self.fleet().open_entries(self.settings.dc)
+        return bool(entries) and entries[0] == self.session
+
+    def _report_dc(self) -> None:
+        """Send the sums of the data centre to the lowest entry of each other one."""
+        peers = set(self.peers.of_dc())
+        tables = [t for origin, t in self._usage.items() if origin in peers]
+        own = figures(self.state.running, self.state.waiting())
+        self._dc_sums.update(add_up([own, *tables]))
+        for session in self.peers.lowest_entries().values():
+            client = self.peers.client(session)
+            if client is not None and client.ready():
+                usage = [self._dc_sums.report(session, client.connections)]
+                client.tell(self.status(usage))
+
+    def status_for(self, session: SessionId, connection: int) -> Status:
+        """Return the report for a peer of the own data centre."""
+        usage = [self._own.report(session, connection)]
+        if self._is_lowest():
+            for dc in self.peers.lowest_entries():
+                sender = self._relayed.setdefault(dc, Sender(dc))
+                usage.append(sender.report(session, connection))
+        return self.status(usage)
+
+    def pending_withdrawals(self) -> list[bytes]:
+        """Return the withdrawals that the log does not have yet."""
+        return [key_id.encode() for key_id in self.withdrawals]
+
+    # Operators
+
+    def ready(self) -> bool:
+        """Whether a state has been read."""
+        return self.tail.ready.is_set()
+
+    def takes_work(self) -> bool:
+        """Whether the balancer may send callers here."""
+        return self.ready() and self.state.may_start and not self.stopping
+
+    def log_up(self) -> bool:
+        """Whether the last read of the log succeeded."""
+        return self.tail.up
+
+    def reports(self) -> dict[SessionId, Report]:
+        """Return what other processes reported, and the own position."""
+        fleet = self.fleet()
+        own = Report(fleet.generation, fleet.offset, clock.monotonic(), self.tail.up)
+        return {**self.peers.reports, self.session: own}
+
+    def metrics_json(self) -> bytes:
+        """Return the metrics."""
+        return self.metrics.as_json()
+
+    async def confirm(self, record: Record, timeout_s: float) -> FoldOutcome:
+        """Append an operator's record and wait for its outcome."""
+        return await self.appender.confirm(record, timeout_s)
+
+    def overview(self) -> dict[str, Any]:
+        """Return this process's part of the status."""
+        state, fleet = self.state, self.fleet()
+        running = add_up([figures(state.running, state.waiting())])
+        teams = {
+            team: {
+                "running": sum(r for (_, t), (r, _) in running.items() if t == team),
+                "waiting": sum(w for (_, t), (_, w) in running.items() if t == team),
+                "held": fleet.holding(limit_key(team), self.session),
+                "limit": spec.limit,
+            }
+            for team, spec in fleet.config.teams.items()
+        }
+        endpoints = {
+            name: {
+                "pool": inst.pool,
+                "up": inst.up,
+                "phase": inst.phase.value,
+                "held_slots": fleet.holding(CountKey(f"slots/{name}"), self.session),
+                "connections": sum(
+                    1 for c in state.conns.values() if c.instance == name
+                ),
+            }
+            for name, inst in fleet.instances.items()
+        }
+        return {
+            "session": self.session,
+            "name": self.settings.name,
+            "dc": self.settings.dc,
+            "log_contact": self.tail.up,
+            "takes_work": self.takes_work(),
+            "stopping": self.stopping,
+            "endpoints": endpoints,
+            "teams": teams,
+            "pending_withdrawals": list(self.withdrawals),
+        }
+
+
+# Effects
+
+
+@performs(eff.Refuse)
+def _refuse(entry: Entry, effect: eff.Refuse) -> None:
+    error = ERRORS[effect.code](effect.detail)
+    outcome = effect.outcome.value
+    entry.answer(effect.call, error_response(error, outcome), outcome)
+
+
+@performs(eff.PassAnswer)
+def _pass_answer(entry: Entry, effect: eff.PassAnswer) -> None:
+    found = entry._calls.get(effect.call)
+    if found is None or found.response is None:
+        error = OutcomeUnknownError("the answer is not held")
+        entry.answer(effect.call, error_response(error, "unknown"), "unknown")
+        return
+    kept = without_hop_headers(found.response.headers)
+    headers = [(k, v) for k, v in kept if k not in ANSWER_HEADERS]
+    headers.append((b"primrose-outcome", b"answered"))
+    response = HttpResponse(found.response.status, headers, found.response.body)
+    if effect.keep:
+        entry.answers.keep(found.request_id, response)
+    entry.answer(effect.call, response, "answered")
+
+
+@performs(eff.RepeatAnswer)
+def _repeat(entry: Entry, effect: eff.RepeatAnswer) -> None:
+    entry.spawn(entry.repeat_answer(effect))
+
+
+@performs(eff.OpenConnection)
+def _open(entry: Entry, effect: eff.OpenConnection) -> None:
+    entry.start_opening(effect)
+
+
+@performs(eff.CloseConnection)
+def _close(entry: Entry, effect: eff.CloseConnection) -> None:
+    entry.close_connection(effect.conn)
+
+
+@performs(eff.SendRequest)
+def _send(entry: Entry, effect: eff.SendRequest) -> None:
+    entry.send_request(effect)
+
+
+@performs(eff.Append)
+def _append(entry: Entry, effect: eff.Append) -> None:
+    entry.append(effect.record)
+
+
+@performs(eff.ListInstances)
+def _list(entry: Entry, effect: eff.ListInstances) -> None:
+    entry.spawn(entry.list_instances())
+
+
+@performs(eff.AskUnits)
+def _ask_units(entry: Entry, effect: eff.AskUnits) -> None:
+    client = entry.peers.client(effect.to)
+    if client is not None:
+        client.tell(AskUnits(session=entry.session, units=dict(effect.units)))
+
+
+@performs(eff.SendClaim)
+def _claim(entry: Entry, effect: eff.SendClaim) -> None:
+    entry.spawn(entry.claim(effect))
+
+
+@performs(eff.SendClaimEnd)
+def _claim_end(entry: Entry, effect: eff.SendClaimEnd) -> None:
+    client = entry.peers.client(effect.to)
+    if client is not None:
+        client.tell(
+            ClaimDone(
+                session=entry.session,
+                request_id=effect.request_id,
+                outcome=effect.outcome.value,
+            )
+        )
+
+
+@performs(eff.ReplyClaim)
+def _reply_claim(entry: Entry, effect: eff.ReplyClaim) -> None:
+    answer = ClaimAnswer(
+        verdict=effect.verdict.value, epoch=effect.epoch, holder=effect.holder
+    )
+    entry.answer_question(effect.token, answer)
+    entry.forget_question(effect.token)
+
+
+@performs(eff.SendSync)
+def _sync(entry: Entry, effect: eff.SendSync) -> None:
+    entry.spawn(entry.sync_claims(effect))
+
+
+@performs(eff.ReplySync)
+def _reply_sync(entry: Entry, effect: eff.ReplySync) -> None:
+    rows = [
+        ClaimEntry(
+            request_id=row.request_id,
+            holder=row.holder,
+            outcome=row.outcome.value,
+            age_ms=int(row.age_s * 1000),
+        )
+        for row in effect.claims
+    ]
+    while len(rows) > SYNC_ROWS:
+        part, rows = rows[:SYNC_ROWS], rows[SYNC_ROWS:]
+        entry.answer_question(
+            effect.token, SyncedClaims(epoch=MORE_FOLLOWS, complete=False, claims=part)
+        )
+    entry.answer_question(
+        effect.token,
+        SyncedClaims(epoch=effect.epoch, complete=effect.complete, claims=rows),
+    )
+    entry.forget_question(effect.token)
+
+
+@performs(eff.LogLine)
+def _log_line(entry: Entry, effect: eff.LogLine) -> None:
+    emit(EVENTS[effect.number], **effect.fields)
+
+
+@performs(eff.Finished)
+def _finished(entry: Entry, effect: eff.Finished) -> None:
+    entry.finish()
+
+
+# Parsing
+
+
+def _text(headers: Headers, name: bytes) -> str:
+    """Return a header field as text; empty without one."""
+    value = header(headers, name)
+    return value.decode("latin-1") if value is not None else ""
+
+
+def _flag(headers: Headers, name: bytes) -> bool:
+    return header(headers, name) == b"1"
+
+
+def _queue(target: bytes) -> QueueId:
+    """Return the queue of ``/q/{queue}/...``."""
+    path = target.partition(b"?")[0]
+    return QueueId(unquote(path.split(b"/", 3)[2].decode("latin-1")))
+
+
+def _is_idempotent(request: HttpRequest) -> bool:
+    said = header(request.headers, b"primrose-idempotent")
+    return request.method in IDEMPOTENT if said is None else said == b"1"
+
+
+def _timeout_s(headers: Headers) -> float:
+    """Return the time left; 0 without the header.
+
+    :raises MessageError: if it is no positive number
+    """
+    raw = _text(headers, b"primrose-timeout-ms")
+    if not raw:
+        return 0.0
+    if not raw.isascii() or not raw.isdecimal() or len(raw) > 9 or int(raw) == 0:
+        raise MessageError("Primrose-Timeout-Ms: a positive number of milliseconds")
+    return int(raw) / 1000
+
+
+def _verdict(value: int) -> events.ClaimVerdict | None:
+    """Return a verdict; ``None`` for one of a newer version."""
+    try:
+        return events.ClaimVerdict(value)
+    except ValueError:
+        return None
+
+
+def _more_claims(part: Any) -> bool:
+    return isinstance(part, SyncedClaims) and part.epoch == MORE_FOLLOWS
+
+
+def _claim_row(row: ClaimEntry) -> events.ClaimRow | None:
+    outcome = _verdict(row.outcome)
+    if outcome is None:
+        return None
+    return events.ClaimRow(
+        request_id=RequestId(row.request_id),
+        holder=SessionId(row.holder),
+        outcome=outcome,
+        age_s=row.age_ms / 1000,
+    )
+
+
+def _fetched(response: HttpResponse | None) -> FetchedAnswer:
+    """Return a kept answer as a message; repeated fields are joined by line ends."""
+    if response is None:
+        return FetchedAnswer(found=False, status=0, headers={}, body=b"")
+    headers: dict[str, str] = {}
+    for name, value in response.headers:
+        key = name.decode("latin-1")
+        text = value.decode("latin-1")
+        headers[key] = f"{headers[key]}\n{text}" if key in headers else text
+    return FetchedAnswer(
+        found=True, status=response.status, headers=headers, body=response.body
+    )
+
+
+def _kept_answer(reply: Any) -> HttpResponse | None:
+    if not isinstance(reply, FetchedAnswer) or not reply.found:
+        return None
+    headers = [
+        (name.encode("latin-1"), value.encode("latin-1"))
+        for name, values in reply.headers.items()
+        for value in values.split("\n")
+    ]
+    return HttpResponse(reply.status, headers, reply.body)
+
+
+def main() -> None:
+    """Run the program and exit."""
+    sys.exit(run_program("primrose-entry", Entry))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/primrosepitch/bin/operators.py
@@ -0,0 +1,262 @@
+"""Operators' HTTP API of an entry."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+import msgspec
+
+from primrosepitch import clock
+from primrosepitch.config.model import Document
+from primrosepitch.errors import (
+    LogUnavailableError,
+    MessageError,
+    NoStateError,
+    PrimroseError,
+    QueueUnknownError,
+    VoidCommandError,
+)
+from primrosepitch.fleet.counts import limit_key
+from primrosepitch.fleet.fold import Outcome
+from primrosepitch.fleet.records import (
+    AnyRecord,
+    ConfigPublished,
+    KeyWithdrawn,
+    Record,
+)
+from primrosepitch.fleet.state import FleetState
+from primrosepitch.ids import KeyId, Offset, RecordId, SessionId
+from primrosepitch.net.http_messages import HttpRequest, HttpResponse
+from primrosepitch.net.http_server import Exchange, error_response
+from primrosepitch.net.membership import Report
+
+__all__ = ["OperatorsApi", "Publication"]
+
+CONFIRM_S = 5.0
+"""Time for a command to be read back; the roll-out has 7 s."""
+
+
+class Publication(msgspec.Struct, frozen=True):
+    """Body of ``POST /-/config``."""
+
+    base_offset: Offset
+    documents: dict[str, Document] = {}
+    removed: list[str] = []
+    operator: str = ""
+
+
+class Process(Protocol):
+    """What the API needs from its process."""
+
+    def fleet(self) -> FleetState:
+        """Return the folded state."""
+
+    def ready(self) -> bool:
+        """Whether a state has been read."""
+
+    def takes_work(self) -> bool:
+        """Whether the balancer may send callers here."""
+
+    def overview(self) -> dict[str, Any]:
+        """Return the process's part of the status."""
+
+    def reports(self) -> dict[SessionId, Report]:
+        """Return what other processes reported."""
+
+    def log_up(self) -> bool:
+        """Whether the last read of the log succeeded."""
+
+    def withdraw_pending(self, key_id: KeyId) -> None:
+        """Withdraw a key while the log is down."""
+
+    def metrics_json(self) -> bytes:
+        """Return the metrics."""
+
+    async def confirm(self, record: Record, timeout_s: float) -> Outcome:
+        """Append a record and wait for its outcome."""
+
+
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
+
+class OperatorsApi:
+    """Answers requests below ``/-/``."""
+
+    def __init__(self, process: Process) -> None:
+        """Serve one process."""
+        self._process = process
+        self._routes: dict[tuple[bytes, bytes], Handler] = {
+            (b"GET", b"/-/status"): self._status,
+            (b"GET", b"/-/config"): self._config,
+            (b"GET", b"/-/fleet"): self._fleet,
+            (b"GET", b"/-/metrics"): self._metrics,
+            (b"GET", b"/-/health"): self._health,
+            (b"POST", b"/-/config"): self._publish,
+            (b"POST", b"/-/records"): self._record,
+        }
+
+    async def answer(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        request = exchange.request
+        path = request.target.partition(b"?")[0]
+        handler = self._routes.get((request.method, path))
+        if handler is None:
+            exchange.respond(error_response(QueueUnknownError("no such path")))
+            return
+        try:
+            response = await handler(request)
+        except PrimroseError as exc:
+            response = _json({"code": exc.code, "error": exc.message()}, exc.status)
+        exchange.respond(response)
+
+    # Reading
+
+    async def _status(self, request: HttpRequest) -> HttpResponse:
+        fleet = self._process.fleet()
+        now = clock.monotonic()
+        reports = self._process.reports()
+        processes = {
+            sid: {
+                "role": s.role.value,
+                "dc": s.dc,
+                "peer_address": s.peer_address,
+                "http_address": s.http_address,
+                "state": s.state.value,
+                **_report(reports.get(sid), now),
+            }
+            for sid, s in fleet.sessions.items()
+        }
+        found = self._process.overview()
+        found.update(
+            generation=fleet.generation,
+            offset=fleet.offset,
+            config_offset=fleet.config_offset,
+            processes=processes,
+        )
+        return _json(found)
+
+    async def _config(self, request: HttpRequest) -> HttpResponse:
+        self._check_ready()
+        fleet = self._process.fleet()
+        return _json({"offset": fleet.config_offset, "documents": fleet.documents})
+
+    async def _fleet(self, request: HttpRequest) -> HttpResponse:
+        self._check_ready()
+        fleet = self._process.fleet()
+        instances = {
+            name: {
+                "pool": i.pool,
+                "dc": i.dc,
+                "rack": i.rack,
+                "phase": i.phase,
+                "up": i.up,
+                "reason": i.reason,
+                "to_pool": i.to_pool,
+                "wave": i.wave,
+                "changed": i.changed,
+                "incarnation": i.incarnation,
+                "maintained": i.maintained,
+            }
+            for name, i in fleet.instances.items()
+        }
+        return _json(
+            {
+                "generation": fleet.generation,
+                "offset": fleet.offset,
+                "instances": instances,
+                "waves": fleet.waves,
+                "leases": fleet.leases,
+                "sessions": fleet.sessions,
+                "withdrawn": sorted(fleet.withdrawn),
+                "limits": {
+                    team: fleet.counts.get(limit_key(team))
+                    for team in fleet.config.teams
+                },
+            }
+        )
+
+    async def _metrics(self, request: HttpRequest) -> HttpResponse:
+        return _response(200, self._process.metrics_json())
+
+    async def _health(self, request: HttpRequest) -> HttpResponse:
+        works = self._process.takes_work()
+        return _json({"takes_work": works}, 200 if works else 503)
+
+    # Commands
+
+    async def _publish(self, request: HttpRequest) -> HttpResponse:
+        body = _decode(request.body, Publication)
+        record = ConfigPublished(
+            record_id=RecordId(""),
+            by=SessionId(""),
+            base_offset=body.base_offset,
+            documents=body.documents,
+            removed=body.removed,
+            operator=body.operator,
+        )
+        return await self._append(record)
+
+    async def _record(self, request: HttpRequest) -> HttpResponse:
+        record = _decode_record(request.body)
+        if isinstance(record, KeyWithdrawn) and not self._process.log_up():
+            self._process.withdraw_pending(record.key_id)
+            return _json({"pending": True}, 202)
+        return await self._append(record)
+
+    async def _append(self, record: Record) -> HttpResponse:
+        self._check_ready()
+        if not self._process.log_up():
+            raise LogUnavailableError("nothing was sent")
+        outcome = await self._process.confirm(record, CONFIRM_S)
+        if outcome.void is not None:
+            cause = outcome.void.value
+            raise VoidCommandError(
+                f"{cause}: {outcome.detail}" if outcome.detail else cause
+            )
+        return _json({"offset": outcome.offset})
+
+    def _check_ready(self) -> None:
+        if not self._process.ready():
+            raise NoStateError
+
+
+def _decode(data: bytes, kind: type[Publication]) -> Publication:
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except msgspec.MsgspecError as exc:
+        raise MessageError(str(exc)) from exc
+
+
+def _decode_record(data: bytes) -> AnyRecord:
+    """Return a record from JSON; the appender fills id, session and time."""
+    try:
+        raw = json.loads(data)
+        if not isinstance(raw, dict):
+            raise MessageError("a JSON object is needed")
+        raw.update(record_id="", by="", at=0.0)
+        found: AnyRecord = msgspec.convert(raw, AnyRecord)
+    except (ValueError, RecursionError) as exc:
+        raise MessageError(str(exc)) from exc
+    return found
+
+
+def _report(report: Report | None, now: float) -> dict[str, Any]:
+    """Return what is known of a process, with its age."""
+    if report is None:
+        return {"offset": None, "generation": None, "age_s": None}
+    return {
+        "offset": report.offset,
+        "generation": report.generation,
+        "age_s": round(now - report.heard, 3),
+        "log_contact": report.log_contact,
+    }
+
+
+def _json(value: Any, status: int = 200) -> HttpResponse:
+    return _response(status, msgspec.json.encode(value) + b"\n")
+
+
+def _response(status: int, body: bytes) -> HttpResponse:
+    return HttpResponse(status, [(b"content-type", b"application/json")], body)
--- a/primrosepitch/errors.py
+++ b/primrosepitch/errors.py
@@ -21,6 +21,8 @@
     "MessageTooLargeError",
     "NoStateError",
     "OutcomeUnknownError",
+    "OverloadedError",
+    "PeerUnavailableError",
     "PrimroseError",
     "QueueFullError",
     "QueueNotAllowedError",
@@ -320,6 +322,16 @@
     remedy = "send a smaller message"
 
 
+@register_error
+class OverloadedError(PrimroseError):
+    """The entry has no memory left for another message or connection."""
+
+    code = "PRP-2404"
+    status = 503
+    summary = "not run: this entry holds too many requests"
+    remedy = "try again in a few seconds; the balancer will choose another entry"
+
+
 # 4xxx: network between processes
 
 
@@ -330,3 +342,13 @@
     code = "PRP-4101"
     summary = "malformed frame from a peer"
     remedy = "check that both processes run compatible versions"
+
+
+@register_error
+class PeerUnavailableError(PrimroseError):
+    """A peer cannot be reached or did not answer in time."""
+
+    code = "PRP-4102"
+    status = 503
+    summary = "a peer does not answer"
+    remedy = "check that the peer runs and that its address can be reached"
--- a/primrosepitch/events.py
+++ b/primrosepitch/events.py
@@ -117,3 +117,48 @@
 SNAPSHOT_LOADED = event(
     1106, "snapshot_loaded", logging.INFO, "A state was taken from a snapshot."
 )
+RECORD_UNREADABLE = event(
+    1107,
+    "record_unreadable",
+    logging.ERROR,
+    "A record of the log could not be decoded and has no effect.",
+    "find the writer; a process of a newer version may have written it",
+)
+SNAPSHOT_CORRUPT = event(
+    1108,
+    "snapshot_corrupt",
+    logging.ERROR,
+    "A snapshot could not be decoded and was not loaded.",
+    "none if another snapshot or a peer's state is loaded; else check the log",
+)
+SESSION_OPENED = event(
+    1109, "session_opened", logging.INFO, "The session is open in the log."
+)
+SESSION_LOST = event(
+    1110,
+    "session_lost",
+    logging.ERROR,
+    "The log says that the session of this running process has ended; it stops.",
+    "restart the process; fence only instances that are powered off",
+)
+STOP_FORCED = event(
+    1111,
+    "stop_forced",
+    logging.ERROR,
+    "Work was left when the time for a graceful stop had passed.",
+    "look at the requests that were still running",
+)
+TASK_FAILED = event(
+    1112,
+    "task_failed",
+    logging.ERROR,
+    "A part of the process failed in a way that the program does not expect.",
+    "report it with the log lines around it",
+)
+PEER_FRAME_BAD = event(
+    4101,
+    "peer_frame_malformed",
+    logging.WARNING,
+    "A peer sent a malformed frame; its connection was closed.",
+    "check that all processes run compatible versions",
+)
