Add primrose-planner and the scenarios of configurations in force

Cause: the planner's reducer had no program, and nothing tested publications against readers with delays.

--- /dev/null
+++ b/features/steps/configuration_in_force.py
@@ -0,0 +1,91 @@
+"""Steps about publications and readers."""
+
+import msgspec
+from behave import then, when
+
+from features.fleet_world import document
+from primrosepitch.fleet import records as rec
+from primrosepitch.fleet.fold import fold
+from primrosepitch.fleet.snapshot import decode_state, encode_state
+from primrosepitch.fleet.state import FleetState
+from primrosepitch.planning import events as ev
+
+
+def publication(world, number, minimum):
+    return rec.ConfigPublished(
+        record_id=number,
+        by="op",
+        base_offset=world.truth.config_offset,
+        documents={"f": document(minimum=minimum)},
+    )
+
+
+@when("two operators publish budgets {one:d} and {two:d} from the same configuration")
+def step_race(context, one, two):
+    world = context.world
+    made = [publication(world, f"race{n}", n) for n in (one, two)]
+    context.race = [world.append(r) for r in made]
+
+
+@then("the first was accepted and the second is void as {void}")
+def step_race_result(context, void):
+    first, second = context.race
+    assert first.void is None and second.void.name == void
+    assert str(first.offset) in second.detail
+
+
+@when("budget {one:d} is published, then {two:d}, then the first once more")
+def step_repeat(context, one, two):
+    world = context.world
+    first = publication(world, "one", one)
+    world.append(first)
+    world.append(publication(world, "two", two))
+    assert world.append(first).void.name == "REPEATED"
+
+
+@when("every process is handed the first {count:d} records again")
+def step_old_records(context, count):
+    world = context.world
+    for offset, (_, record) in enumerate(world.log[:count]):
+        for actor in world.planners:
+            actor.handle(ev.RecordRead(now=world.now, offset=offset, record=record))
+        for actor in world.entries:
+            fold(actor.fleet, offset, record)
+
+
+@then("within {seconds:d} seconds every process has budget {minimum:d}")
+def step_everywhere(context, seconds, minimum):
+    world = context.world
+
+    def states():
+        return [a.state.fleet for a in world.planners] + [
+            a.fleet for a in world.entries
+        ]
+
+    def same():
+        return {s.config.services["press"].min_available for s in states()} == {minimum}
+
+    assert world.run(seconds, same)
+    assert not world.problems, world.problems[:3]
+
+
+@when("a process loads a snapshot made at each tenth offset and reads on")
+def step_snapshots(context):
+    records = [record for _, record in context.world.log]
+    context.compared = 0
+    full = FleetState()
+    loaded = {}
+    for offset, record in enumerate(records):
+        for state in loaded.values():
+            fold(state, offset, record)
+        fold(full, offset, record)
+        if offset % 10 == 0:
+            loaded[offset] = decode_state(b"".join(encode_state(full)))
+    context.states = [msgspec.msgpack.encode(s) for s in loaded.values()]
+    context.full = msgspec.msgpack.encode(full)
+
+
+@then("each state equals that of the full fold")
+def step_equal(context):
+    assert len(context.states) > 10
+    assert all(state == context.full for state in context.states)
--- /dev/null
+++ b/primrosepitch/bin/planner.py
@@ -0,0 +1,242 @@
+"""Program ``primrose-planner``: pools, budgets, waves, placement and settlement."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import sys
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from primrosepitch import clock
+from primrosepitch.bin.daemon import Daemon, run_program
+from primrosepitch.errors import LogUnavailableError, QueueUnknownError
+from primrosepitch.events import EVENTS, emit
+from primrosepitch.fleet.records import Role
+from primrosepitch.fleet.snapshot import snapshot_records
+from primrosepitch.fleet.state import FleetState
+from primrosepitch.net.appender import STREAM
+from primrosepitch.net.http_server import Exchange, HttpServer, error_response
+from primrosepitch.net.platform import PlatformClient
+from primrosepitch.planning import effects as eff
+from primrosepitch.planning import events, lease
+from primrosepitch.planning.reducer import step
+from primrosepitch.planning.state import PlannerState
+from primrosepitch.settings import Settings
+from primrosepitch.trace import Recorder
+
+__all__ = ["Planner", "main"]
+
+PROBE_S = 2.0
+PROBES_AT_A_TIME = 16
+BOUNDS_EVERY_S = 30
+
+Performer = Callable[["Planner", Any], None]
+_PERFORMERS: dict[type, Performer] = {}
+
+
+def performs(kind: type) -> Callable[[Performer], Performer]:
+    """Register what carries out a kind of effect."""
+
+    def register(performer: Performer) -> Performer:
+        _PERFORMERS[kind] = performer
+        return performer
+
+    return register
+
+
+class Planner(Daemon):
+    """One planner process."""
+
+    role = Role.PLANNER
+    events = events
+
+    def __init__(self, settings: Settings, trace: Recorder) -> None:
+        """Create the parts without opening a socket."""
+        super().__init__(settings, trace)
+        self.state = PlannerState(
+            self.session, settings.dc, removal_is_final=settings.removal_is_final
+        )
+        self.http_port = settings.http_port
+        self.server = HttpServer(self._on_exchange)
+        # The tail's client waits in long reads of the log.
+        self._bounds = PlatformClient(settings.platform, settings.dc)
+        self._probes = asyncio.Semaphore(PROBES_AT_A_TIME)
+        self._listing = False
+        self._seconds_left = 0
+
+    # Hooks of the base
+
+    def fleet(self) -> FleetState:
+        """Return the folded state."""
+        return self.state.fleet
+
+    def step(self, event: Any) -> Sequence[Any]:
+        """Feed one event to the reducer."""
+        return step(self.state, event)
+
+    def perform(self, effect: Any) -> None:
+        """Carry out one effect."""
+        _PERFORMERS[type(effect)](self, effect)
+
+    def tick(self) -> events.Tick:
+        """Return the event of a passing moment."""
+        return events.Tick(
+            now=clock.monotonic(), wall=clock.wall(), seed=random.getrandbits(31)
+        )
+
+    async def open(self) -> None:
+        """Listen for operators."""
+        address = self.settings.address
+        self.http_port = await self.server.listen(address, self.http_port)
+
+    def close(self) -> None:
+        """Close the operators' connections."""
+        self.server.abort()
+        self._bounds.close()
+
+    def http_address(self) -> str:
+        """Return the address for operators."""
+        return f"{self.settings.address}:{self.http_port}"
+
+    def each_second(self) -> None:
+        """Read the range of the log now and then, for the snapshots."""
+        self._seconds_left -= 1
+        if self._seconds_left <= 0 and lease.holds(self.state):
+            self._seconds_left = BOUNDS_EVERY_S
+            self.spawn(self._read_bounds())
+
+    async def _read_bounds(self) -> None:
+        try:
+            page = await self._bounds.bounds(STREAM)
+        except LogUnavailableError:
+            return
+        self.handle(
+            events.LogRange(now=clock.monotonic(), low=page.low, high=page.high)
+        )
+
+    def _on_exchange(self, exchange: Exchange) -> None:
+        exchange.respond(error_response(QueueUnknownError("no such path")))
+
+    # Platform
+
+    def start_listing(self) -> None:
+        """Read the list unless a read is under way."""
+        if not self._listing:
+            self._listing = True
+            self.spawn(self._list_instances())
+
+    async def _list_instances(self) -> None:
+        asked = clock.monotonic()
+        try:
+            found = await self.platform.instances()
+        except LogUnavailableError:
+            return
+        finally:
+            self._listing = False
+        rows = [
+            events.ListedInstance(
+                instance=row.instance,
+                dc=row.dc,
+                rack=row.rack,
+                state=_listed_state(row.state),
+                incarnation=row.incarnation,
+            )
+            for row in found.instances
+        ]
+        self.handle(
+            events.InstancesListed(
+                now=clock.monotonic(), asked=asked, as_of=found.as_of, instances=rows
+            )
+        )
+
+    async def probe(self, effect: eff.Probe) -> None:
+        """Try a connection to an endpoint or a peer."""
+        host, _, port = effect.address.rpartition(":")
+        async with self._probes:
+            asked = clock.monotonic()
+            ok = await _accepts(host, int(port))
+        now = clock.monotonic()
+        self.handle(
+            events.ProbeAnswered(now=now, target=effect.target, asked=asked, ok=ok)
+        )
+
+    async def restart(self, effect: eff.RestartInstance) -> None:
+        """Ask for a reboot or a stop, unless the lease may be another planner's."""
+        ok = False
+        if clock.monotonic() < effect.not_after:
+            call = self.platform.stop if effect.stop else self.platform.reboot
+            try:
+                await call(effect.instance)
+                ok = True
+            except LogUnavailableError:
+                ok = False
+        now = clock.monotonic()
+        answer = events.RestartAnswered(now=now, instance=effect.instance, ok=ok)
+        self.handle(answer)
+
+    def snapshot(self) -> None:
+        """Append the folded state, if a state has been read."""
+        for record in snapshot_records(self.fleet(), self.session):
+            self.append(record)
+
+
+def _listed_state(value: str) -> events.ListedState:
+    """Return a state of the list; an unknown one counts as leaving."""
+    live = events.ListedState.LIVE
+    return live if value == live.value else events.ListedState.LEAVING
+
+
+async def _accepts(host: str, port: int) -> bool:
+    """Whether a TCP port accepts a connection in time."""
+    try:
+        async with asyncio.timeout(PROBE_S):
+            _, writer = await asyncio.open_connection(host, port)
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return True
+
+
+@performs(eff.Append)
+def _append(planner: Planner, effect: eff.Append) -> None:
+    planner.append(effect.record)
+
+
+@performs(eff.ListInstances)
+def _list(planner: Planner, effect: eff.ListInstances) -> None:
+    planner.start_listing()
+
+
+@performs(eff.Probe)
+def _probe(planner: Planner, effect: eff.Probe) -> None:
+    planner.spawn(planner.probe(effect))
+
+
+@performs(eff.RestartInstance)
+def _restart(planner: Planner, effect: eff.RestartInstance) -> None:
+    planner.spawn(planner.restart(effect))
+
+
+@performs(eff.TakeSnapshot)
+def _snapshot(planner: Planner, effect: eff.TakeSnapshot) -> None:
+    planner.snapshot()
+
+
+@performs(eff.LogLine)
+def _log_line(planner: Planner, effect: eff.LogLine) -> None:
+    emit(EVENTS[effect.number], **effect.fields)
+
+
+@performs(eff.Finished)
+def _finished(planner: Planner, effect: eff.Finished) -> None:
+    planner.finish(close_session=effect.close)
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the planner until SIGTERM."""
+    return run_program("primrose-planner", Planner, argv)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/primrosepitch/planning/reducer.py
+++ b/primrosepitch/planning/reducer.py
@@ -5,12 +5,10 @@
 from collections.abc import Callable
 from typing import Any, TypeVar
 
-import msgspec
-
 from primrosepitch.events import RECORD_VOID
 from primrosepitch.fleet import records as rec
 from primrosepitch.fleet.fold import Void, fold
-from primrosepitch.fleet.state import FleetState
+from primrosepitch.fleet.snapshot import decode_state
 from primrosepitch.planning import (
     budgets,
     events,
@@ -107,13 +105,14 @@
 
 @on(events.StateLoaded)
 def _state_loaded(state: PlannerState, event: events.StateLoaded) -> list[Effect]:
-    loaded = msgspec.msgpack.decode(event.data, type=FleetState)
+    loaded = decode_state(event.data)
     held = (state.fleet.generation, state.fleet.offset)
     if (loaded.generation, loaded.offset) <= held:
         return []
     state.fleet = loaded
     state.pending.clear()
     state.sent = None
+    state.snapshot_offset = loaded.offset
     lease.on_state(state, event.now)
     sessions.observe(state, event.now)
     return []
