Claim request ids at the entries of a data centre

Cause: a non-idempotent request with a caller's id may be repeated at another entry and must not run a second time. Change: claim table, witness, rounds with a majority at one membership epoch, ids of the form DC~ID, synchronisation.

--- a/primrosepitch/request/answers.py
+++ b/primrosepitch/request/answers.py
@@ -11,10 +11,10 @@
     RepeatRunningError,
 )
 from primrosepitch.events import event
-from primrosepitch.ids import CallId, SessionId
+from primrosepitch.ids import SessionId
 from primrosepitch.request import claims, queueing
 from primrosepitch.request.effects import Outcome, PassAnswer, Refuse, RepeatAnswer
-from primrosepitch.request.events import ClaimVerdict
+from primrosepitch.request.events import ClaimVerdict, RequestArrived
 from primrosepitch.request.state import Call, EntryState, Stage
 
 __all__ = ["pass_answer", "refuse", "refuse_new", "repeat_answer"]
@@ -32,10 +32,17 @@
 """Outcomes of the errors that do not say "not run"."""
 
 
-def refuse_new(state: EntryState, call: CallId, code: str) -> None:
-    """Refuse a request that was not admitted."""
-    state.emit(Refuse(call=call, outcome=Outcome.NOT_RUN, code=code))
-    state.log(REFUSED, call=call, code=code, outcome=Outcome.NOT_RUN.value)
+def refuse_new(state: EntryState, request: RequestArrived, code: str) -> None:
+    """Refuse a request that was not admitted.
+
+    A repeat of a non-idempotent request may have run before.
+    """
+    outcome, detail = Outcome.NOT_RUN, ""
+    if request.repeat and request.caller_id and not request.idempotent:
+        outcome, detail, code = Outcome.UNKNOWN, code, OutcomeUnknownError.code
+    call = request.call
+    state.emit(Refuse(call=call, outcome=outcome, code=code, detail=detail))
+    state.log(REFUSED, call=call, code=code, outcome=outcome.value, detail=detail)
 
 
 def refuse(
@@ -47,7 +54,7 @@
     the caller of this function chose.
     """
     outcome = _OUTCOMES.get(kind, Outcome.NOT_RUN)
-    if outcome is Outcome.NOT_RUN and (call.sent or call.stage is Stage.SENDING):
+    if outcome is Outcome.NOT_RUN and _may_have_run(call):
         kind, outcome = OutcomeUnknownError, Outcome.UNKNOWN
     _finish(state, call)
     claims.ended(state, call, _verdict(call, outcome))
@@ -65,6 +72,13 @@
     )
 
 
+def _may_have_run(call: Call) -> bool:
+    """Whether this request, or the one that it repeats, may have run."""
+    if call.sent or call.stage is Stage.SENDING:
+        return True
+    return call.repeat and call.stage is Stage.CLAIMING
+
+
 def _verdict(call: Call, outcome: Outcome) -> ClaimVerdict:
     """Return what repeats of the request learn."""
     if outcome is Outcome.NOT_RUN or not call.sent:
--- a/primrosepitch/request/reducer.py
+++ b/primrosepitch/request/reducer.py
@@ -7,25 +7,30 @@
 from collections.abc import Callable
 from typing import Any, TypeVar
 
+import msgspec
+
 from primrosepitch.errors import (
     DeadlinePassedError,
     LogUnavailableError,
     NoStateError,
     QueueFullError,
     StoppingError,
-    WitnessesMissingError,
 )
 from primrosepitch.events import event as register_event
 from primrosepitch.fleet.fold import fold
 from primrosepitch.fleet.records import (
+    KeyWithdrawn,
     PlannerLease,
     SessionRenewed,
     SliceGive,
     SliceTake,
 )
-from primrosepitch.ids import CountKey, RecordId
+from primrosepitch.fleet.state import FleetState
+from primrosepitch.ids import CountKey, RecordId, SessionId
 from primrosepitch.request import (
     answers,
+    claiming,
+    claims,
     connections,
     events,
     listing,
@@ -33,7 +38,7 @@
     retries,
     sending,
 )
-from primrosepitch.request.effects import Append, AskUnits, Effect, Finished
+from primrosepitch.request.effects import Append, AskUnits, Effect, Finished, ReplyClaim
 from primrosepitch.request.state import Call, ConnStage, EntryState, Stage
 from primrosepitch.teams.keys import admit
 
@@ -100,13 +105,13 @@
 @on(events.RequestArrived)
 def _arrived(state: EntryState, event: events.RequestArrived) -> None:
     if state.stopping:
-        answers.refuse_new(state, event.call, StoppingError.code)
+        answers.refuse_new(state, event, StoppingError.code)
         return
     if not state.session_open:
-        answers.refuse_new(state, event.call, NoStateError.code)
+        answers.refuse_new(state, event, NoStateError.code)
         return
     if not state.may_start:
-        answers.refuse_new(state, event.call, LogUnavailableError.code)
+        answers.refuse_new(state, event, LogUnavailableError.code)
         return
     admission = admit(
         state.fleet,
@@ -117,13 +122,13 @@
         state.now - state.log_contact,
     )
     if admission.team is None:
-        answers.refuse_new(state, event.call, admission.code)
+        answers.refuse_new(state, event, admission.code)
         return
     cfg = state.settings
     timeout_s = min(event.timeout_s or cfg.default_request_s, cfg.max_request_s)
     wait_s = queueing.expected_wait_s(state, event.queue)
     if queueing.full(state, event.queue, admission.team) or wait_s > timeout_s:
-        answers.refuse_new(state, event.call, QueueFullError.code)
+        answers.refuse_new(state, event, QueueFullError.code)
         return
     retries.deposit(state)
     call = Call(
@@ -141,10 +146,9 @@
     state.calls[call.call] = call
     heapq.heappush(state.deadlines, (call.deadline, call.call))
     if call.needs_claim:
-        call.stage = Stage.CLAIMING
-        answers.refuse(state, call, WitnessesMissingError)
-        return
-    queueing.enqueue(state, call)
+        claiming.begin(state, call)
+    else:
+        queueing.enqueue(state, call)
     sending.dispatch(state)
     if call.stage is Stage.QUEUED and state.now >= state.plan_due:
         _plan(state)
@@ -166,6 +170,8 @@
     connections.settle(state)
     connections.close_idle(state)
     listing.refresh(state)
+    claims.maintain(state)
+    claiming.poll(state)
     _plan(state)
 
 
@@ -250,11 +256,37 @@
 
 @on(events.RecordRead)
 def _record_read(state: EntryState, event: events.RecordRead) -> None:
-    outcome = fold(state.fleet, event.offset, event.record)
-    state.holdings.folded(outcome)
-    if not isinstance(event.record, _QUIET):
-        state.members = None
+    if isinstance(event.record, _QUIET):
+        state.holdings.folded(fold(state.fleet, event.offset, event.record))
+        return
+    before = state.fleet.open_entries(state.dc)
+    state.holdings.folded(fold(state.fleet, event.offset, event.record))
+    if isinstance(event.record, KeyWithdrawn):
+        state.pending_withdrawn.pop(event.record.key_id, None)
+    _fleet_changed(state, before)
+
+
+@on(events.StateLoaded)
+def _state_loaded(state: EntryState, event: events.StateLoaded) -> None:
+    loaded = msgspec.msgpack.decode(event.data, type=FleetState)
+    known = (state.fleet.generation, state.fleet.offset)
+    if (loaded.generation, loaded.offset) <= known:
+        return
+    before = state.fleet.open_entries(state.dc)
+    state.fleet = loaded
+    state.holdings.loaded()
+    for key in [k for k in state.pending_withdrawn if k in loaded.withdrawn]:
+        del state.pending_withdrawn[key]
+    _fleet_changed(state, before)
+
+
+def _fleet_changed(state: EntryState, before: list[SessionId]) -> None:
+    """React to a change of more than slices and renewals."""
+    state.members = None
     _note_session(state)
+    claims.members_changed(state, before)
+    claiming.poll(state)
+    connections.close_idle(state)
 
 
 def _note_session(state: EntryState) -> None:
@@ -268,6 +300,43 @@
         sending.stop_waiting(state)
 
 
+@on(events.ClaimAsked)
+def _claim_asked(state: EntryState, event: events.ClaimAsked) -> None:
+    verdict, holder = claims.witness(
+        state, event.session, event.request_id, event.epoch
+    )
+    home = claims.home_dc(state, event.request_id)
+    state.emit(
+        ReplyClaim(
+            token=event.token,
+            verdict=verdict,
+            epoch=claims.epoch_of(state, home),
+            holder=holder,
+        )
+    )
+
+
+@on(events.ClaimAnswered)
+def _claim_answered(state: EntryState, event: events.ClaimAnswered) -> None:
+    claiming.answered(state, event)
+
+
+@on(events.ClaimEnded)
+def _claim_ended(state: EntryState, event: events.ClaimEnded) -> None:
+    claims.end(state, event.session, event.request_id, event.outcome)
+
+
+@on(events.SyncAsked)
+def _sync_asked(state: EntryState, event: events.SyncAsked) -> None:
+    claims.reply_sync(state, event.token)
+
+
+@on(events.ClaimsSynced)
+def _claims_synced(state: EntryState, event: events.ClaimsSynced) -> None:
+    claims.synced(state, event)
+    claiming.poll(state)
+
+
 @on(events.LogContact)
 def _log_contact(state: EntryState, event: events.LogContact) -> None:
     state.log_up = event.up
--- a/primrosepitch/request/state.py
+++ b/primrosepitch/request/state.py
@@ -235,6 +235,7 @@
     """Claims at this entry and how far they are complete.
 
     :param fresh: whether the claims from before the own session are missing
+    :param active: own call by claimed id
     :param settled: whether every claim of an earlier membership is known here
     :param history: memberships since the table was last settled, newest last
     :param synced: peers whose claims were read since the last change
@@ -242,6 +243,7 @@
     """
 
     rows: dict[RequestId, Row] = field(default_factory=dict)
+    active: dict[RequestId, CallId] = field(default_factory=dict)
     fresh: bool = True
     settled: bool = False
     history: list[list[SessionId]] = field(default_factory=list)
