--- a/primrosepitch/request/answers.py
+++ b/primrosepitch/request/answers.py
@@ -97,6 +97,7 @@
 def repeat_answer(state: EntryState, call: Call, holder: SessionId) -> None:
     """Give the first answer of the request id to the caller."""
     _finish(state, call)
+    claims.ended(state, call, ClaimVerdict.CLAIMED)
     state.emit(RepeatAnswer(call=call.call, request_id=call.request_id, holder=holder))
 
 
--- a/primrosepitch/request/claiming.py
+++ b/primrosepitch/request/claiming.py
@@ -14,7 +14,7 @@
 from primrosepitch.request.events import ClaimAnswered, ClaimVerdict
 from primrosepitch.request.state import Call, ClaimRound, EntryState, Reply, Row, Stage
 
-__all__ = ["answered", "begin", "poll"]
+__all__ = ["answered", "begin", "give_up", "poll"]
 
 CLAIM_S = 2.0
 """Longest time for which a claim is tried."""
@@ -131,7 +131,7 @@
     possible = granted + waiting + votes.count(Reply.RETRY)
     if own is not Reply.NO and possible >= need and state.now < rnd.until:
         return
-    _give_up(state, call, rnd, own)
+    give_up(state, call)
 
 
 def _terminal(
@@ -211,8 +211,12 @@
         answers.refuse(state, call, OutcomeUnknownError, "repeat of an unknown run")
 
 
-def _give_up(state: EntryState, call: Call, rnd: ClaimRound, own: Reply) -> None:
+def give_up(state: EntryState, call: Call) -> None:
     """Refuse a request whose id could not be claimed."""
+    rnd = call.round
+    if rnd is None:
+        return
+    own = _reply(state, call, rnd, state.session, [])
     if own is Reply.YES:
         # An earlier holder may have passed the id on to this session.
         mine = Row(state.session, ClaimVerdict.RUNNING, state.now)
--- a/primrosepitch/request/sending.py
+++ b/primrosepitch/request/sending.py
@@ -19,6 +19,7 @@
 from primrosepitch.ids import InstanceId, QueueId
 from primrosepitch.request import (
     answers,
+    claiming,
     connections,
     ejection,
     listing,
@@ -284,6 +285,9 @@
 
 def expire(state: EntryState, call: Call) -> None:
     """End a call whose deadline has passed."""
+    if call.stage is Stage.CLAIMING:
+        claiming.give_up(state, call)
+        return
     if call.stage is not Stage.SENDING or call.conn is None:
         withdraw(state, call, _reason(state, call))
         return
