--- a/primrosepitch/errors.py
+++ b/primrosepitch/errors.py
@@ -13,6 +13,7 @@
     "DeadlinePassedError",
     "EndpointFailedError",
     "EndpointUnavailableError",
+    "EntryUnreachableError",
     "KeyMissingError",
     "KeyUnknownError",
     "KeyWithdrawnError",
@@ -319,3 +320,13 @@
     code = "PRP-4101"
     summary = "malformed frame from a peer"
     remedy = "check that both processes run compatible versions"
+
+
+@register_error
+class EntryUnreachableError(PrimroseError):
+    """No entry that was named accepts a connection; nothing was sent."""
+
+    code = "PRP-4201"
+    status = 503
+    summary = "no entry can be reached"
+    remedy = "check --entry or PRIMROSE_ENTRY, or name an entry of another data centre"
--- /dev/null
+++ b/primrosepitch/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, client and commands of the operators' HTTP API."""
--- /dev/null
+++ b/primrosepitch/operators/messages.py
@@ -0,0 +1,202 @@
+"""Messages of the operators' HTTP API, shared by processes and ``primrosectl``."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from primrosepitch.config.model import Document, merge
+from primrosepitch.errors import MessageError
+from primrosepitch.fleet import records as rec
+from primrosepitch.fleet.state import FleetState, Instance, Lease, Session, Wave
+from primrosepitch.ids import (
+    DcId,
+    InstanceId,
+    KeyId,
+    Offset,
+    RecordId,
+    SessionId,
+    TeamId,
+    WaveId,
+)
+
+__all__ = [
+    "Accepted",
+    "ConfigView",
+    "FleetView",
+    "ProcessView",
+    "Publish",
+    "StatusView",
+    "TeamView",
+    "command_body",
+    "command_record",
+    "config_view",
+    "fleet_view",
+]
+
+COMMANDS = (
+    rec.KeyGiven,
+    rec.KeyWithdrawn,
+    rec.SessionEnded,
+    rec.DrainStarted,
+    rec.DrainCancelled,
+    rec.WaveStarted,
+    rec.WavePaused,
+    rec.WaveResumed,
+    rec.WaveCancelled,
+)
+"""Records that operators may append by ``POST /-/records``."""
+
+STAMP = ("record_id", "by", "at")
+"""Fields of a record that the process fills in, not the operator."""
+
+
+class ConfigView(msgspec.Struct):
+    """Answer to ``GET /-/config``.
+
+    :param offset: offset of the configuration in force; -1 before the first
+    """
+
+    offset: Offset
+    documents: dict[str, Document] = {}
+
+
+class FleetView(msgspec.Struct):
+    """Answer to ``GET /-/fleet``.
+
+    :param offset: offset at which the view is true
+    :param withdrawn: ids of withdrawn keys
+    :param keys: teams by the ids of keys that work
+    """
+
+    offset: Offset
+    instances: dict[InstanceId, Instance] = {}
+    waves: dict[WaveId, Wave] = {}
+    leases: dict[DcId, Lease] = {}
+    sessions: dict[SessionId, Session] = {}
+    withdrawn: list[KeyId] = []
+    keys: dict[KeyId, TeamId] = {}
+
+    def state(self, config: ConfigView) -> FleetState:
+        """Return a folded state without counts, for dry runs of commands."""
+        return FleetState(
+            offset=self.offset,
+            documents=config.documents,
+            config=merge(config.documents),
+            config_offset=config.offset,
+            sessions=self.sessions,
+            leases=self.leases,
+            instances=self.instances,
+            waves=self.waves,
+        )
+
+
+class TeamView(msgspec.Struct):
+    """What a team does in one entry.
+
+    :param held: units of the upper limit that the entry holds
+    """
+
+    running: int = 0
+    waiting: int = 0
+    held: int = 0
+
+
+class ProcessView(msgspec.Struct):
+    """A process that this one knows.
+
+    :param offset: last offset that it has folded
+    :param age_s: seconds since it was heard of
+    """
+
+    dc: DcId
+    offset: Offset
+    age_s: float = 0.0
+    role: str = ""
+
+
+class StatusView(msgspec.Struct):
+    """Answer to ``GET /-/status``.
+
+    :param log_age_s: seconds since the last contact with the log; ``None`` before
+    :param processes: other processes by session
+    :param pending_withdrawn: withdrawn keys that are in force here before the log
+        has them
+    """
+
+    session: SessionId
+    dc: DcId
+    generation: int
+    offset: Offset
+    role: str = ""
+    log_up: bool = False
+    log_age_s: float | None = None
+    endpoints: dict[InstanceId, Any] = {}
+    teams: dict[TeamId, TeamView] = {}
+    processes: dict[SessionId, ProcessView] = {}
+    pending_withdrawn: list[KeyId] = []
+
+
+class Publish(msgspec.Struct):
+    """Body of ``POST /-/config``."""
+
+    base_offset: Offset
+    documents: dict[str, Document] = {}
+    removed: list[str] = []
+    operator: str = ""
+
+
+class Accepted(msgspec.Struct):
+    """Answer to a command.
+
+    :param offset: offset at which it was accepted
+    :param pending: whether it waits for the log and is in force already
+    """
+
+    offset: Offset = Offset(-1)
+    pending: bool = False
+
+
+def config_view(state: FleetState) -> ConfigView:
+    """Return the answer to ``GET /-/config``."""
+    return ConfigView(offset=state.config_offset, documents=state.documents)
+
+
+def fleet_view(state: FleetState) -> FleetView:
+    """Return the answer to ``GET /-/fleet``; it shares its parts with the state."""
+    keys = {k: key.team for k, key in state.given_keys.items()}
+    for team, spec in state.config.teams.items():
+        keys.update({k: team for k in spec.keys if k not in state.withdrawn})
+    return FleetView(
+        offset=state.offset,
+        instances=state.instances,
+        waves=state.waves,
+        leases=state.leases,
+        sessions=state.sessions,
+        withdrawn=sorted(state.withdrawn),
+        keys=keys,
+    )
+
+
+def command_body(record: rec.Record) -> dict[str, Any]:
+    """Return the body of ``POST /-/records`` for a record."""
+    found: dict[str, Any] = msgspec.to_builtins(record)
+    return {k: v for k, v in found.items() if k not in STAMP}
+
+
+def command_record(
+    raw: dict[str, Any], record_id: RecordId, by: SessionId, at: float
+) -> rec.Record:
+    """Return the record of a body of ``POST /-/records``.
+
+    :raises MessageError: if it is no record that operators may append
+    """
+    stamped = {**raw, "record_id": record_id, "by": by, "at": at}
+    try:
+        record: rec.Record = msgspec.convert(stamped, rec.AnyRecord)
+    except msgspec.ValidationError as exc:
+        raise MessageError(str(exc)) from exc
+    if not isinstance(record, COMMANDS):
+        raise MessageError(f"{type(record).__name__} is no command of operators")
+    return record
