Add primrosectl

Operators need to publish, compare, withdraw, fence, drain, move and run waves from any machine, with answers that get lost and with other operators at work. Every command looks at what is in force before it is sent and after a lost answer; publish refuses a folder whose base has changed or is unknown and tells the changes beneath it; dry runs fold the record into a copy of the state, as the log will.

--- /dev/null
+++ b/features/ctl.feature
@@ -0,0 +1,135 @@
+Feature: Operators change the fleet by primrosectl
+  A command is judged by what is in force, reports where it is in force, and a lost
+  answer never turns into a second effect or a false race.
+
+  Background:
+    Given an entry stand-in with three processes in the data centres linz and wels
+    And the configuration files of a pool of 3 instances that needs 2
+
+  # Guards against a publication that is accepted without an offset or silently.
+  Scenario: A folder is published and waited for in every live process
+    When primrosectl runs "publish FOLDER --wait"
+    Then it exits with 0 and prints "accepted at offset 3"
+    And it prints "in force in 3 processes"
+    When primrosectl runs "publish FOLDER"
+    Then it exits with 0 and prints "in force already since offset 3"
+    When primrosectl runs "diff FOLDER"
+    Then it exits with 0 and prints "0 settings differ from offset 3"
+
+  # Guards against a mistake that reaches the log.
+  Scenario: A folder with a mistake is refused and nothing is published
+    Given the team's limit in the folder is -1
+    When primrosectl runs "publish FOLDER"
+    Then it exits with 1 and prints "10-fleet.yaml:4: teams.growers.limit: is below zero"
+    And nothing was appended
+    When primrosectl runs "validate FOLDER"
+    Then it exits with 1 and prints "set it to 0 or more"
+
+  # Guards against a repeat after a lost answer that fails as a race.
+  Scenario Outline: A lost answer to a publication is found out
+    Given <answers> answers of the entry are lost after they took effect
+    When primrosectl runs "publish FOLDER"
+    Then it exits with 0 and prints "accepted at offset 3"
+
+    Examples:
+      | answers |
+      | 1       |
+      | 2       |
+
+  # Guards against an operator who reverts what another one has published.
+  Scenario: A race tells what changed beneath the folder
+    Given primrosectl has run "publish FOLDER"
+    And another operator has set the team's limit to 30
+    And the team's limit in the folder is 20
+    When primrosectl runs "publish FOLDER"
+    Then it exits with 3 and prints "teams.growers.limit: 10 -> 30"
+    And the limit in force is 30
+    When primrosectl runs "publish FOLDER --base 4"
+    Then it exits with 0 and prints "teams.growers.limit: 30 -> 20"
+
+  # Guards against a folder of unknown origin that overwrites what is in force.
+  Scenario: A folder without a base does not overwrite a configuration
+    Given another operator has set the team's limit to 30
+    When primrosectl runs "publish FOLDER"
+    Then it exits with 3 and prints "pass --base 3"
+    When primrosectl runs "show --write FOLDER"
+    And primrosectl runs "publish FOLDER"
+    Then it exits with 0 and prints "in force already since offset 3"
+
+  # Guards against a wait that is content with the processes that answer.
+  Scenario: A process that lags is named
+    Given the process "planner-linz" stays at offset 2
+    When primrosectl runs "publish FOLDER --wait --wait-s 0"
+    Then it exits with 4 and prints "lags: planner planner-linz in linz: at offset 2"
+
+  # Guards against a withdrawal that is reported as in force where it is not.
+  Scenario: A withdrawal names the data centre that could not be reached
+    Given primrosectl has run "publish FOLDER"
+    And primrosectl has run "key give growers"
+    And the process "entry-wels" cannot be reached
+    When primrosectl runs "key withdraw KEYID --wait-s 0"
+    Then it exits with 4 and prints "key KEYID withdrawn at offset 5"
+    And it prints "in force: planner planner-linz in linz"
+    And it prints "data centre wels could not be reached"
+    When primrosectl runs "key rotate growers"
+    Then the key printed last works and KEYID does not
+
+  # Guards against a withdrawal that waits for the log.
+  Scenario: A withdrawal is pending while the log is down
+    Given primrosectl has run "publish FOLDER"
+    And primrosectl has run "key give growers"
+    And the log is down and the withdrawal reaches entry-linz alone
+    When primrosectl runs "key withdraw KEYID --wait-s 0"
+    Then it exits with 4 and prints "the log is down and gets it later"
+    And it prints "in force: entry entry-linz in linz"
+    And it prints "not in force: planner planner-linz in linz"
+
+  # Guards against dry runs that judge otherwise than the log, or that take effect.
+  Scenario Outline: A dry run tells what a command would do and why not
+    Given primrosectl has run "publish FOLDER"
+    And the available instances are <up>
+    When primrosectl runs "<command> --dry-run"
+    Then it exits with <code> and prints "<text>"
+    And nothing was appended
+
+    Examples:
+      | up                  | command                   | code | text |
+      | press-1,press-2,press-3 | drain press-1         | 0 | would drain press-1 for a reboot |
+      | press-1,press-2     | drain press-1             | 1 | service press needs 2, 1 would be left |
+      | press-1,press-2     | drain press-3             | 0 | would drain press-3 |
+      | press-1,press-2     | drain press-9             | 1 | no such name (instance press-9) |
+      | press-1,press-2,press-3 | move press-1 spare    | 0 | would drain press-1 for a move to spare |
+      | press-1,press-2,press-3 | move press-1 spair    | 1 | no such name (pool spair) |
+      | press-1,press-2     | wave start --pool press   | 0 | press-1: waits, an availability budget does not allow it |
+      | press-1,press-2     | wave pause w1             | 1 | the wave is in another state |
+      | press-1,press-2     | fence entry-wels          | 0 | would end session entry-wels |
+      | press-1,press-2     | fence entry-graz          | 1 | the session is in another state |
+
+  # Guards against fleet commands that have no effect, or two after a lost answer.
+  Scenario: Fleet commands take effect once although an answer is lost
+    Given primrosectl has run "publish FOLDER"
+    And the available instances are press-1,press-2,press-3
+    And 1 answers of the entry are lost after they took effect
+    When primrosectl runs "move press-1 spare"
+    Then it exits with 0 and prints "accepted: drain press-1 for a move to spare"
+    When primrosectl runs "wave start --name w1 press-2 press-3"
+    And primrosectl runs "wave pause w1"
+    And primrosectl runs "wave pause w1"
+    And primrosectl runs "wave status"
+    Then it exits with 0 and prints "w1    paused  0     2"
+    When primrosectl runs "fence entry-wels"
+    Then it exits with 1 and prints "attest with --powered-off"
+    When primrosectl runs "fence entry-wels --powered-off"
+    Then it exits with 0 and prints "accepted: end session entry-wels"
+    And 4 records were accepted since the publication
+    When primrosectl runs "status"
+    Then it exits with 0 and prints "press  2          3          2"
+
+  # Guards against a command that is sent to two entries, and against a hang.
+  Scenario: An entry that cannot be reached is passed over, a lost one is not
+    Given primrosectl has run "publish FOLDER"
+    And 9 answers of the entry are lost after they took effect
+    When primrosectl runs "key give growers" by a closed port first
+    Then it exits with 0 and prints "key of team growers"
+    When primrosectl runs "show" by a closed port alone
+    Then it exits with 5 and prints "no entry can be reached"
--- /dev/null
+++ b/primrosepitch/bin/ctl.py
@@ -0,0 +1,615 @@
+"""Operators' command line; talks HTTP to any entry."""
+
+from __future__ import annotations
+
+import functools
+import getpass
+import os
+import sys
+import time
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import Annotated, Any, NoReturn
+
+import msgspec
+import typer
+import yaml
+
+from primrosepitch import __version__
+from primrosepitch.config.diff import diff as diff_documents
+from primrosepitch.config.loader import load_folder
+from primrosepitch.errors import (
+    AppendUnconfirmedError,
+    ConfigRaceError,
+    EntryUnreachableError,
+    PrimroseError,
+)
+from primrosepitch.fleet import records as rec
+from primrosepitch.fleet.state import FleetState, Phase, SessionState
+from primrosepitch.ids import (
+    InstanceId,
+    KeyId,
+    Offset,
+    PoolId,
+    SessionId,
+    TeamId,
+    WaveId,
+)
+from primrosepitch.operators import commands as cmd
+from primrosepitch.operators.client import OperatorClient
+from primrosepitch.operators.messages import ConfigView, FleetView
+from primrosepitch.teams.keys import new_key
+
+__all__ = ["app", "main"]
+
+EXIT_REFUSED = 1
+EXIT_RACE = 3
+EXIT_LAGGING = 4
+EXIT_UNCONFIRMED = 5
+EXIT_CODES = """Exit codes: 0 done; 1 refused or wrong; 2 wrong usage; 3 changed by
+another operator; 4 not in force everywhere in time; 5 no entry reached or the outcome
+is unknown."""
+
+KEY_BYTES = 32
+WITHDRAWAL_S = 7.0
+
+app = typer.Typer(
+    help=f"Operate a fleet. {EXIT_CODES}",
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+    rich_markup_mode=None,
+    add_completion=False,
+)
+key_app = typer.Typer(help="Keys of teams.", no_args_is_help=True)
+wave_app = typer.Typer(help="Maintenance waves.", no_args_is_help=True)
+app.add_typer(key_app, name="key")
+app.add_typer(wave_app, name="wave")
+
+Folder = Annotated[Path, typer.Argument(help="Folder of YAML files.")]
+Entries = Annotated[
+    list[str],
+    typer.Option(
+        "--entry",
+        envvar="PRIMROSE_ENTRY",
+        help="IP:PORT of an entry; repeat it to name others to try.",
+    ),
+]
+Timeout = Annotated[float, typer.Option(help="Seconds for one exchange.")]
+DryRun = Annotated[
+    bool, typer.Option("--dry-run", help="Print what it would do and why not.")
+]
+Operator = Annotated[str, typer.Option(help="Name kept in the log, for people.")]
+
+
+def _exit_code(exc: PrimroseError) -> int:
+    if isinstance(exc, ConfigRaceError):
+        return EXIT_RACE
+    if isinstance(exc, AppendUnconfirmedError | EntryUnreachableError):
+        return EXIT_UNCONFIRMED
+    return EXIT_REFUSED
+
+
+def reports(command: Callable[..., None]) -> Callable[..., None]:
+    """Print errors of the project in one line and exit with their code."""
+
+    @functools.wraps(command)
+    def run(*args: Any, **kwargs: Any) -> None:
+        try:
+            command(*args, **kwargs)
+        except PrimroseError as exc:
+            _fail(str(exc), _exit_code(exc))
+
+    return run
+
+
+def _fail(message: str, code: int) -> NoReturn:
+    print(message, file=sys.stderr)
+    raise typer.Exit(code)
+
+
+def _table(header: Iterable[str], rows: Iterable[Iterable[object]]) -> None:
+    """Print aligned columns."""
+    lines = [list(header), *([str(v) for v in row] for row in rows)]
+    widths = [max(len(line[i]) for line in lines) for i in range(len(lines[0]))]
+    for line in lines:
+        cells = (v.ljust(w) for v, w in zip(line, widths, strict=True))
+        print("  ".join(cells).rstrip())
+
+
+@app.callback(invoke_without_command=True)
+def options(
+    version: Annotated[bool, typer.Option("--version", help="Print it.")] = False,
+) -> None:
+    """Operate a fleet."""
+    if version:
+        print(f"primrosectl {__version__}")
+        raise typer.Exit
+
+
+# Configuration
+
+
+@app.command()
+@reports
+def validate(folder: Folder) -> None:
+    """Check a folder; prints every mistake with file, line, setting and remedy."""
+    documents = load_folder(folder)
+    print(f"{folder.name}: {len(documents)} files are valid")
+
+
+@app.command()
+@reports
+def publish(
+    folder: Folder,
+    entry: Entries,
+    wait: Annotated[
+        bool, typer.Option("--wait", help="Wait until it is in force everywhere.")
+    ] = False,
+    wait_s: Annotated[float, typer.Option(help="Longest wait in seconds.")] = 30.0,
+    base: Annotated[
+        int | None,
+        typer.Option(help="Offset of the configuration that the folder changes."),
+    ] = None,
+    operator: Operator = "",
+    timeout: Timeout = 10.0,
+) -> None:
+    """Publish a folder; prints the offset at which it was accepted."""
+    client = OperatorClient(entry, timeout)
+    known = None if base is None else Offset(base)
+    done = cmd.publish(client, folder, operator or getpass.getuser(), known)
+    for change in done.changes:
+        print(f"  {change}")
+    what = "accepted at" if done.published else "in force already since"
+    print(f"{what} offset {done.offset}")
+    if wait:
+        _wait_for(client, done.offset, wait_s)
+
+
+def _wait_for(client: OperatorClient, offset: Offset, wait_s: float) -> None:
+    """Wait until an offset is folded everywhere; exits when processes lag."""
+    spread = cmd.wait_in_force(
+        client, lambda p: p.offset is not None and p.offset >= offset, wait_s
+    )
+    for place in spread.lagging:
+        print(f"lags: {place}")
+    if spread.lagging or not spread.reached:
+        _fail(f"not in force everywhere after {wait_s} s", EXIT_LAGGING)
+    print(f"in force in {len(spread.reached)} processes")
+
+
+@app.command()
+@reports
+def show(
+    entry: Entries,
+    write: Annotated[
+        Path | None, typer.Option(help="Folder to write the files to.")
+    ] = None,
+    timeout: Timeout = 10.0,
+) -> None:
+    """Print the configuration in force, or write it to a folder to change it."""
+    view = OperatorClient(entry, timeout).config()
+    if write is None:
+        for name, text in _files(view).items():
+            print(f"# {name}\n{text}")
+        print(f"# in force since offset {view.offset}")
+        return
+    write.mkdir(parents=True, exist_ok=True)
+    for name, text in _files(view).items():
+        (write / name).write_text(text, encoding="utf-8")
+    cmd.save_base(write, view)
+    print(f"{len(view.documents)} files of offset {view.offset} written to {write}")
+
+
+def _files(view: ConfigView) -> dict[str, str]:
+    """Return the text of each file in force; a file name never leaves the folder."""
+    return {
+        Path(name).name: yaml.safe_dump(_without_defaults(doc), sort_keys=False)
+        for name, doc in sorted(view.documents.items())
+    }
+
+
+def _without_defaults(value: Any) -> Any:
+    """Return plain values of a document without the settings at their defaults."""
+    if isinstance(value, dict):
+        return {k: _without_defaults(v) for k, v in value.items()}
+    if not isinstance(value, msgspec.Struct):
+        return msgspec.to_builtins(value)
+    found = {}
+    for field in msgspec.structs.fields(type(value)):
+        inner = getattr(value, field.name)
+        if field.default_factory is not msgspec.NODEFAULT:
+            default = field.default_factory()
+        else:
+            default = field.default
+        if inner != default:
+            found[field.name] = _without_defaults(inner)
+    return found
+
+
+@app.command("diff")
+@reports
+def show_diff(folder: Folder, entry: Entries, timeout: Timeout = 10.0) -> None:
+    """Print what publishing a folder would change."""
+    view = OperatorClient(entry, timeout).config()
+    changes = diff_documents(view.documents, load_folder(folder))
+    for change in changes:
+        print(change)
+    print(f"{len(changes)} settings differ from offset {view.offset}")
+
+
+@app.command()
+@reports
+def status(entry: Entries, timeout: Timeout = 10.0) -> None:
+    """Print processes, pools, teams and waves as one entry sees them."""
+    client = OperatorClient(entry, timeout)
+    view, fleet, config = client.status(), client.fleet(), client.config()
+    log = "up" if view.log_up else "down"
+    print(f"log {log}, generation {view.generation}, offset {view.offset},")
+    print(f"configuration of offset {config.offset}\n")
+    _table(
+        ("SESSION", "ROLE", "DC", "OFFSET"),
+        (
+            (p.session, p.role, p.dc, "-" if p.offset is None else p.offset)
+            for p in cmd.places(client)
+        ),
+    )
+    print()
+    _table(("POOL", "AVAILABLE", "INSTANCES", "NEEDED"), _pool_rows(fleet, config))
+    print()
+    _table(
+        ("TEAM", "RUNNING", "WAITING", "HELD", "LIMIT"),
+        (
+            (name, t.running, t.waiting, t.held, _limit(config, name))
+            for name, t in sorted(view.teams.items())
+        ),
+    )
+    if fleet.waves:
+        print()
+        _wave_table(fleet)
+
+
+def _pool_rows(fleet: FleetView, config: ConfigView) -> Iterable[tuple[object, ...]]:
+    state = fleet.state(config)
+    for pool in sorted(state.config.pools):
+        size = sum(i.pool == pool for i in state.instances.values())
+        services = state.config.services.values()
+        needed = max((s.min_available for s in services if s.pool == pool), default=0)
+        yield pool, state.available_in(pool), size, needed
+
+
+def _limit(config: ConfigView, team: TeamId) -> object:
+    specs = (doc.teams.get(team) for doc in config.documents.values())
+    return next((s.limit for s in specs if s is not None), "-")
+
+
+# Keys
+
+
+@key_app.command("give")
+@reports
+def key_give(
+    team: str, entry: Entries, dry_run: DryRun = False, timeout: Timeout = 10.0
+) -> None:
+    """Give a team a new key and print it once."""
+    client = OperatorClient(entry, timeout)
+    _give(client, TeamId(team), dry_run)
+
+
+def _give(client: OperatorClient, team: TeamId, dry_run: bool) -> KeyId:
+    raw, key_id, spec = new_key(os.urandom(KEY_BYTES))
+    record = rec.KeyGiven(
+        team=team, key_id=key_id, salt=spec.salt, digest=spec.digest, **_STAMP
+    )
+    if _dry(client, record, dry_run, f"give a key to team {team}"):
+        return key_id
+    done = cmd.run_command(client, record, lambda v: v.keys.get(key_id) == team)
+    print(f"key of team {team}, id {key_id}, offset {done.offset}; shown only once:")
+    print(raw)
+    return key_id
+
+
+@key_app.command("rotate")
+@reports
+def key_rotate(
+    team: str,
+    entry: Entries,
+    withdraw: Annotated[
+        bool, typer.Option("--withdraw", help="Withdraw the old keys at once.")
+    ] = False,
+    dry_run: DryRun = False,
+    timeout: Timeout = 10.0,
+) -> None:
+    """Give a new key and name, or withdraw, the old ones of the team."""
+    client = OperatorClient(entry, timeout)
+    old = sorted(k for k, t in client.fleet().keys.items() if t == team)
+    _give(client, TeamId(team), dry_run)
+    for key_id in old:
+        if not withdraw:
+            print(f"still works: {key_id}; withdraw it when the team has changed over")
+        elif not _dry(client, _withdrawal(key_id), dry_run, f"withdraw key {key_id}"):
+            _withdraw(client, key_id, WITHDRAWAL_S)
+
+
+def _withdrawal(key_id: KeyId) -> rec.KeyWithdrawn:
+    return rec.KeyWithdrawn(key_id=key_id, **_STAMP)
+
+
+@key_app.command("withdraw")
+@reports
+def key_withdraw(
+    key_id: str,
+    entry: Entries,
+    wait_s: Annotated[float, typer.Option(help="Longest wait.")] = WITHDRAWAL_S,
+    dry_run: DryRun = False,
+    timeout: Timeout = 10.0,
+) -> None:
+    """Withdraw a key and report where the withdrawal is in force."""
+    client = OperatorClient(entry, timeout)
+    key = KeyId(key_id)
+    if key not in client.fleet().keys:
+        print(f"no working key has the id {key_id}; withdrawing it all the same")
+    if not _dry(client, _withdrawal(key), dry_run, f"withdraw key {key_id}"):
+        _withdraw(client, key, wait_s)
+
+
+def _withdraw(client: OperatorClient, key: KeyId, wait_s: float) -> None:
+    done = cmd.run_command(client, _withdrawal(key), lambda v: key in v.withdrawn)
+    if done.pending:
+        print(f"key {key} withdrawn; the log is down and gets it later")
+    else:
+        print(f"key {key} withdrawn at offset {done.offset}")
+
+    def in_force(place: cmd.Place) -> bool:
+        folded = place.offset is not None and place.offset >= done.offset
+        return key in place.pending or (folded and not done.pending)
+
+    spread = cmd.wait_in_force(client, in_force, wait_s)
+    for place in spread.reached:
+        print(f"in force: {place}")
+    for place in spread.lagging:
+        print(f"not in force: {place}")
+    for dc in spread.missed_dcs:
+        print(f"data centre {dc} could not be reached")
+    if spread.lagging or not spread.reached:
+        _fail(f"not in force everywhere after {wait_s} s", EXIT_LAGGING)
+
+
+# Fleet
+
+_STAMP: dict[str, Any] = {"record_id": cmd.NO_RECORD, "by": cmd.NOBODY}
+
+
+def _dry(client: OperatorClient, record: rec.Record, dry_run: bool, what: str) -> bool:
+    """Print what a command would do, if it is a dry run.
+
+    :returns: whether it is one
+    """
+    if not dry_run:
+        return False
+    state = client.fleet().state(client.config())
+    problem = cmd.obstacle(state, record)
+    print(f"would {what}")
+    if problem:
+        _fail(f"but it would be void: {problem}", EXIT_REFUSED)
+    return True
+
+
+def _run(
+    client: OperatorClient,
+    record: rec.Record,
+    done: Callable[[FleetView], bool],
+    dry_run: bool,
+    what: str,
+) -> None:
+    """Run a command or its dry run and print the result."""
+    if _dry(client, record, dry_run, what):
+        return
+    accepted = cmd.run_command(client, record, done)
+    print(f"accepted: {what}; offset {accepted.offset}")
+
+
+@app.command()
+@reports
+def fence(
+    session: str,
+    entry: Entries,
+    powered_off: Annotated[
+        bool,
+        typer.Option("--powered-off", help="Attest that its instance is powered off."),
+    ] = False,
+    dry_run: DryRun = False,
+    timeout: Timeout = 10.0,
+) -> None:
+    """End a lost session; its units return after the longest request time."""
+    if not powered_off and not dry_run:
+        _fail("attest with --powered-off that its instance is off", EXIT_REFUSED)
+    client = OperatorClient(entry, timeout)
+    sid = SessionId(session)
+    found = client.fleet().sessions.get(sid)
+    record = rec.SessionEnded(
+        session=sid,
+        proof=rec.Proof.FENCED,
+        renewed_offset=found.renewed if found else Offset(-1),
+        **_STAMP,
+    )
+
+    def done(view: FleetView) -> bool:
+        ended = view.sessions.get(sid)
+        return ended is not None and ended.state is SessionState.ENDED
+
+    _run(client, record, done, dry_run, f"end session {session}")
+
+
+@app.command()
+@reports
+def drain(
+    instance: str,
+    entry: Entries,
+    reason: Annotated[
+        rec.DrainReason, typer.Option(help="What follows: reboot or stop.")
+    ] = rec.DrainReason.REBOOT,
+    cancel: Annotated[
+        bool, typer.Option("--cancel", help="Give a drain up instead.")
+    ] = False,
+    dry_run: DryRun = False,
+    timeout: Timeout = 10.0,
+) -> None:
+    """Drain an instance and then reboot or stop it, as its budgets allow."""
+    client = OperatorClient(entry, timeout)
+    name = InstanceId(instance)
+    if cancel:
+        record = rec.DrainCancelled(instance=name, cause="operator", **_STAMP)
+        _run(client, record, _never, dry_run, f"cancel the drain of {instance}")
+        return
+    if reason is rec.DrainReason.MOVE:
+        _fail("use `primrosectl move`", EXIT_REFUSED)
+    _drain(client, name, reason, None, dry_run)
+
+
+@app.command()
+@reports
+def move(
+    instance: str,
+    pool: str,
+    entry: Entries,
+    dry_run: DryRun = False,
+    timeout: Timeout = 10.0,
+) -> None:
+    """Drain an instance and then move it to another pool, as its budgets allow."""
+    client = OperatorClient(entry, timeout)
+    _drain(client, InstanceId(instance), rec.DrainReason.MOVE, PoolId(pool), dry_run)
+
+
+def _never(view: FleetView) -> bool:
+    """Tell that a command has to be sent whatever is in force."""
+    return False
+
+
+def _drain(
+    client: OperatorClient,
+    name: InstanceId,
+    reason: rec.DrainReason,
+    to_pool: PoolId | None,
+    dry_run: bool,
+) -> None:
+    record = rec.DrainStarted(
+        instance=name,
+        reason=reason,
+        base_offset=client.fleet().offset,
+        to_pool=to_pool,
+        **_STAMP,
+    )
+
+    def done(view: FleetView) -> bool:
+        inst = view.instances.get(name)
+        return (
+            inst is not None
+            and inst.phase is not Phase.ACTIVE
+            and (inst.reason, inst.to_pool) == (reason, to_pool)
+        )
+
+    target = f" to {to_pool}" if to_pool else ""
+    what = f"drain {name} for a {reason.value}{target}"
+    _run(client, record, done, dry_run, what)
+
+
+# Waves
+
+
+@wave_app.command("start")
+@reports
+def wave_start(
+    entry: Entries,
+    instances: Annotated[list[str] | None, typer.Argument()] = None,
+    pool: Annotated[str, typer.Option(help="All instances of a pool.")] = "",
+    everything: Annotated[bool, typer.Option("--all", help="The whole fleet.")] = False,
+    max_parallel: Annotated[int, typer.Option(min=1, help="Stopped at a time.")] = 4,
+    name: Annotated[str, typer.Option(help="Name of the wave.")] = "",
+    dry_run: DryRun = False,
+    timeout: Timeout = 10.0,
+) -> None:
+    """Reboot instances in batches, one rack at a time, as their budgets allow."""
+    client = OperatorClient(entry, timeout)
+    fleet, config = client.fleet(), client.config()
+    chosen = [InstanceId(i) for i in instances or []] or sorted(
+        (n for n, i in fleet.instances.items() if everything or i.pool == pool),
+        key=lambda n: (fleet.instances[n].dc, fleet.instances[n].rack, n),
+    )
+    if not chosen:
+        _fail("name instances, --pool or --all", EXIT_REFUSED)
+    wave = WaveId(name or time.strftime("wave-%Y%m%d-%H%M%S"))
+    record = rec.WaveStarted(
+        wave=wave, instances=chosen, max_parallel=max_parallel, **_STAMP
+    )
+    if dry_run:
+        _print_steps(fleet.state(config), record)
+
+    def done(view: FleetView) -> bool:
+        return wave in view.waves and view.waves[wave].instances == chosen
+
+    what = f"start wave {wave} over {len(chosen)} instances"
+    _run(client, record, done, dry_run, what)
+
+
+def _print_steps(state: FleetState, wave: rec.WaveStarted) -> None:
+    """Print for each instance whether its stop could start now."""
+    for name in wave.instances:
+        drain_record = rec.DrainStarted(
+            instance=name,
+            reason=rec.DrainReason.REBOOT,
+            base_offset=state.offset,
+            **_STAMP,
+        )
+        problem = cmd.obstacle(state, drain_record)
+        print(f"{name}: " + (f"waits, {problem}" if problem else "could stop now"))
+
+
+@wave_app.command("status")
+@reports
+def wave_status(entry: Entries, timeout: Timeout = 10.0) -> None:
+    """Print all waves."""
+    _wave_table(OperatorClient(entry, timeout).fleet())
+
+
+def _wave_table(fleet: FleetView) -> None:
+    _table(
+        ("WAVE", "STATE", "DONE", "OF", "CAUSE"),
+        (
+            (name, w.state.value, len(w.done), len(w.instances), w.cause)
+            for name, w in sorted(fleet.waves.items())
+        ),
+    )
+
+
+def _wave_command(
+    name: str, kind: Callable[..., rec.Record], state: str, help_text: str
+) -> None:
+    """Add a command that changes the state of a wave."""
+
+    def run(
+        wave: str, entry: Entries, dry_run: DryRun = False, timeout: Timeout = 10.0
+    ) -> None:
+        wid = WaveId(wave)
+
+        def done(view: FleetView) -> bool:
+            return wid in view.waves and view.waves[wid].state.value == state
+
+        record = kind(wave=wid, **_STAMP)
+        client = OperatorClient(entry, timeout)
+        _run(client, record, done, dry_run, f"{name} wave {wave}")
+
+    wave_app.command(name, help=help_text)(reports(run))
+
+
+_wave_command("pause", rec.WavePaused, "paused", "Start no further stops.")
+_wave_command("resume", rec.WaveResumed, "running", "Go on with a paused wave.")
+_wave_command("cancel", rec.WaveCancelled, "cancelled", "End a wave for good.")
+
+
+def main() -> None:
+    """Run ``primrosectl``."""
+    app(prog_name="primrosectl")
+
+
+if __name__ == "__main__":
+    main()
--- a/primrosepitch/config/loader.py
+++ b/primrosepitch/config/loader.py
@@ -224,6 +224,8 @@
     def _document(self, raw: dict[str, Any]) -> Document:
         values: dict[str, Any] = {}
         for key, value in raw.items():
+            if key == "fleet" and value is None:
+                continue
             if key == "fleet":
                 values[key] = self._struct(FleetSettings, key, value, (key,))
             elif key in SECTIONS:
--- a/primrosepitch/operators/client.py
+++ b/primrosepitch/operators/client.py
@@ -97,6 +97,9 @@
         tried = []
         for entry in self.entries:
             host, _, port = entry.rpartition(":")
+            if not host or not port.isdecimal():
+                tried.append(f"{entry}: no IP:PORT")
+                continue
             conn = http.client.HTTPConnection(host, int(port), _left(deadline))
             try:
                 conn.connect()
