--- a/features/configuration_files.feature
+++ b/features/configuration_files.feature
@@ -95,3 +95,14 @@
       | teams.growers.keys.k1.digest   | absent | hidden |
       | teams.growers.keys.k1.salt     | absent | hidden |
       | teams.growers.limit            | 10     | 12     |
+
+  # Guards against examples that no longer load, or whose budgets a rack's loss breaks.
+  Scenario Outline: The example of <name> has today's sizes and survives a rack
+    Then the example "<name>" has 3 data centres, 5 pools of 6 and 6 teams
+    And its budgets hold when any rack is lost while one instance is maintained
+    And its process settings name two entries and a planner in two data centres
+
+    Examples:
+      | name        |
+      | granatapfel |
+      | lustre      |
--- a/features/steps/configuration_files.py
+++ b/features/steps/configuration_files.py
@@ -1,6 +1,7 @@
 """Steps about configuration folders."""
 
 import tempfile
+from collections import Counter
 from pathlib import Path
 
 from behave import given, then
@@ -8,6 +9,9 @@
 from primrosepitch.config.diff import changed_files, diff
 from primrosepitch.config.loader import ConfigMistakesError, load_folder
 from primrosepitch.config.model import merge
+from primrosepitch.settings import load_settings
+
+EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
 
 
 def folder(context):
@@ -73,3 +77,32 @@
     expected = [tuple(row) for row in context.table]
     found = [(c.setting, c.old, c.new) for c in diff(context.in_force, new)]
     assert [row for row in found if "instances." not in row[0]] == expected, found
+
+
+@then('the example "{name}" has 3 data centres, 5 pools of 6 and 6 teams')
+def step_example(context, name):
+    context.example = EXAMPLES / name
+    context.cfg = cfg = merge(load_folder(context.example))
+    homes = Counter((i.pool, i.dc) for i in cfg.instances.values())
+    assert len({dc for _, dc in homes}) == 3
+    assert len(cfg.pools) == len(cfg.services) == 5
+    assert len(homes) == 15 and set(homes.values()) == {2}
+    assert len(cfg.teams) == 6
+    assert max(Counter((i.dc, i.rack) for i in cfg.instances.values()).values()) == 4
+
+
+@then("its budgets hold when any rack is lost while one instance is maintained")
+def step_example_budgets(context):
+    instances = context.cfg.instances.values()
+    for service in context.cfg.services.values():
+        racks = Counter((i.dc, i.rack) for i in instances if i.pool == service.pool)
+        assert sum(racks.values()) - max(racks.values()) - 1 >= service.min_available
+
+
+@then("its process settings name two entries and a planner in two data centres")
+def step_example_processes(context):
+    files = sorted((context.example / "processes").iterdir())
+    found = [load_settings(path, {}) for path in files]
+    roles = Counter((s.dc, "entry" in s.name) for s in found)
+    assert sorted(roles.values()) == [1, 1, 2, 2] and len(found) == 6
+    assert len({s.address for s in found}) == 6
--- a/features/steps/ctl.py
+++ b/features/steps/ctl.py
@@ -91,7 +91,7 @@
         pending = self.pending if session == "entry-linz" else []
         return msg.StatusView(
             session=session, dc=dc, generation=0, offset=offset,
-            pending_withdrawn=pending, teams={"growers": msg.TeamView(1, 2, 3)},
+            pending_withdrawals=pending, teams={"growers": msg.TeamView(1, 2, 3)},
         )  # fmt: skip
 
 
--- a/primrosepitch/bin/ctl.py
+++ b/primrosepitch/bin/ctl.py
@@ -243,7 +243,7 @@
     """Print processes, pools, teams and waves as one entry sees them."""
     client = OperatorClient(entry, timeout)
     view, fleet, config = client.status(), client.fleet(), client.config()
-    log = "up" if view.log_up else "down"
+    log = "up" if view.log_contact else "down"
     print(f"log {log}, generation {view.generation}, offset {view.offset},")
     print(f"configuration of offset {config.offset}\n")
     _table(
--- a/primrosepitch/operators/commands.py
+++ b/primrosepitch/operators/commands.py
@@ -270,7 +270,7 @@
 
 
 def _place_of(sid: SessionId, session: Session, status: StatusView) -> Place:
-    pending = tuple(status.pending_withdrawn)
+    pending = tuple(status.pending_withdrawals)
     return Place(sid, session.dc, session.role.value, status.offset, pending)
 
 
--- a/primrosepitch/operators/messages.py
+++ b/primrosepitch/operators/messages.py
@@ -106,22 +106,22 @@
 class ProcessView(msgspec.Struct):
     """A process that this one knows.
 
-    :param offset: last offset that it has folded
+    :param offset: last offset that it has folded, as far as it was heard of
     :param age_s: seconds since it was heard of
     """
 
     dc: DcId
-    offset: Offset
-    age_s: float = 0.0
+    offset: Offset | None = None
+    age_s: float | None = None
     role: str = ""
 
 
 class StatusView(msgspec.Struct):
     """Answer to ``GET /-/status``.
 
-    :param log_age_s: seconds since the last contact with the log; ``None`` before
-    :param processes: other processes by session
-    :param pending_withdrawn: withdrawn keys that are in force here before the log
+    :param log_contact: whether the last read of the log succeeded
+    :param processes: processes by session
+    :param pending_withdrawals: withdrawn keys that are in force here before the log
         has them
     """
 
@@ -130,12 +130,11 @@
     generation: int
     offset: Offset
     role: str = ""
-    log_up: bool = False
-    log_age_s: float | None = None
+    log_contact: bool = False
     endpoints: dict[InstanceId, Any] = {}
     teams: dict[TeamId, TeamView] = {}
     processes: dict[SessionId, ProcessView] = {}
-    pending_withdrawn: list[KeyId] = []
+    pending_withdrawals: list[KeyId] = []
 
 
 class Publish(msgspec.Struct):
