--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,231 @@
+#!/bin/sh
+# Runs the whole system on this machine: a platform stand-in, endpoint stand-ins, two
+# data centres with two entries and a planner each, and callers of several teams.
+#
+# DEMO_NET       second number of the loopback addresses 127.N.x.y (a free one)
+# DEMO_SHIFT     added to the ports 8070 8080 8090 9080 (0)
+# DEMO_REQUESTS  requests of the callers (1500)
+# DEMO_RECORD    if not empty, entries and planners record their traces
+# Logs are kept under run/demo.
+set -eu
+cd "$(dirname "$0")/.."
+PY=${PY:-.venv/bin/python}
+export PYTHONPATH=.
+RUN=run/demo
+START_S=30
+STOP_S=60
+REQUESTS=${DEMO_REQUESTS:-1500}
+SHIFT=${DEMO_SHIFT:-0}
+CONFIG=$RUN/config
+
+fail() {
+    echo "demo: $*" >&2
+    exit 1
+}
+
+# start GROUP NAME COMMAND...: starts a process and remembers it.
+start() {
+    group=$1 name=$2
+    shift 2
+    "$@" >"$RUN/$name.out" 2>"$RUN/$name.log" &
+    echo "$! $name" >>"$RUN/$group.pids"
+}
+
+# wait_until WHAT COMMAND...: repeats a command until it succeeds.
+wait_until() {
+    what=$1
+    shift
+    tries=$((START_S * 5))
+    until "$@"; do
+        tries=$((tries - 1))
+        [ "$tries" -gt 0 ] || fail "timed out waiting for $what; see $RUN"
+        sleep 0.2
+    done
+}
+
+listening() {
+    grep -q '^listening' "$RUN/$1.out"
+}
+
+ctl() {
+    $PY -m primrosepitch.bin.ctl "$@"
+}
+
+# stop_group GROUP: sends SIGTERM, waits, and counts those that had to be killed or
+# did not exit with 0.
+stop_group() {
+    [ -f "$RUN/$1.pids" ] || return 0
+    pids=$(cut -d' ' -f1 "$RUN/$1.pids")
+    # shellcheck disable=SC2086
+    kill -TERM $pids 2>/dev/null || :
+    (
+        trap 'kill "$nap"; exit 0' TERM
+        sleep "$STOP_S" &
+        nap=$!
+        wait "$nap"
+        # shellcheck disable=SC2086
+        kill -KILL $pids 2>/dev/null
+    ) &
+    watchdog=$!
+    while read -r pid name; do
+        code=0
+        wait "$pid" || code=$?
+        [ "$code" -eq 0 ] && continue
+        echo "demo: $name exited with $code" >&2
+        unclean=$((unclean + 1))
+    done <"$RUN/$1.pids"
+    kill -TERM "$watchdog" 2>/dev/null || :
+    wait "$watchdog" 2>/dev/null || :
+    rm -f "$RUN/$1.pids"
+}
+
+stop_all() {
+    for group in caller control endpoint platform; do
+        stop_group "$group"
+    done
+}
+
+unclean=0
+on_exit() {
+    code=$?
+    trap - EXIT
+    trap '' INT TERM
+    stop_all
+    exit "$code"
+}
+
+rm -rf "$RUN"
+mkdir -p "$CONFIG"
+trap on_exit EXIT
+trap 'exit 130' INT
+trap 'exit 143' TERM
+
+# A net whose addresses and ports are free, so that demos can run side by side.
+free_net() {
+    $PY - "$@" <<'PYTHON'
+import os
+import socket
+import sys
+
+ports = [int(p) for p in sys.argv[1:]]
+for i in range(100):
+    net = 21 + (os.getppid() + i) % 200
+    try:
+        for port in ports:
+            socket.create_server((f"127.{net}.0.1", port)).close()
+    except OSError:
+        continue
+    print(net)
+    sys.exit()
+sys.exit("no free loopback net; set DEMO_NET or DEMO_SHIFT")
+PYTHON
+}
+platform_port=$((8070 + SHIFT))
+http_port=$((8080 + SHIFT))
+peer_port=$((8090 + SHIFT))
+endpoint_port=$((9080 + SHIFT))
+NET=${DEMO_NET:-$(free_net $platform_port $http_port $peer_port $endpoint_port)}
+
+# The example with the addresses and ports of this run.
+cp -R examples/granatapfel/. "$CONFIG"
+rm -f "$CONFIG/.primrosepitch-base.json"
+for file in "$CONFIG"/*.yaml "$CONFIG"/processes/*.yaml; do
+    sed -e "s/127\.21\./127.$NET./g" -e "s/8070/$platform_port/g" \
+        -e "s/8080/$http_port/g" -e "s/8090/$peer_port/g" \
+        -e "s/9080/$endpoint_port/g" "$file" >"$file.new"
+    mv "$file.new" "$file"
+done
+PLATFORM=127.$NET.0.1:$platform_port
+ENTRY=127.$NET.1.101:$http_port
+export PRIMROSE_ENTRY="$ENTRY"
+
+echo "demo: platform at $PLATFORM, entries at 127.$NET.{1,2}.{101,102}:$http_port"
+start platform platform $PY -m standins.platform --address "127.$NET.0.1" \
+    --port "$platform_port" --list-lag-s 1
+wait_until "the platform" listening platform
+
+# One endpoint for each instance of the two data centres that have processes.
+$PY - "$CONFIG" >"$RUN/endpoints" <<'PYTHON'
+import sys
+from pathlib import Path
+
+from primrosepitch.config.loader import load_folder
+from primrosepitch.config.model import merge
+
+for name, spec in merge(load_folder(Path(sys.argv[1]))).instances.items():
+    print(name, spec.dc, spec.rack, spec.address, spec.port)
+PYTHON
+endpoints=
+while read -r name dc rack address port; do
+    [ -f "$CONFIG/processes/$dc-entry-1.yaml" ] || continue
+    start endpoint "$name" $PY -m standins.endpoint --instance "$name" --dc "$dc" \
+        --rack "$rack" --address "$address" --port "$port" --platform "$PLATFORM"
+    endpoints="$endpoints --endpoint $address:$port"
+done <"$RUN/endpoints"
+while read -r _ name; do
+    wait_until "endpoint $name" listening "$name"
+done <"$RUN/endpoint.pids"
+
+processes=0
+for file in "$CONFIG"/processes/*.yaml; do
+    name=$(basename "$file" .yaml)
+    case $name in
+    *-planner-*) program=planner ;;
+    *) program=entry ;;
+    esac
+    record=
+    [ -z "${DEMO_RECORD:-}" ] || record="--record $RUN/$name.trace"
+    # shellcheck disable=SC2086
+    start control "$name" $PY -m "primrosepitch.bin.$program" --settings "$file" $record
+    processes=$((processes + 1))
+done
+
+sessions_open() {
+    [ "$(ctl status 2>/dev/null | grep -cE ' (entry|planner) ')" -ge "$processes" ]
+}
+wait_until "$processes open sessions" sessions_open
+ctl publish "$CONFIG" --wait --operator demo >"$RUN/publish.out" ||
+    fail "publishing failed: $(tail -n 3 "$RUN/publish.out")"
+tail -n 2 "$RUN/publish.out"
+
+pools_available() {
+    ctl status >"$RUN/status.out" 2>/dev/null || return 1
+    awk '$1 == "POOL" { on = 1; next } on && NF == 0 { exit bad }
+         on && $2 < 4 { bad = 1 } END { exit bad }' "$RUN/status.out"
+}
+wait_until "four available instances in each pool" pools_available
+
+# give TEAM QUEUES WEIGHT: gives the team a key and adds it to the callers' plan.
+give() {
+    key=$(ctl key give "$1" | tail -n 1)
+    echo "$1 $2 $key $3" >>"$RUN/plan"
+}
+give growers-ring press-slots,juice-lots,bottling-orders,grower-settlement 4
+give press-house press-slots,juice-lots 4
+give bottling-hall bottling-orders 2
+give settlement-office grower-settlement 1
+give laboratory juice-lots 1
+withdrawn=$(ctl key give field-service | tail -n 1)
+ctl key withdraw "${withdrawn%%.*}" | sed -n '1p;$p'
+echo "withdrawn-key press-slots $withdrawn 0.5" >>"$RUN/plan"
+echo "without-key press-slots - 0.5" >>"$RUN/plan"
+echo "open-queue sundry-apps - 1" >>"$RUN/plan"
+
+# shellcheck disable=SC2086
+start caller caller $PY -m standins.caller --plan "$RUN/plan" \
+    --entry "$ENTRY,127.$NET.1.102:$http_port" \
+    --entry "127.$NET.2.101:$http_port,127.$NET.2.102:$http_port" \
+    --requests "$REQUESTS" --json "$RUN/caller.json" $endpoints
+caller_code=0
+wait "$(cut -d' ' -f1 "$RUN/caller.pids")" || caller_code=$?
+rm -f "$RUN/caller.pids"
+cat "$RUN/caller.out"
+ctl status
+
+# Entries need the platform's log to close their sessions, so it stops last.
+stop_all
+[ "$unclean" -eq 0 ] || fail "$unclean processes did not stop gracefully"
+line=$(sed -n 's/^caller: //p' "$RUN/caller.out")
+[ -n "$line" ] || fail "the callers did not finish: $(tail -n 1 "$RUN/caller.log")"
+echo "demo: $line"
+exit "$caller_code"
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -96,6 +96,7 @@
     """What an endpoint has done.
 
     :param runs: how often each request id ran
+    :param once: the same for requests that are not idempotent
     :param teams: largest number of concurrent requests by team
     :param over_slots: requests beyond the slots, which did not run
     :param over_connections: connections beyond the limit
@@ -112,6 +113,7 @@
     over_slots: int = 0
     over_connections: int = 0
     runs: dict[str, int] = {}
+    once: dict[str, int] = {}
     teams: dict[str, int] = {}
 
 
@@ -133,7 +135,7 @@
         """Start with nothing run."""
         self.settings = settings
         self.server = Server(self._handle, self._on_head)
-        self.counts = Counts(settings.instance, runs={}, teams={})
+        self.counts = Counts(settings.instance, runs={}, once={}, teams={})
         self.mode = Mode()
         self.stopped = asyncio.Event()
         self._intervals: list[tuple[float, float, str, str]] = []
@@ -193,7 +195,7 @@
         if running > self.settings.slots:
             self.counts.over_slots += 1
             return self._answer(req, request_id, team, 503)
-        self._begin(request_id, team)
+        self._begin(request_id, team, _idempotent(req))
         started = time.monotonic()
         try:
             await asyncio.sleep(self._work_s(req, mode))
@@ -202,10 +204,12 @@
         answer = self._answer(req, request_id, team, 200)
         return self._spoil(answer, mode, request_id)
 
-    def _begin(self, request_id: str, team: str) -> None:
+    def _begin(self, request_id: str, team: str, idempotent: bool) -> None:
         counts = self.counts
         counts.running += 1
         counts.runs[request_id] = counts.runs.get(request_id, 0) + 1
+        if not idempotent:
+            counts.once[request_id] = counts.once.get(request_id, 0) + 1
         self._running_of[team] = self._running_of.get(team, 0) + 1
         counts.teams[team] = max(counts.teams.get(team, 0), self._running_of[team])
 
@@ -336,6 +340,12 @@
         return False
 
 
+def _idempotent(req: Request) -> bool:
+    """Whether a request may run twice, by its header or else by its method."""
+    said = req.headers.get("primrose-idempotent")
+    return req.method not in ("POST", "PATCH") if said is None else said == "1"
+
+
 async def _run(settings: EndpointSettings) -> None:
     endpoint = Endpoint(settings)
     term = asyncio.Event()
