--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -6,6 +6,8 @@
 # DEMO_SHIFT     added to the ports 8070 8080 8090 9080 (0)
 # DEMO_REQUESTS  requests of the callers (1500)
 # DEMO_RECORD    if not empty, entries and planners record their traces
+# DEMO_FAULT     name of a fault of scripts/faults.sh to bring about meanwhile
+# DEMO_CALLER    further options of the caller stand-in
 # Logs are kept under run/demo.
 set -eu
 cd "$(dirname "$0")/.."
@@ -85,6 +87,9 @@
     done
 }
 
+FAULT_LOST=0
+. scripts/faults.sh
+
 unclean=0
 on_exit() {
     code=$?
@@ -215,12 +220,18 @@
 start caller caller $PY -m standins.caller --plan "$RUN/plan" \
     --entry "$ENTRY,127.$NET.1.102:$http_port" \
     --entry "127.$NET.2.101:$http_port,127.$NET.2.102:$http_port" \
-    --requests "$REQUESTS" --json "$RUN/caller.json" $endpoints
+    --requests "$REQUESTS" --json "$RUN/caller.json" ${DEMO_CALLER:-} $endpoints
+if [ -n "${DEMO_FAULT:-}" ]; then
+    sleep 1
+    "fault_$DEMO_FAULT"
+fi
 caller_code=0
 wait "$(cut -d' ' -f1 "$RUN/caller.pids")" || caller_code=$?
 rm -f "$RUN/caller.pids"
 cat "$RUN/caller.out"
 ctl status
+check_code=0
+$PY scripts/check_run.py "$CONFIG" "$RUN/caller.json" "$FAULT_LOST" || check_code=$?
 
 # Entries need the platform's log to close their sessions, so it stops last.
 stop_all
@@ -228,4 +239,6 @@
 line=$(sed -n 's/^caller: //p' "$RUN/caller.out")
 [ -n "$line" ] || fail "the callers did not finish: $(tail -n 1 "$RUN/caller.log")"
 echo "demo: $line"
+[ "$check_code" -eq 0 ] || exit "$check_code"
+[ -z "${DEMO_FAULT:-}" ] || exit 0
 exit "$caller_code"
