Keep the demo's exit code when it fails

A killed entry made the demo fail but exit with 0, since the function that stops the processes overwrote the saved exit code; a failed key command went unnoticed. The code has its own variable, and keys are taken from a file so that the command's own failure counts.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -87,11 +87,11 @@
 
 unclean=0
 on_exit() {
-    code=$?
+    exit_code=$?
     trap - EXIT
     trap '' INT TERM
     stop_all
-    exit "$code"
+    exit "$exit_code"
 }
 
 rm -rf "$RUN"
@@ -195,9 +195,15 @@
 }
 wait_until "four available instances in each pool" pools_available
 
+# new_key TEAM: sets the variable key.
+new_key() {
+    ctl key give "$1" >"$RUN/key.out" || fail "team $1 got no key"
+    key=$(tail -n 1 "$RUN/key.out")
+}
+
 # give TEAM QUEUES WEIGHT: gives the team a key and adds it to the callers' plan.
 give() {
-    key=$(ctl key give "$1" | tail -n 1)
+    new_key "$1"
     echo "$1 $2 $key $3" >>"$RUN/plan"
 }
 give growers-ring press-slots,juice-lots,bottling-orders,grower-settlement 4
@@ -205,9 +211,10 @@
 give bottling-hall bottling-orders 2
 give settlement-office grower-settlement 1
 give laboratory juice-lots 1
-withdrawn=$(ctl key give field-service | tail -n 1)
-ctl key withdraw "${withdrawn%%.*}" | sed -n '1p;$p'
-echo "withdrawn-key press-slots $withdrawn 0.5" >>"$RUN/plan"
+new_key field-service
+ctl key withdraw "${key%%.*}" >"$RUN/withdraw.out" || fail "the key was not withdrawn"
+head -n 1 "$RUN/withdraw.out"
+echo "withdrawn-key press-slots $key 0.5" >>"$RUN/plan"
 echo "without-key press-slots - 0.5" >>"$RUN/plan"
 echo "open-queue sundry-apps - 1" >>"$RUN/plan"
 
