--- a/primrosepitch/fleet/fold.py
+++ b/primrosepitch/fleet/fold.py
@@ -250,7 +250,7 @@
     if not count.abandoned:
         return
     count.frozen = True
-    if count.reserve == count.total:
+    if count.reserve == count.total and not count.owed:
         del state.counts[key]
 
 
@@ -360,7 +360,7 @@
 def _forget_session(state: FleetState, session: SessionId) -> None:
     """Drop a session and return all its units."""
     for key, count in list(state.counts.items()):
-        if session in count.held:
+        if session in count.held or session in count.owed:
             count.release(session)
             _drop_if_whole(state, key)
     del state.sessions[session]
@@ -382,12 +382,13 @@
         receiver = state.sessions.get(to)
         if receiver is None or receiver.state is not SessionState.OPEN:
             to = None
-    # A lower limit may have clamped the holding after the giver decided, so each
-    # count moves what is still held.
+    # A lower limit may have clamped the holding after the giver decided, so units
+    # that it owes are cleared first and each count moves what is still held.
     for key, units in r.units.items():
         count = state.counts.get(key)
         if count is not None:
-            count.give(r.by, min(units, count.held_by(r.by)), to)
+            rest = units - count.clear(r.by, units)
+            count.give(r.by, min(rest, count.held_by(r.by)), to)
             _drop_if_whole(state, key)
 
 
@@ -404,9 +405,18 @@
     renewal = lease is not None and lease.session == r.session and r.term == term
     if not renewal and r.term != term + 1:
         raise RejectedError(Void.STALE_TERM, f"term {term} is in force")
+    if not renewal and lease is not None and _newer_renewal(state, lease, r):
+        raise RejectedError(Void.STALE_BASE, f"renewed at offset {lease.renewed}")
     state.leases[r.dc] = Lease(session=r.session, term=r.term, renewed=offset)
 
 
+def _newer_renewal(state: FleetState, lease: Lease, r: rec.PlannerLease) -> bool:
+    """Whether the holder, which still runs, renewed after the takeover was decided."""
+    holder = state.sessions.get(lease.session)
+    open_ = holder is not None and holder.state is SessionState.OPEN
+    return open_ and lease.renewed > r.renewed_offset
+
+
 def _check_term(state: FleetState, dc: DcId, term: int, by: SessionId) -> None:
     lease = state.leases.get(dc)
     if lease is None or lease.term != term or lease.session != by:
