Run primrosectl against a real entry and show wave steps

The entry's /-/fleet did not tell which keys work, so `key withdraw` called every key unknown and `key rotate` named none; the dry run of a wave judged each instance alone. The entry now gives the teams of working keys, a scenario runs every command against a real entry over sockets, and wave dry runs use the planner's own steps.

--- a/features/ctl.feature
+++ b/features/ctl.feature
@@ -100,7 +100,8 @@
       | press-1,press-2     | drain press-9             | 1 | no such name (instance press-9) |
       | press-1,press-2,press-3 | move press-1 spare    | 0 | would drain press-1 for a move to spare |
       | press-1,press-2,press-3 | move press-1 spair    | 1 | no such name (pool spair) |
-      | press-1,press-2     | wave start --pool press   | 0 | press-1: waits, an availability budget does not allow it |
+      | press-1,press-2     | wave start --pool press   | 0 | press-1 would wait: service press needs 2, 1 would be left |
+      | press-1,press-2,press-3 | wave start --pool press   | 0 | press-2 would wait: rack linz/r1 is in work |
       | press-1,press-2     | wave pause w1             | 1 | the wave is in another state |
       | press-1,press-2     | fence entry-wels          | 0 | would end session entry-wels |
       | press-1,press-2     | fence entry-graz          | 1 | the session is in another state |
@@ -133,3 +134,27 @@
     Then it exits with 0 and prints "key of team growers"
     When primrosectl runs "show" by a closed port alone
     Then it exits with 5 and prints "no entry can be reached"
+
+  # Guards against an entry and a command line that differ about the API.
+  Scenario: Every command works with a real entry
+    When primrosectl runs these commands against an entry and a platform stand-in
+      | command                                | code | prints |
+      | publish FOLDER --wait                  | 0 | in force in 1 processes |
+      | publish FOLDER                         | 0 | in force already since offset 1 |
+      | diff FOLDER                            | 0 | 0 settings differ from offset 1 |
+      | show                                   | 0 | min_available: 2 |
+      | key give growers                       | 0 | key of team growers, id |
+      | key rotate growers                     | 0 | still works: KEYID; withdraw it |
+      | key withdraw KEYID                     | 0 | key KEYID withdrawn at offset |
+      | key withdraw KEYID                     | 0 | no working key has the id KEYID |
+      | key give brewers                       | 1 | no such name: team brewers |
+      | drain press-1 --dry-run                | 0 | would drain press-1 for a reboot |
+      | move press-1 spare                     | 0 | accepted: drain press-1 for a move to spare |
+      | drain press-1 --cancel                 | 0 | accepted: cancel the drain of press-1 |
+      | wave start --name w1 --pool press      | 0 | accepted: start wave w1 over 3 instances |
+      | wave pause w1                          | 0 | accepted: pause wave w1 |
+      | wave resume w1                         | 0 | accepted: resume wave w1 |
+      | wave cancel w1                         | 0 | accepted: cancel wave w1 |
+      | wave status                            | 0 | w1    cancelled  0     3 |
+      | fence nobody-1 --powered-off           | 1 | the session is in another state |
+      | status                                 | 0 | growers  0        0        0     10 |
--- a/primrosepitch/bin/ctl.py
+++ b/primrosepitch/bin/ctl.py
@@ -38,6 +38,7 @@
 from primrosepitch.operators import commands as cmd
 from primrosepitch.operators.client import OperatorClient
 from primrosepitch.operators.messages import ConfigView, FleetView
+from primrosepitch.planning import waves
 from primrosepitch.teams.keys import new_key
 
 __all__ = ["app", "main"]
@@ -552,16 +553,10 @@
 
 
 def _print_steps(state: FleetState, wave: rec.WaveStarted) -> None:
-    """Print for each instance whether its stop could start now."""
-    for name in wave.instances:
-        drain_record = rec.DrainStarted(
-            instance=name,
-            reason=rec.DrainReason.REBOOT,
-            base_offset=state.offset,
-            **_STAMP,
-        )
-        problem = cmd.obstacle(state, drain_record)
-        print(f"{name}: " + (f"waits, {problem}" if problem else "could stop now"))
+    """Print for each instance whether the wave would stop it first."""
+    for step in waves.dry_run(state, wave.instances, wave.max_parallel):
+        why = f": {step.why}" if step.why else ""
+        print(f"{step.instance} {step.kind.value}{why}")
 
 
 @wave_app.command("status")
--- a/primrosepitch/bin/operators.py
+++ b/primrosepitch/bin/operators.py
@@ -31,6 +31,7 @@
 from primrosepitch.net.http_messages import HttpRequest, HttpResponse
 from primrosepitch.net.http_server import Exchange, error_response
 from primrosepitch.net.membership import Report
+from primrosepitch.operators.messages import fleet_view
 
 __all__ = ["OperatorsApi", "Publication"]
 
@@ -170,6 +171,7 @@
                 "leases": fleet.leases,
                 "sessions": fleet.sessions,
                 "withdrawn": sorted(fleet.withdrawn),
+                "keys": fleet_view(fleet).keys,
                 "limits": {
                     team: fleet.counts.get(limit_key(team))
                     for team in fleet.config.teams
