Add the placement of tasks on workers

Cause: nothing placed tasks, and a planned stop ended those on its instance. Change: policies in a registry (declared first fit as baseline; observed peak with headroom, spare pool first, spread over racks); units of limit/TEAM held by the planner's session bound what is started and renewed; tasks that can never fit are reported once; workers that fail their starts are avoided; cancellations are folded before placing; urgent work throttles, checkpoints or stops the least tasks; tasks of a lost planner are taken over; a drained instance is stopped only when no task is left on it. POST /-/tasks on the planner. The list is read at 2 KB/s while nothing waits for it. Stopping an attempt that is reported after its end is not covered by a scenario.

--- a/features/planner_world.py
+++ b/features/planner_world.py
@@ -31,6 +31,20 @@
         return f"{self.name}-{self.boot}"
 
 
+class Job(msgspec.Struct):
+    """A task as the platform runs it."""
+
+    effect: out.StartTask
+    usage: ev.Size
+    started: float
+    deadline: float
+    state: str = "running"
+
+    @property
+    def live(self):
+        return self.state in ("running", "throttled")
+
+
 class Actor:
     """A process that reads the log with a delay and appends with a delay."""
 
@@ -82,6 +96,7 @@
         # Seconds between an effect of the reducer and its call of the platform.
         self.stall = 0.0
         self.platform_down = False
+        self.answers = []
         self.lines = []
 
     def handle(self, event):
@@ -109,9 +124,29 @@
             )
         elif isinstance(effect, out.RestartInstance) and self.dc not in world.cut:
             world.calls.append((now + self.stall, self, effect))
+        else:
+            self.platform_call(effect)
+
+    def platform_call(self, effect):
+        """Answer the commands about tasks."""
+        world, now = self.world, self.world.now
+        if self.dc in world.cut:
+            return
+        if isinstance(effect, out.ListTasks):
+            rows = [r for r in world.task_rows() if r.instance[0] == self.dc]
+            self.handle(ev.TasksListed(now=now, asked=now, tasks=rows))
+        elif isinstance(effect, out.StartTask):
+            ok = world.start_task(effect)
+            self.answers.append((effect.task, ev.TaskAction.START, ok))
+        elif isinstance(effect, out.ChangeTask) and now >= world.tasks_down_until:
+            ok = world.change_task(effect)
+            self.answers.append((effect.task, effect.action, ok))
 
     def turn(self):
         now = self.world.now
+        answers, self.answers = self.answers, []
+        for task, action, ok in answers:
+            self.handle(ev.TaskAnswered(now=now, task=task, action=action, ok=ok))
         for offset, record in self.unread():
             self.handle(ev.RecordRead(now=now, offset=offset, record=record))
             self.world.check_reader(self.state.fleet)
@@ -168,6 +203,8 @@
         self.list_lag = 2.0
         self.reboot_s = 5.0
         self.restarts = []
+        self.tasks_down_until = 0.0
+        self.jobs, self.usage, self.failing, self.starts = {}, {}, set(), []
         self.outcomes = []
         self.publish(document(minimum=minimum, **options))
         self.machines = {n: Machine(n) for n in self.truth.instances}
@@ -229,7 +266,67 @@
         known = [rows for at, rows in self.lists if at <= as_of]
         return as_of, known[-1] if known else self.lists[0][1]
 
+    def start_task(self, effect):
+        used = ev.Size()
+        for job in self.jobs.values():
+            if job.live and job.effect.instance == effect.instance:
+                used = used.plus(job.usage)
+        usage = self.usage.get(effect.task.rpartition(".")[0], effect.size)
+        machine = self.machines[effect.instance]
+        spec = self.truth.config.instances[effect.instance]
+        room = ev.Size(spec.cores, spec.memory_gb, spec.accelerators).minus(used)
+        if effect.task in self.jobs or not machine.live or not usage.fits(room):
+            return False
+        job = Job(effect, usage, self.now, self.now + effect.lease_s)
+        job.state = "failed" if effect.instance in self.failing else "running"
+        self.jobs[effect.task] = job
+        self.starts.append((self.now, effect))
+        return True
+
+    def change_task(self, effect):
+        job = self.jobs.get(effect.task)
+        if job is None or not job.live:
+            return False
+        ends = {"checkpoint": "checkpointed", "throttle": "throttled"}
+        if effect.action is ev.TaskAction.RENEW:
+            job.deadline = self.now + job.effect.lease_s
+        else:
+            job.state = ends.get(effect.action.value, "stopped")
+        if effect.action is ev.TaskAction.THROTTLE:
+            job.usage = msgspec.structs.replace(job.usage, cores=job.usage.cores / 2)
+        return True
+
+    def task_rows(self):
+        return [
+            ev.TaskReport(
+                task=name,
+                instance=job.effect.instance,
+                team=job.effect.team,
+                state=job.state,
+                size=job.effect.size,
+                priority=job.effect.priority,
+                usage=job.usage if self.now - job.started >= 1 else None,
+            )
+            for name, job in self.jobs.items()
+        ]
+
+    def check_tasks(self):
+        """Let leases lapse and tasks end with their worker; check the limits."""
+        running = {}
+        for job in self.jobs.values():
+            if job.live and self.now > job.deadline:
+                job.state = "lapsed"
+            if job.live and not self.machines[job.effect.instance].live:
+                job.state = "lost"
+            if job.live:
+                running[job.effect.team] = running.get(job.effect.team, 0) + 1
+        for team, count in running.items():
+            if count > self.truth.config.teams[team].limit:
+                self.problems.append(f"{team} runs {count} tasks at {self.now}")
+
     def restart(self, name, stop):
+        if any(j.live and j.effect.instance == name for j in self.jobs.values()):
+            self.problems.append(f"{name} was restarted with a task on it")
         if self.truth.instances[name].phase is not Phase.STOPPING:
             self.problems.append(f"{name} was restarted without a planned stop")
         if any(name in a.busy and a.busy[name] > self.now for a in self.entries):
@@ -325,6 +422,7 @@
                 machine.back_at = None
                 machine.live = True
                 machine.boot += 1
+        self.check_tasks()
         self.lists.append((WALL + self.now, self.rows()))
         del self.lists[:-1000]
         due = [call for call in self.calls if call[0] < self.now]
--- a/primrosepitch/bin/planner.py
+++ b/primrosepitch/bin/planner.py
@@ -3,23 +3,35 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import sys
+from collections import Counter
 from collections.abc import Callable, Sequence
 from typing import Any
 
+import msgspec
+
 from primrosepitch import clock
 from primrosepitch.bin.daemon import Daemon, run_program
-from primrosepitch.errors import LogUnavailableError, QueueUnknownError
+from primrosepitch.errors import (
+    LogUnavailableError,
+    MessageError,
+    NoLeaseError,
+    PrimroseError,
+    QueueUnknownError,
+)
 from primrosepitch.events import EVENTS, emit
 from primrosepitch.fleet.records import Role
 from primrosepitch.fleet.snapshot import snapshot_records
 from primrosepitch.fleet.state import FleetState
+from primrosepitch.ids import TaskId
 from primrosepitch.net.appender import STREAM
+from primrosepitch.net.http_messages import HttpResponse
 from primrosepitch.net.http_server import Exchange, HttpServer, error_response
-from primrosepitch.net.platform import PlatformClient
+from primrosepitch.net.platform import PlatformClient, TaskSpec
 from primrosepitch.planning import effects as eff
-from primrosepitch.planning import events, lease
+from primrosepitch.planning import events, lease, placement
 from primrosepitch.planning.reducer import step
 from primrosepitch.planning.state import PlannerState
 from primrosepitch.settings import Settings
@@ -45,6 +57,13 @@
     return register
 
 
+class TaskOrder(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of ``POST /-/tasks``; cancellations are taken first."""
+
+    submit: list[events.TaskSpec] = []
+    cancel: list[TaskId] = []
+
+
 class Planner(Daemon):
     """One planner process."""
 
@@ -63,6 +82,7 @@
         self._bounds = PlatformClient(settings.platform, settings.dc)
         self._probes = asyncio.Semaphore(PROBES_AT_A_TIME)
         self._listing = False
+        self._listing_tasks = False
         self._seconds_left = 0
 
     # Hooks of the base
@@ -79,6 +99,10 @@
         """Carry out one effect."""
         _PERFORMERS[type(effect)](self, effect)
 
+    def is_busy(self) -> bool:
+        """Whether urgent work waits, which has to start in 2.3 s."""
+        return placement.urgent_waits(self.state)
+
     def tick(self) -> events.Tick:
         """Return the event of a passing moment."""
         return events.Tick(
@@ -116,7 +140,16 @@
         )
 
     def _on_exchange(self, exchange: Exchange) -> None:
-        exchange.respond(error_response(QueueUnknownError("no such path")))
+        path = exchange.request.target.partition(b"?")[0]
+        try:
+            if path == b"/-/tasks":
+                exchange.respond(self._on_tasks(exchange))
+            elif path in (b"/-/status", b"/-/health"):
+                exchange.respond(self._overview())
+            else:
+                raise QueueUnknownError("no such path")
+        except PrimroseError as exc:
+            exchange.respond(error_response(exc))
 
     # Platform
 
@@ -175,6 +208,90 @@
         answer = events.RestartAnswered(now=now, instance=effect.instance, ok=ok)
         self.handle(answer)
 
+    # Tasks
+
+    def start_listing_tasks(self) -> None:
+        """Read the report of tasks unless a read is under way."""
+        if not self._listing_tasks:
+            self._listing_tasks = True
+            self.spawn(self._list_tasks())
+
+    async def _list_tasks(self) -> None:
+        asked = clock.monotonic()
+        try:
+            found = await self.platform.tasks(self.settings.dc)
+        except LogUnavailableError:
+            return
+        finally:
+            self._listing_tasks = False
+        rows = [_task_report(row.fields) for row in found]
+        self.handle(events.TasksListed(now=clock.monotonic(), asked=asked, tasks=rows))
+
+    async def start_task(self, effect: eff.StartTask) -> None:
+        """Start a task unless too much time has passed."""
+        spec = TaskSpec(
+            task=TaskId(effect.task),
+            instance=effect.instance,
+            team=effect.team,
+            cores=effect.size.cores,
+            memory_gb=effect.size.memory_gb,
+            accelerators=math.ceil(effect.size.accelerators),
+            priority=effect.priority,
+            lease_s=effect.lease_s,
+        )
+        ok: bool | None = False
+        if clock.monotonic() < effect.not_after:
+            try:
+                ok = await self.platform.start_task(spec)
+            except LogUnavailableError:
+                ok = None
+        self._task_answered(effect.task, events.TaskAction.START, ok)
+
+    async def change_task(self, effect: eff.ChangeTask) -> None:
+        """Send one command about a running task."""
+        ok: bool | None
+        try:
+            verb = effect.action.value
+            ok = await self.platform.change_task(TaskId(effect.task), verb)
+        except LogUnavailableError:
+            ok = None
+        self._task_answered(effect.task, effect.action, ok)
+
+    def _task_answered(
+        self, task: str, action: events.TaskAction, ok: bool | None
+    ) -> None:
+        now = clock.monotonic()
+        self.handle(events.TaskAnswered(now=now, task=task, action=action, ok=ok))
+
+    def _on_tasks(self, exchange: Exchange) -> HttpResponse:
+        """Submit, cancel or show tasks."""
+        request = exchange.request
+        if request.method == b"GET":
+            return json_response(self.state.tasks)
+        if not lease.holds(self.state):
+            raise NoLeaseError(f"data centre {self.settings.dc}")
+        try:
+            order = msgspec.json.decode(request.body, type=TaskOrder)
+        except msgspec.MsgspecError as exc:
+            raise MessageError(str(exc)) from exc
+        now = clock.monotonic()
+        self.handle(events.TasksCancelled(now=now, tasks=order.cancel))
+        self.handle(events.TasksSubmitted(now=now, tasks=order.submit))
+        return json_response({"tasks": len(self.state.tasks)}, 202)
+
+    def _overview(self) -> HttpResponse:
+        fleet = self.state.fleet
+        found = {
+            "session": self.session,
+            "dc": self.settings.dc,
+            "generation": fleet.generation,
+            "offset": fleet.offset,
+            "holds_lease": lease.holds(self.state),
+            "list_as_of": self.state.listing.as_of,
+            "tasks": Counter(t.state.value for t in self.state.tasks.values()),
+        }
+        return json_response(found)
+
     def snapshot(self) -> None:
         """Append the folded state, if a state has been read."""
         for record in snapshot_records(self.fleet(), self.session):
@@ -187,6 +304,34 @@
     return live if value == live.value else events.ListedState.LEAVING
 
 
+def _task_report(row: dict[str, Any]) -> events.TaskReport:
+    """Return a row of the platform's report; unknown fields are left out."""
+    usage = row.get("usage")
+    return events.TaskReport(
+        task=str(row["task"]),
+        instance=row["instance"],
+        team=row["team"],
+        state=str(row["state"]),
+        size=_size(row),
+        priority=int(row.get("priority", 0)),
+        usage=_size(usage) if usage else None,
+    )
+
+
+def _size(row: dict[str, Any]) -> events.Size:
+    return events.Size(
+        float(row.get("cores", 0)),
+        float(row.get("memory_gb", 0)),
+        float(row.get("accelerators", 0)),
+    )
+
+
+def json_response(value: Any, status: int = 200) -> HttpResponse:
+    """Return an answer to an operator."""
+    headers = [(b"content-type", b"application/json")]
+    return HttpResponse(status, headers, msgspec.json.encode(value) + b"\n")
+
+
 async def _accepts(host: str, port: int) -> bool:
     """Whether a TCP port accepts a connection in time."""
     try:
@@ -218,6 +363,21 @@
     planner.spawn(planner.restart(effect))
 
 
+@performs(eff.ListTasks)
+def _list_tasks(planner: Planner, effect: eff.ListTasks) -> None:
+    planner.start_listing_tasks()
+
+
+@performs(eff.StartTask)
+def _start_task(planner: Planner, effect: eff.StartTask) -> None:
+    planner.spawn(planner.start_task(effect))
+
+
+@performs(eff.ChangeTask)
+def _change_task(planner: Planner, effect: eff.ChangeTask) -> None:
+    planner.spawn(planner.change_task(effect))
+
+
 @performs(eff.TakeSnapshot)
 def _snapshot(planner: Planner, effect: eff.TakeSnapshot) -> None:
     planner.snapshot()
--- a/primrosepitch/errors.py
+++ b/primrosepitch/errors.py
@@ -7,6 +7,7 @@
     "AppendUnconfirmedError",
     "FrameError",
     "MessageError",
+    "NoLeaseError",
     "SettingsError",
     "ConfigError",
     "ConfigRaceError",
@@ -332,6 +333,19 @@
     remedy = "try again in a few seconds; the balancer will choose another entry"
 
 
+# 3xxx: fleet
+
+
+@register_error
+class NoLeaseError(PrimroseError):
+    """Another planner holds the lease of the data centre."""
+
+    code = "PRP-3101"
+    status = 503
+    summary = "this planner does not hold the lease of its data centre"
+    remedy = "ask the planner named by the lease in 'primrosectl show'"
+
+
 # 4xxx: network between processes
 
 
--- a/primrosepitch/planning/budgets.py
+++ b/primrosepitch/planning/budgets.py
@@ -25,8 +25,15 @@
 ]
 
 LIST_S = 2.0
+LIST_BYTES_PER_S = 2000.0
+"""Traffic allowed for the list while nothing depends on it; a node has 3 KB/s."""
+
+LIST_ROW_BYTES = 100
+AWAITED_S = 600.0
+"""Time for which the return of a stopped instance is looked for at short intervals."""
+
 LIST_FRESH_S = 15.0
-"""Oldest list by which instances are stopped or taken as up."""
+"""Age of the oldest usable list, beyond twice the interval of reads."""
 
 UNKNOWN_S = 60.0
 """Time without a list and without an answer after which an instance is unavailable."""
@@ -56,7 +63,13 @@
 
 def list_fresh(state: PlannerState, now: float) -> bool:
     """Whether the newest list is recent enough to act on."""
-    return now - state.listing.asked <= LIST_FRESH_S
+    return now - state.listing.asked <= LIST_FRESH_S + 2 * _list_interval(state)
+
+
+def _list_interval(state: PlannerState) -> float:
+    """Return the seconds between two reads of the list while nothing waits for one."""
+    size = len(state.listing.rows) * LIST_ROW_BYTES
+    return max(LIST_S, size / LIST_BYTES_PER_S)
 
 
 def listed_after(
@@ -189,12 +202,13 @@
 
 def look(state: PlannerState, now: float) -> list[Effect]:
     """Ask for the list and probe the instances of the own data centre."""
+    if not lease.holds(state):
+        return []
     effects: list[Effect] = []
-    if now >= state.listing_due:
-        state.listing_due = now + LIST_S
+    interval = LIST_S if _list_awaited(state, now) else _list_interval(state)
+    if now - state.list_sent >= interval:
+        state.list_sent = now
         effects.append(ListInstances())
-    if not lease.holds(state):
-        return effects
     for name, inst in state.own_instances():
         spec = state.fleet.config.instances.get(name)
         if spec is None or not _probe_due(state, now, name, inst):
@@ -206,6 +220,19 @@
     return effects
 
 
+def _list_awaited(state: PlannerState, now: float) -> bool:
+    """Whether the return of an instance depends on the next list."""
+    for name, inst in state.own_instances():
+        if inst.up:
+            continue
+        restart = state.restarts.get(name)
+        if restart is None and proved(state, name):
+            return True
+        if restart is not None and now - restart.since <= AWAITED_S:
+            return True
+    return False
+
+
 def _probe_due(
     state: PlannerState, now: float, name: InstanceId, inst: Instance
 ) -> bool:
--- /dev/null
+++ b/primrosepitch/planning/placement.py
@@ -0,0 +1,676 @@
+"""Placement of tasks on workers, within the units that the planner's session holds."""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from typing import NamedTuple
+
+from primrosepitch.events import event
+from primrosepitch.fleet import records as rec
+from primrosepitch.fleet.counts import limit_key
+from primrosepitch.fleet.state import Phase
+from primrosepitch.ids import CountKey, DcId, InstanceId, RecordId, TaskId, TeamId
+from primrosepitch.planning import lease
+from primrosepitch.planning.effects import (
+    ChangeTask,
+    Effect,
+    ListTasks,
+    StartTask,
+)
+from primrosepitch.planning.events import (
+    Size,
+    TaskAction,
+    TaskReport,
+    TaskSpec,
+)
+from primrosepitch.planning.policies import HEADROOM, POLICIES, Worker
+from primrosepitch.planning.sessions import TASK_LEASE_S
+from primrosepitch.planning.state import PlannerState, Task, TaskState, append, log
+
+__all__ = [
+    "answered",
+    "busy",
+    "cancel",
+    "listed",
+    "seen",
+    "submit",
+    "turn",
+    "urgent_waits",
+]
+
+LIST_S = 1.0
+"""Interval of reports while a task starts or ends or an urgent one waits."""
+
+QUIET_LIST_S = 5.0
+RENEW_S = 5.0
+PEAK_WINDOW_S = 300.0
+"""Window of the observed peak."""
+
+START_LOST_S = 5.0
+"""Age of an unanswered start after which a report without the task disproves it."""
+
+ENDING_S = 0.5
+"""Interval of commands to a task that is to end.
+
+Urgent work has to start in 2.3 s, so a task that makes room for it is stopped when one
+checkpoint was not answered in this time.
+"""
+
+CHECKPOINT_S = 15.0
+"""Time for a checkpoint when nothing waits for the room."""
+
+ROOM_AGAIN_S = 1.0
+RETRY_S = 1.0
+LAST_RETRY_S = 60.0
+FULL_S = 2.0
+FAILED_STARTS = 3
+"""Failed starts in a row after which a worker is avoided."""
+
+AVOIDED_PART = 4
+"""At most one worker of this many in a pool is avoided."""
+
+GONE_S = 120.0
+"""Time for which an attempt that has ended is remembered."""
+
+SEEN_S = 15.0
+"""Oldest report of tasks by which a worker counts as free of them."""
+
+LIVE_STATES = frozenset({"running", "throttled"})
+DONE_STATES = frozenset({"done", "finished", "completed", "succeeded"})
+ACTIVE = frozenset({TaskState.STARTING, TaskState.RUNNING, TaskState.ENDING})
+
+PLACED = event(3501, "task_placed", logging.INFO, "A task is started on a worker.")
+NEVER_FITS = event(
+    3502,
+    "task_never_fits",
+    logging.WARNING,
+    "A task is larger than every worker, even an empty one.",
+    "correct the size of the task or add larger workers",
+)
+ROOM_MADE = event(
+    3503, "room_made", logging.INFO, "Lesser work makes room for an urgent task."
+)
+WORKER_AVOIDED = event(
+    3504,
+    "worker_avoided",
+    logging.WARNING,
+    "A worker failed its last starts and gets no tasks for now.",
+    "check the worker",
+)
+ENDED = event(3505, "task_ended", logging.INFO, "A task no longer runs.")
+ADOPTED = event(
+    3506, "task_adopted", logging.INFO, "A task of a former planner is taken over."
+)
+
+
+class Victims(NamedTuple):
+    """Lesser tasks that make room on one worker.
+
+    :param throttle: whether throttling them is enough
+    """
+
+    tasks: list[Task]
+    throttle: bool
+
+
+# Events
+
+
+def submit(state: PlannerState, now: float, specs: list[TaskSpec]) -> None:
+    """Take new tasks; one that is known already changes nothing."""
+    for spec in specs:
+        if spec.task not in state.tasks:
+            state.tasks[spec.task] = Task(spec=spec, arrived=now)
+
+
+def cancel(state: PlannerState, now: float, names: list[TaskId]) -> None:
+    """Forget waiting tasks and mark the others; nothing is placed in between."""
+    for name in names:
+        task = state.tasks.get(name)
+        if task is None:
+            continue
+        if task.state is TaskState.WAITING:
+            _forget(state, name)
+        else:
+            task.dropped = True
+
+
+def answered(
+    state: PlannerState, now: float, name: str, action: TaskAction, ok: bool | None
+) -> list[Effect]:
+    """Take the platform's answer to a command."""
+    task = _by_name(state, name)
+    if task is None or ok is None:
+        return []
+    if action is TaskAction.START:
+        if ok:
+            task.state = TaskState.RUNNING
+            return []
+        if task.worker is not None:
+            state.full[task.worker] = now + FULL_S
+        return _ended(state, now, task, "refused")
+    if action is TaskAction.THROTTLE and ok:
+        size = POLICIES[state.policy].size(task).times(1 / HEADROOM)
+        halved = Size(size.cores / 2, size.memory_gb, size.accelerators)
+        task.throttled = True
+        task.peaks = [(now, halved)]
+        return []
+    if action in (TaskAction.CHECKPOINT, TaskAction.STOP) or not ok:
+        return _ended(state, now, task, action.value)
+    return []
+
+
+def listed(
+    state: PlannerState, now: float, asked: float, rows: list[TaskReport]
+) -> list[Effect]:
+    """Take the platform's report of all tasks of the data centre."""
+    effects: list[Effect] = []
+    found = {row.task: row for row in rows}
+    for name in list(state.names):
+        task = _by_name(state, name)
+        row = found.get(name)
+        if task is not None and (row is not None or _disproved(task, asked)):
+            effects += _report(state, now, task, row)
+    if not lease.holds(state):
+        return effects
+    state.tasks_seen = max(state.tasks_seen, asked)
+    state.gone = {n: at for n, at in state.gone.items() if now - at <= GONE_S}
+    for row in rows:
+        if row.task not in state.names and row.state in LIVE_STATES:
+            effects += _unknown(state, now, asked, row)
+    return effects
+
+
+def _disproved(task: Task, asked: float) -> bool:
+    """Whether a report without the task shows that it does not run."""
+    return asked > max(task.changed, task.renewed) + START_LOST_S
+
+
+def _report(
+    state: PlannerState, now: float, task: Task, row: TaskReport | None
+) -> list[Effect]:
+    if row is None or row.state not in LIVE_STATES:
+        how = row.state if row else "missing"
+        return _ended(state, now, task, how)
+    if task.state is TaskState.STARTING:
+        task.state = TaskState.RUNNING
+    if row.usage is not None:
+        if task.worker is not None:
+            state.worker_failures.pop(task.worker, None)
+        recent = [p for p in task.peaks if now - p[0] <= PEAK_WINDOW_S]
+        task.peaks = [*recent, (now, row.usage)][-60:]
+    return []
+
+
+def _unknown(
+    state: PlannerState, now: float, asked: float, row: TaskReport
+) -> list[Effect]:
+    """Stop an attempt that should have ended, or take over a former planner's task.
+
+    A report that was asked for before the attempt ended proves nothing.
+    """
+    base, _, attempt = row.task.rpartition(".")
+    name = TaskId(base or row.task)
+    known = state.tasks.get(name)
+    ended = state.gone.get(row.task, known.changed if known else float("-inf"))
+    if asked <= ended:
+        return []
+    if known is not None or row.task in state.gone:
+        return [ChangeTask(task=row.task, action=TaskAction.STOP)]
+    return _adopt(state, now, name, attempt, row)
+
+
+def _adopt(
+    state: PlannerState, now: float, name: TaskId, attempt: str, row: TaskReport
+) -> list[Effect]:
+    """Take over a running task of a former planner."""
+    spec = TaskSpec(task=name, team=row.team, size=row.size, priority=row.priority)
+    state.tasks[name] = Task(
+        spec=spec,
+        arrived=now,
+        state=TaskState.RUNNING,
+        worker=row.instance,
+        attempt=int(attempt) if attempt.isdigit() else 0,
+        changed=now,
+        name=row.task,
+        peaks=[(now, row.usage)] if row.usage else [],
+    )
+    state.names[row.task] = name
+    return [log(ADOPTED.number, task=name, instance=row.instance)]
+
+
+def _ended(state: PlannerState, now: float, task: Task, how: str) -> list[Effect]:
+    """Forget a task that is not to run again, or let it wait for another start."""
+    effects: list[Effect] = [
+        log(ENDED.number, task=task.spec.task, instance=task.worker, how=how)
+    ]
+    state.names.pop(task.name, None)
+    state.gone[task.name] = now
+    worker = task.worker
+    if how == "failed" and worker is not None:
+        failures = state.worker_failures.get(worker, 0) + 1
+        state.worker_failures[worker] = failures
+        if failures == FAILED_STARTS:
+            effects.append(log(WORKER_AVOIDED.number, instance=worker))
+    stopped = how == "stopped" and not task.ending_by
+    if task.dropped or stopped or how in DONE_STATES:
+        _forget(state, task.spec.task)
+        return effects
+    delay = 0.0
+    if how in ("failed", "refused"):
+        delay = min(LAST_RETRY_S, RETRY_S * 2 ** min(task.attempt - 1, 6))
+    task.state = TaskState.WAITING
+    task.worker = None
+    task.name = ""
+    task.ending_by = ""
+    task.throttled = False
+    task.retry_at = now + delay
+    return effects
+
+
+def _forget(state: PlannerState, name: TaskId) -> None:
+    state.tasks.pop(name, None)
+    state.never_fits.discard(name)
+
+
+def _by_name(state: PlannerState, name: str) -> Task | None:
+    task = state.names.get(name)
+    return state.tasks.get(task) if task is not None else None
+
+
+# Questions
+
+
+def seen(state: PlannerState, now: float) -> bool:
+    """Whether all tasks of the data centre are known, a former planner's too."""
+    return now - state.tasks_seen <= SEEN_S
+
+
+def busy(state: PlannerState) -> set[InstanceId]:
+    """Return the instances on which a task may run."""
+    return {t.worker for t in state.tasks.values() if t.worker and t.state in ACTIVE}
+
+
+def urgent_waits(state: PlannerState) -> bool:
+    """Whether an urgent task waits, so that turns have to come quickly."""
+    return any(
+        t.spec.urgent
+        and t.state is TaskState.WAITING
+        and t.spec.task not in state.never_fits
+        for t in state.tasks.values()
+    )
+
+
+# Turn
+
+
+def turn(state: PlannerState, now: float) -> list[Effect]:
+    """Renew, end and start tasks; cancellations have been folded before."""
+    if not lease.holds(state):
+        return []
+    effects: list[Effect] = []
+    if now >= state.tasks_due:
+        changing = (TaskState.STARTING, TaskState.ENDING)
+        changes = any(t.state in changing for t in state.tasks.values())
+        quiet = not changes and not urgent_waits(state)
+        state.tasks_due = now + (QUIET_LIST_S if quiet else LIST_S)
+        effects.append(ListTasks())
+    effects += _end_unwanted(state, now)
+    effects += _renew(state, now)
+    effects += _take_units(state, now)
+    effects += _give_units(state, now)
+    effects += _place_all(state, now)
+    return effects
+
+
+def _end_unwanted(state: PlannerState, now: float) -> list[Effect]:
+    """End tasks that are cancelled or on a worker that is to stop.
+
+    A task is checkpointed first, and stopped if that is not answered.
+    """
+    effects: list[Effect] = []
+    for task in state.tasks.values():
+        if task.state is TaskState.RUNNING and _unwanted(state, task):
+            effects += _end(task, now, CHECKPOINT_S)
+        elif task.state is TaskState.ENDING and now - task.changed >= ENDING_S:
+            effects += _command_end(task, now)
+    return effects
+
+
+def _unwanted(state: PlannerState, task: Task) -> bool:
+    if task.dropped:
+        return True
+    inst = state.fleet.instances.get(task.worker) if task.worker else None
+    return inst is None or inst.phase is not Phase.ACTIVE
+
+
+def _end(task: Task, now: float, checkpoint_s: float) -> list[Effect]:
+    task.state = TaskState.ENDING
+    task.stop_at = now if task.dropped else now + checkpoint_s
+    return _command_end(task, now)
+
+
+def _command_end(task: Task, now: float) -> list[Effect]:
+    action = TaskAction.STOP if now >= task.stop_at else TaskAction.CHECKPOINT
+    task.ending_by = action.value
+    task.changed = now
+    return [ChangeTask(task=task.name, action=action)]
+
+
+def _renew(state: PlannerState, now: float) -> list[Effect]:
+    """Renew the leases of as many tasks of a team as units are held for."""
+    effects: list[Effect] = []
+    left: dict[TeamId, int] = {}
+    running = [t for t in state.tasks.values() if t.state is TaskState.RUNNING]
+    for task in sorted(running, key=lambda t: (-t.spec.priority, t.arrived)):
+        team = task.spec.team
+        left.setdefault(team, _held(state, team))
+        if left[team] <= 0:
+            continue
+        left[team] -= 1
+        if now - max(task.renewed, task.changed) >= RENEW_S:
+            task.renewed = now
+            effects.append(ChangeTask(task=task.name, action=TaskAction.RENEW))
+    return effects
+
+
+def _held(state: PlannerState, team: TeamId) -> int:
+    """Return the units of a team's limit that are held and not being given back."""
+    key = limit_key(team)
+    return state.fleet.holding(key, state.session) - state.giving.get(key, 0)
+
+
+def _needs(state: PlannerState) -> tuple[Counter[TeamId], Counter[TeamId]]:
+    """Return the tasks by team that run, and those that could run."""
+    active: Counter[TeamId] = Counter()
+    waiting: Counter[TeamId] = Counter()
+    for name, task in state.tasks.items():
+        if task.state in ACTIVE:
+            active[task.spec.team] += 1
+        elif name not in state.never_fits:
+            waiting[task.spec.team] += 1
+    return active, waiting
+
+
+def _take_units(state: PlannerState, now: float) -> list[Effect]:
+    active, waiting = _needs(state)
+    units: dict[CountKey, int] = {}
+    for team in active.keys() | waiting.keys():
+        count = state.fleet.counts.get(limit_key(team))
+        if count is None or count.frozen:
+            continue
+        missing = active[team] + waiting[team] - _held(state, team)
+        if missing > 0 and count.reserve > 0:
+            units[limit_key(team)] = min(missing, count.reserve)
+    if not units:
+        return []
+    take = rec.SliceTake(
+        record_id=RecordId(""), by=state.session, units=dict(sorted(units.items()))
+    )
+    return append(state, now, take)
+
+
+def _give_units(state: PlannerState, now: float) -> list[Effect]:
+    """Return units that have been idle for a while to the reserve."""
+    if "SliceGive" in state.pending:
+        return []
+    active, waiting = _needs(state)
+    idle_s = state.fleet.config.fleet.idle_return_s
+    units: dict[CountKey, int] = {}
+    for key, count in state.fleet.counts.items():
+        held = count.held.get(state.session, 0)
+        team = TeamId(key.removeprefix("limit/"))
+        surplus = held - active[team] - waiting[team]
+        if surplus <= 0:
+            state.idle_since.pop(key, None)
+        elif now - state.idle_since.setdefault(key, now) >= idle_s:
+            units[key] = surplus
+    if not units:
+        return []
+    state.giving = units
+    give = rec.SliceGive(record_id=RecordId(""), by=state.session, units=dict(units))
+    return append(state, now, give)
+
+
+# Placing
+
+
+class Floor:
+    """Workers of the data centre with what is in use on each."""
+
+    def __init__(self, state: PlannerState, now: float) -> None:
+        """Add up the tasks by worker and rack."""
+        self.state = state
+        self.size = POLICIES[state.policy].size
+        self.capacity: dict[InstanceId, Size] = {}
+        self.rack: dict[InstanceId, tuple[DcId, str]] = {}
+        self.spare: dict[InstanceId, bool] = {}
+        self.open: list[InstanceId] = []
+        self.room: dict[InstanceId, Size] = {}
+        self.rack_tasks: Counter[tuple[DcId, str]] = Counter()
+        self.team_tasks: Counter[tuple[DcId, str, TeamId]] = Counter()
+        avoided = _avoided(state)
+        cfg = state.fleet.config
+        for name, inst in state.own_instances():
+            spec = cfg.instances[name]
+            self.capacity[name] = Size(spec.cores, spec.memory_gb, spec.accelerators)
+            self.room[name] = self.capacity[name]
+            self.rack[name] = (inst.dc, inst.rack)
+            pool = cfg.pools.get(inst.pool)
+            self.spare[name] = pool is not None and pool.spare
+            refused = state.full.get(name, float("-inf")) > now
+            if inst.available and not refused and name not in avoided:
+                self.open.append(name)
+        for task in state.tasks.values():
+            if task.state in ACTIVE and task.worker in self.room:
+                self.add(task, task.worker)
+
+    def add(self, task: Task, worker: InstanceId) -> None:
+        """Count a task on a worker."""
+        self.room[worker] = self.room[worker].minus(self.size(task))
+        rack = self.rack[worker]
+        self.rack_tasks[rack] += 1
+        self.team_tasks[(*rack, task.spec.team)] += 1
+
+    def fits_empty(self, task: Task) -> bool:
+        """Whether any worker, even an empty one, could run a task."""
+        need = self.size(task)
+        return any(need.fits(size) for size in set(self.capacity.values()))
+
+    def choose(self, task: Task) -> InstanceId | None:
+        """Return the worker for a task, if one has room."""
+        need = self.size(task)
+        workers = [
+            Worker(
+                instance=name,
+                dc=self.rack[name][0],
+                rack=self.rack[name][1],
+                spare=self.spare[name],
+                room=self.room[name],
+                team_tasks=self.team_tasks[(*self.rack[name], task.spec.team)],
+                rack_tasks=self.rack_tasks[self.rack[name]],
+            )
+            for name in self.open
+            if need.fits(self.room[name])
+        ]
+        if not workers:
+            return None
+        return POLICIES[self.state.policy].choose(workers).instance
+
+
+def _avoided(state: PlannerState) -> set[InstanceId]:
+    """Return the workers that fail what they start, a quarter of each pool at most."""
+    avoided: set[InstanceId] = set()
+    room: dict[str, int] = {}
+    sizes = Counter(inst.pool for _, inst in state.own_instances())
+    worst = sorted(state.worker_failures.items(), key=lambda f: (-f[1], f[0]))
+    for name, failures in worst:
+        inst = state.fleet.instances.get(name)
+        if inst is None or failures < FAILED_STARTS:
+            continue
+        room.setdefault(inst.pool, sizes[inst.pool] // AVOIDED_PART)
+        if room[inst.pool] > 0:
+            room[inst.pool] -= 1
+            avoided.add(name)
+    return avoided
+
+
+def _place_all(state: PlannerState, now: float) -> list[Effect]:
+    waiting = [t for t in state.tasks.values() if t.state is TaskState.WAITING]
+    if not waiting:
+        return []
+    floor = Floor(state, now)
+    active, _ = _needs(state)
+    effects: list[Effect] = []
+    order = sorted(
+        waiting, key=lambda t: (not t.spec.urgent, -t.spec.priority, t.arrived)
+    )
+    for task in order:
+        if not floor.fits_empty(task):
+            effects += _report_never_fits(state, task)
+            continue
+        state.never_fits.discard(task.spec.task)
+        if task.retry_at > now:
+            continue
+        team = task.spec.team
+        if active[team] >= _held(state, team):
+            effects += _free_unit(state, now, task)
+            continue
+        worker = floor.choose(task)
+        if worker is None:
+            effects += _make_room(state, now, task, floor)
+            continue
+        effects += _start(state, now, task, worker)
+        floor.add(task, worker)
+        active[team] += 1
+    return effects
+
+
+def _report_never_fits(state: PlannerState, task: Task) -> list[Effect]:
+    name = task.spec.task
+    if name in state.never_fits:
+        return []
+    state.never_fits.add(name)
+    return [log(NEVER_FITS.number, task=name, team=task.spec.team)]
+
+
+def _start(
+    state: PlannerState, now: float, task: Task, worker: InstanceId
+) -> list[Effect]:
+    task.attempt += 1
+    task.state = TaskState.STARTING
+    task.worker = worker
+    task.changed = now
+    task.name = f"{task.spec.task}.{task.attempt}"
+    state.names[task.name] = task.spec.task
+    start = StartTask(
+        task=task.name,
+        instance=worker,
+        team=task.spec.team,
+        size=POLICIES[state.policy].size(task),
+        priority=task.spec.priority,
+        lease_s=TASK_LEASE_S,
+        not_after=now + RENEW_S,
+    )
+    return [start, log(PLACED.number, task=task.name, instance=worker)]
+
+
+# Room for urgent work
+
+
+def _lesser(state: PlannerState, task: Task) -> list[Task]:
+    """Return running tasks below a task's priority, the least important first."""
+    found = [
+        t
+        for t in state.tasks.values()
+        if t.state is TaskState.RUNNING
+        and not t.spec.urgent
+        and t.spec.priority < task.spec.priority
+    ]
+    return sorted(found, key=lambda t: (t.spec.priority, -t.arrived))
+
+
+def _may_make_room(state: PlannerState, now: float, task: Task) -> bool:
+    return task.spec.urgent and now - task.room_made >= ROOM_AGAIN_S
+
+
+def _free_unit(state: PlannerState, now: float, task: Task) -> list[Effect]:
+    """End the least task of the same team when its limit has no unit left."""
+    count = state.fleet.counts.get(limit_key(task.spec.team))
+    if count is None or count.reserve > 0 or not _may_make_room(state, now, task):
+        return []
+    own = [t for t in _lesser(state, task) if t.spec.team == task.spec.team]
+    if not own:
+        return []
+    task.room_made = now
+    line = log(ROOM_MADE.number, task=task.spec.task, ends=[own[0].spec.task])
+    return [*_end(own[0], now, ENDING_S), line]
+
+
+def _make_room(
+    state: PlannerState, now: float, task: Task, floor: Floor
+) -> list[Effect]:
+    """Throttle or end the least tasks of the worker where least is lost."""
+    if not _may_make_room(state, now, task):
+        return []
+    lesser = _lesser(state, task)
+    best: Victims | None = None
+    for worker in floor.open:
+        own = [t for t in lesser if t.worker == worker]
+        found = _victims(floor, task, worker, own)
+        if found and (best is None or _loss(found) < _loss(best)):
+            best = found
+    if best is None:
+        return []
+    task.room_made = now
+    names = [t.spec.task for t in best.tasks]
+    if best.throttle:
+        line = log(ROOM_MADE.number, task=task.spec.task, throttles=names)
+        throttle = TaskAction.THROTTLE
+        return [*[ChangeTask(task=t.name, action=throttle) for t in best.tasks], line]
+    line = log(ROOM_MADE.number, task=task.spec.task, ends=names)
+    return [*[e for t in best.tasks for e in _end(t, now, ENDING_S)], line]
+
+
+def _loss(found: Victims) -> tuple[bool, int, int]:
+    highest = max(t.spec.priority for t in found.tasks)
+    return (not found.throttle, highest, len(found.tasks))
+
+
+def _victims(
+    floor: Floor, task: Task, worker: InstanceId, lesser: list[Task]
+) -> Victims | None:
+    """Return the tasks of a worker that make room, if they can."""
+    need = floor.size(task)
+    room = floor.room[worker]
+    freed = room
+    halved: list[Task] = []
+    for other in lesser:
+        if other.throttled:
+            continue
+        freed = freed.plus(Size(cores=floor.size(other).cores / 2))
+        halved.append(other)
+        if need.fits(freed):
+            return Victims(halved, throttle=True)
+    freed = room
+    ended: list[Task] = []
+    for other in lesser:
+        freed = freed.plus(floor.size(other))
+        ended.append(other)
+        if need.fits(freed):
+            return Victims(_without_surplus(floor, need, freed, ended), throttle=False)
+    return None
+
+
+def _without_surplus(
+    floor: Floor, need: Size, freed: Size, ended: list[Task]
+) -> list[Task]:
+    """Keep tasks running that need not end, the most important ones first."""
+    kept = list(ended)
+    for other in reversed(ended):
+        less = freed.minus(floor.size(other))
+        if need.fits(less) and len(kept) > 1:
+            kept.remove(other)
+            freed = less
+    return kept
--- a/primrosepitch/planning/reducer.py
+++ b/primrosepitch/planning/reducer.py
@@ -13,6 +13,7 @@
     budgets,
     events,
     lease,
+    placement,
     pools,
     sessions,
     snapshots,
@@ -58,13 +59,16 @@
     state.wall_read = now
     if state.stopping:
         state.finished = True
-        return [Finished(close=True)]
+        # Tasks that still run keep the units of the session until they have ended.
+        return [Finished(close=not placement.busy(state))]
     pools.observe(state, now)
     effects = lease.turn(state, now)
     effects += sessions.turn(state, now)
     effects += budgets.turn(state, now)
-    effects += pools.turn(state, now, set())
+    if placement.seen(state, now):
+        effects += pools.turn(state, now, placement.busy(state))
     effects += waves.turn(state, now)
+    effects += placement.turn(state, now)
     effects += snapshots.turn(state, now)
     effects += budgets.look(state, now)
     return effects
@@ -86,6 +90,8 @@
     effects: list[Effect] = []
     if record.by == state.session:
         state.pending.pop(subject(record), None)
+        if isinstance(record, rec.SliceGive):
+            state.giving = {}
         if outcome.void not in (None, Void.REPEATED):
             effects.append(_void_line(record, outcome.void, outcome.detail))
     effects += lease.on_read(state, event.now, outcome)
@@ -172,6 +178,28 @@
     return []
 
 
+@on(events.TasksSubmitted)
+def _submitted(state: PlannerState, event: events.TasksSubmitted) -> list[Effect]:
+    placement.submit(state, event.now, event.tasks)
+    return []
+
+
+@on(events.TasksCancelled)
+def _cancelled(state: PlannerState, event: events.TasksCancelled) -> list[Effect]:
+    placement.cancel(state, event.now, event.tasks)
+    return []
+
+
+@on(events.TasksListed)
+def _tasks_listed(state: PlannerState, event: events.TasksListed) -> list[Effect]:
+    return placement.listed(state, event.now, event.asked, event.tasks)
+
+
+@on(events.TaskAnswered)
+def _task_answered(state: PlannerState, event: events.TaskAnswered) -> list[Effect]:
+    return placement.answered(state, event.now, event.task, event.action, event.ok)
+
+
 @on(events.StopAsked)
 def _stop(state: PlannerState, event: events.StopAsked) -> list[Effect]:
     state.stopping = True
--- a/primrosepitch/planning/sessions.py
+++ b/primrosepitch/planning/sessions.py
@@ -8,7 +8,7 @@
 from primrosepitch.fleet import records as rec
 from primrosepitch.fleet.state import Session, SessionState
 from primrosepitch.ids import RecordId, SessionId
-from primrosepitch.planning import lease
+from primrosepitch.planning import budgets, lease
 from primrosepitch.planning.effects import Effect, Probe
 from primrosepitch.planning.state import (
     PlannerState,
@@ -29,7 +29,6 @@
 REMOVED_S = 30.0
 """Seconds for which an instance is off the list and unreachable before that counts."""
 
-LIST_FRESH_S = 10.0
 PROBE_S = 5.0
 
 ENDED = event(
@@ -128,7 +127,7 @@
     gone = (
         found.instance in state.seen_instances
         and found.instance not in state.listing.rows
-        and now - state.listing.asked <= LIST_FRESH_S
+        and budgets.list_fresh(state, now)
     )
     if not gone:
         state.absent.pop(name, None)
--- a/primrosepitch/planning/state.py
+++ b/primrosepitch/planning/state.py
@@ -9,7 +9,16 @@
 
 from primrosepitch.fleet import records as rec
 from primrosepitch.fleet.state import FleetState, Instance, Session, SessionState
-from primrosepitch.ids import DcId, InstanceId, Offset, SessionId, TaskId, WaveId
+from primrosepitch.ids import (
+    CountKey,
+    DcId,
+    InstanceId,
+    Offset,
+    PoolId,
+    SessionId,
+    TaskId,
+    WaveId,
+)
 from primrosepitch.planning.effects import Append, Effect, LogLine
 from primrosepitch.planning.events import ListedInstance, Size, TaskSpec
 
@@ -130,6 +139,10 @@
     :param retry_at: earliest time of the next start
     :param dropped: whether it is not to run again once it has ended
     :param throttled: whether it was throttled to make room
+    :param ending_by: command by which it was asked to end
+    :param stop_at: boot-time clock from which it is stopped without a checkpoint
+    :param room_made: boot-time clock when lesser work was asked to make room for it
+    :param name: name of the present attempt at the platform
     """
 
     spec: TaskSpec
@@ -143,7 +156,9 @@
     retry_at: float = float("-inf")
     dropped: bool = False
     throttled: bool = False
-    asked_end: bool = False
+    ending_by: str = ""
+    stop_at: float = float("inf")
+    room_made: float = float("-inf")
     name: str = ""
 
 
@@ -159,6 +174,16 @@
     :param ends: end seen of each ended session
     :param pending: own records that have not been read back, by subject
     :param downs: wall clock at which an instance was last seen to be unavailable
+    :param names: task by the name of its present attempt
+    :param worker_failures: failed starts in a row by worker
+    :param never_fits: tasks that were reported as too large for every worker
+    :param gone: when attempts that have ended were last heard of
+    :param tasks_seen: when the read of the newest report of tasks was started
+    :param full: boot-time clock up to which a worker that refused a task is passed over
+    :param idle_since: when units of a count became idle
+    :param giving: units that are on their way back to the reserve
+    :param policy: name of the placement policy
+    :param short_since: when a pool was first seen below its budget
     :param longest_request_s: longest deadline of a request in any configuration seen
     """
 
@@ -181,7 +206,7 @@
     seen_instances: set[InstanceId] = set()
     pending: dict[str, float] = {}
     listing: ListView = msgspec.field(default_factory=ListView)
-    listing_due: float = float("-inf")
+    list_sent: float = float("-inf")
     probes: dict[str, ProbeView] = {}
     downs: dict[InstanceId, float] = {}
     restarts: dict[InstanceId, Restart] = {}
@@ -198,7 +223,13 @@
     worker_failures: dict[InstanceId, int] = {}
     never_fits: set[TaskId] = set()
     tasks_due: float = float("-inf")
-    idle_since: dict[str, float] = {}
+    gone: dict[str, float] = {}
+    tasks_seen: float = float("-inf")
+    full: dict[InstanceId, float] = {}
+    idle_since: dict[CountKey, float] = {}
+    giving: dict[CountKey, int] = {}
+    policy: str = "observed"
+    short_since: dict[PoolId, float] = {}
 
     def wall_at(self, now: float) -> float:
         """Return the wall clock at a time of the boot-time clock."""
