Add the least buffer, the fewest moves and the refill of pools

Cause: nothing told how much spare a fleet needs, planned moves between pools or replaced failed instances by spare ones.

--- /dev/null
+++ b/primrosepitch/planning/buffer.py
@@ -0,0 +1,94 @@
+"""The least spare that survives the loss of the largest rack."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from primrosepitch.fleet.state import FleetState, Instance
+from primrosepitch.ids import DcId, InstanceId, PoolId
+from primrosepitch.planning.events import Size
+
+__all__ = ["Buffer", "buffer", "needed", "replacements", "survives"]
+
+
+class Buffer(NamedTuple):
+    """Spare that a fleet needs, and what it has.
+
+    :param needed: available spare instances outside any one rack that its loss takes
+    :param spare: available instances of spare pools
+    :param resources: free resources that the tasks of the largest rack need elsewhere
+    :param free: free resources of available instances
+    """
+
+    needed: int
+    spare: int
+    resources: Size
+    free: Size
+
+
+def replacements(fleet: FleetState, rack: tuple[DcId, str]) -> int:
+    """Return how many instances the budgets lack when a rack is lost."""
+    left: Counter[PoolId] = Counter()
+    for inst in fleet.instances.values():
+        if inst.available and (inst.dc, inst.rack) != rack:
+            left[inst.pool] += 1
+    lacking = 0
+    for pool, budget in needed(fleet).items():
+        lacking += max(0, budget - left[pool])
+    return lacking
+
+
+def needed(fleet: FleetState) -> dict[PoolId, int]:
+    """Return the fewest available instances by pool that the services need."""
+    budgets: dict[PoolId, int] = {}
+    for service in fleet.config.services.values():
+        before = budgets.get(service.pool, 0)
+        budgets[service.pool] = max(before, service.min_available)
+    return budgets
+
+
+def survives(fleet: FleetState) -> bool:
+    """Whether the spare instances outside of any rack replace what it takes."""
+    spares = [i for i in fleet.instances.values() if i.available and _spare(fleet, i)]
+    for rack in _racks(fleet):
+        outside = sum(1 for i in spares if (i.dc, i.rack) != rack)
+        if outside < replacements(fleet, rack):
+            return False
+    return True
+
+
+def buffer(fleet: FleetState, used: Mapping[InstanceId, Size]) -> Buffer:
+    """Return the least spare of a fleet.
+
+    :param used: resources in use by instance
+    """
+    lost: dict[tuple[DcId, str], Size] = defaultdict(Size)
+    free = Size()
+    for name, inst in fleet.instances.items():
+        use = used.get(name, Size())
+        lost[(inst.dc, inst.rack)] = lost[(inst.dc, inst.rack)].plus(use)
+        spec = fleet.config.instances.get(name)
+        if inst.available and spec is not None:
+            whole = Size(spec.cores, spec.memory_gb, spec.accelerators)
+            free = free.plus(whole.minus(use))
+    largest = Size()
+    for size in lost.values():
+        largest = largest.highest(size)
+    found = fleet.instances.values()
+    return Buffer(
+        needed=max((replacements(fleet, r) for r in _racks(fleet)), default=0),
+        spare=sum(1 for i in found if i.available and _spare(fleet, i)),
+        resources=largest,
+        free=free,
+    )
+
+
+def _racks(fleet: FleetState) -> set[tuple[DcId, str]]:
+    return {(i.dc, i.rack) for i in fleet.instances.values()}
+
+
+def _spare(fleet: FleetState, inst: Instance) -> bool:
+    pool = fleet.config.pools.get(inst.pool)
+    return pool is not None and pool.spare
--- /dev/null
+++ b/primrosepitch/planning/moves.py
@@ -0,0 +1,239 @@
+"""Moves between pools: the fewest that meet a demand, spare instances first."""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple
+
+from primrosepitch.events import event
+from primrosepitch.fleet.records import DrainReason
+from primrosepitch.fleet.state import FleetState, Instance, Phase
+from primrosepitch.ids import InstanceId, PoolId
+from primrosepitch.planning import budgets, buffer, lease, pools
+from primrosepitch.planning.effects import Effect
+from primrosepitch.planning.state import PlannerState, log
+
+__all__ = ["Donor", "Move", "plan_moves", "shortages", "turn"]
+
+SHORTAGE_S = 60.0
+"""Time below the budget before a spare instance moves; a reboot takes less."""
+
+SEARCH_STEPS = 20_000
+"""Steps of the search for the fewest moves; about 20 ms."""
+
+EPSILON = 1e-9
+
+REFILL = event(
+    3307,
+    "pool_refilled",
+    logging.WARNING,
+    "A pool is below its budget and gets a spare instance.",
+    "repair the failed instances and move the spare back",
+)
+
+
+class Donor(NamedTuple):
+    """An instance that may leave its pool.
+
+    :param size: what it adds, in the unit of the demand
+    :param spare: whether it is in a spare pool
+    """
+
+    instance: InstanceId
+    pool: PoolId
+    size: float
+    spare: bool = False
+
+
+class Move(NamedTuple):
+    """An instance and the pool that gets it."""
+
+    instance: InstanceId
+    to_pool: PoolId
+
+
+def plan_moves(demand: Mapping[PoolId, float], donors: Sequence[Donor]) -> list[Move]:
+    """Choose the fewest moves that meet a demand; spare instances win among equals.
+
+    Starts from a greedy plan and improves it by a search over sizes, which is exact
+    unless it ends at ``SEARCH_STEPS``.
+
+    :param demand: size that each pool lacks
+    :param donors: instances that may leave; the caller keeps budgets
+    :returns: moves; those of the greedy plan if the donors do not meet the demand
+    """
+    gaps = {pool: gap for pool, gap in demand.items() if gap > 0}
+    order = sorted(donors, key=lambda d: (-d.size, not d.spare, d.instance))
+    greedy = _greedy(dict(gaps), list(order))
+    by_size: dict[float, list[Donor]] = {}
+    for donor in order:
+        by_size.setdefault(donor.size, []).append(donor)
+    search = _Search(gaps, {size: len(found) for size, found in by_size.items()})
+    best = search.run(len(greedy) if _meets(gaps, greedy, donors) else None)
+    if best is None:
+        return greedy
+    moves: list[Move] = []
+    for pool, cover in best:
+        moves += [Move(by_size[size].pop(0).instance, pool) for size in cover]
+    return moves
+
+
+def _meets(
+    gaps: Mapping[PoolId, float], moves: list[Move], donors: Sequence[Donor]
+) -> bool:
+    """Whether moves close all gaps."""
+    sizes = {d.instance: d.size for d in donors}
+    given = dict.fromkeys(gaps, 0.0)
+    for move in moves:
+        given[move.to_pool] += sizes[move.instance]
+    return all(given[pool] >= gap - EPSILON for pool, gap in gaps.items())
+
+
+def _greedy(gaps: dict[PoolId, float], left: list[Donor]) -> list[Move]:
+    """Close the largest gap that one donor can close, by the smallest that does.
+
+    If none can, the largest donor goes to the largest gap.
+    """
+    moves: list[Move] = []
+    while gaps and left:
+        pool, donor = _next(gaps, left)
+        left.remove(donor)
+        moves.append(Move(donor.instance, pool))
+        gaps[pool] -= donor.size
+        if gaps[pool] <= EPSILON:
+            del gaps[pool]
+    return moves
+
+
+def _next(gaps: Mapping[PoolId, float], left: list[Donor]) -> tuple[PoolId, Donor]:
+    """Return the next pool and donor; ``left`` is sorted with the largest first."""
+    for pool in sorted(gaps, key=lambda p: (-gaps[p], p)):
+        closing = [d for d in left if d.size >= gaps[pool] - EPSILON]
+        if closing:
+            least = closing[-1].size
+            return pool, next(d for d in closing if d.size == least)
+    return max(sorted(gaps), key=lambda p: gaps[p]), left[0]
+
+
+Cover = tuple[PoolId, tuple[float, ...]]
+
+
+class _Search:
+    """Depth-first search for the fewest donors, by size, that close all gaps."""
+
+    def __init__(self, gaps: Mapping[PoolId, float], counts: dict[float, int]) -> None:
+        self.pools = sorted(gaps, key=lambda p: (-gaps[p], p))
+        self.gaps = gaps
+        self.counts = counts
+        self.sizes = sorted(counts, reverse=True)
+        self.steps = 0
+        self.best: list[Cover] | None = None
+        self.fewest = float("inf")
+
+    def run(self, fewest: int | None) -> list[Cover] | None:
+        """Return a plan with less than ``fewest`` moves, if there is one."""
+        if fewest is not None:
+            self.fewest = fewest
+        self._pool(0, 0, [])
+        return self.best
+
+    def _pool(self, number: int, used: int, covers: list[Cover]) -> None:
+        """Try every cover of the next gap."""
+        if number == len(self.pools):
+            if used < self.fewest:
+                self.fewest = used
+                self.best = list(covers)
+            return
+        largest = self.sizes[0] if self.sizes else 0.0
+        if not largest:
+            return
+        least = sum(
+            math.ceil((self.gaps[p] - EPSILON) / largest) for p in self.pools[number:]
+        )
+        if used + least >= self.fewest:
+            return
+        self._cover(number, used, covers, self.gaps[self.pools[number]], 0, ())
+
+    def _cover(
+        self,
+        number: int,
+        used: int,
+        covers: list[Cover],
+        gap: float,
+        first: int,
+        cover: tuple[float, ...],
+    ) -> None:
+        """Extend a cover by sizes from ``first`` on; go on when the gap is closed."""
+        self.steps += 1
+        if self.steps > SEARCH_STEPS or used >= self.fewest:
+            return
+        if gap <= EPSILON:
+            self._pool(number + 1, used, [*covers, (self.pools[number], cover)])
+            return
+        for i in range(first, len(self.sizes)):
+            size = self.sizes[i]
+            if self.counts[size]:
+                self.counts[size] -= 1
+                self._cover(number, used + 1, covers, gap - size, i, (*cover, size))
+                self.counts[size] += 1
+
+
+def shortages(fleet: FleetState) -> dict[PoolId, int]:
+    """Return how many instances each pool lacks, with those on their way counted."""
+    found: dict[PoolId, int] = {}
+    for pool, budget in buffer.needed(fleet).items():
+        coming = sum(1 for i in fleet.instances.values() if _comes(i, pool))
+        lacking = budget - fleet.available_in(pool) - coming
+        if lacking > 0:
+            found[pool] = lacking
+    return found
+
+
+def _comes(inst: Instance, pool: PoolId) -> bool:
+    """Whether an instance is being moved to a pool, or returns there from a stop."""
+    moving = inst.reason is DrainReason.MOVE and inst.to_pool == pool
+    rebooting = inst.reason is DrainReason.REBOOT and inst.pool == pool
+    return moving or (rebooting and inst.phase is not Phase.ACTIVE)
+
+
+def spare_donors(fleet: FleetState) -> list[Donor]:
+    """Return the available instances of spare pools within their own budgets."""
+    donors: list[Donor] = []
+    budget = buffer.needed(fleet)
+    for pool, spec in sorted(fleet.config.pools.items()):
+        if not spec.spare:
+            continue
+        own = [n for n, i in fleet.instances.items() if i.pool == pool and i.available]
+        keep = budget.get(pool, 0)
+        donors += [Donor(n, pool, 1, True) for n in sorted(own)[keep:]]
+    return donors
+
+
+def turn(state: PlannerState, now: float) -> list[Effect]:
+    """Move spare instances to pools that have been below their budget for a while.
+
+    Every planner makes the same plan from the same state and moves its own instances.
+    """
+    if not lease.in_force(state, now):
+        return []
+    short = shortages(state.fleet)
+    for pool in [p for p in state.short_since if p not in short]:
+        del state.short_since[pool]
+    demand: dict[PoolId, float] = {}
+    for pool, lacking in short.items():
+        if now - state.short_since.setdefault(pool, now) >= SHORTAGE_S:
+            demand[pool] = float(lacking)
+    if not demand or budgets.downs_pending(state):
+        return []
+    effects: list[Effect] = []
+    for move in plan_moves(demand, spare_donors(state.fleet)):
+        if state.fleet.instances[move.instance].dc != state.dc:
+            continue
+        started = pools.drain(
+            state, now, move.instance, DrainReason.MOVE, to_pool=move.to_pool
+        )
+        line = log(REFILL.number, instance=move.instance, to_pool=move.to_pool)
+        effects += [*started, *[line] * bool(started)]
+    return effects
--- a/primrosepitch/planning/reducer.py
+++ b/primrosepitch/planning/reducer.py
@@ -13,6 +13,7 @@
     budgets,
     events,
     lease,
+    moves,
     placement,
     pools,
     sessions,
@@ -68,6 +69,7 @@
     if placement.seen(state, now):
         effects += pools.turn(state, now, placement.busy(state))
     effects += waves.turn(state, now)
+    effects += moves.turn(state, now)
     effects += placement.turn(state, now)
     effects += snapshots.turn(state, now)
     effects += budgets.look(state, now)
