--- a/primrosepitch/errors.py
+++ b/primrosepitch/errors.py
@@ -14,6 +14,7 @@
     "DeadlinePassedError",
     "EndpointFailedError",
     "EndpointUnavailableError",
+    "EntryUnreachableError",
     "KeyMissingError",
     "KeyStaleError",
     "KeyUnknownError",
@@ -366,3 +367,13 @@
     status = 503
     summary = "a peer does not answer"
     remedy = "check that the peer runs and that its address can be reached"
+
+
+@register_error
+class EntryUnreachableError(PrimroseError):
+    """No entry that was named accepts a connection; nothing was sent."""
+
+    code = "PRP-4201"
+    status = 503
+    summary = "no entry can be reached"
+    remedy = "check --entry or PRIMROSE_ENTRY, or name an entry of another data centre"
