--- a/features/steps/wire.py
+++ b/features/steps/wire.py
@@ -1,113 +1,65 @@
-"""Steps about sockets: frames, HTTP, the log and a whole entry."""
+"""Steps about whole entries and their log."""
 
 import asyncio
-import logging
 import os
 import signal
-from contextlib import asynccontextmanager
 
 from behave import then, when
 
-from primrosepitch.bin.entry import Entry
-from primrosepitch.fleet.records import SessionClosed, SessionOpened, decode_record
-from primrosepitch.settings import Settings
-from primrosepitch.trace import NullRecorder
-from standins.endpoint import Endpoint, EndpointSettings
+from features.wire_world import (
+    LOGGER,
+    LoggedNumbers,
+    control,
+    entry,
+    folded,
+    platform,
+    publish,
+    records,
+    run,
+    site,
+    snapshot_of,
+    teams,
+    until,
+)
+from primrosepitch.config.model import Document, PoolSpec
+from primrosepitch.events import LOG_WENT_BACK
+from primrosepitch.fleet.records import (
+    ConfigPublished,
+    KeyWithdrawn,
+    SessionClosed,
+    SessionOpened,
+    SessionRenewed,
+    encode_record,
+)
+from primrosepitch.fleet.snapshot import snapshot_records
+from primrosepitch.ids import DcId, Offset, PoolId, RecordId, SessionId
+from primrosepitch.net.appender import Appender
+from primrosepitch.net.platform import PlatformClient
 from standins.http import call
-from standins.platform import Platform
-
-SCENARIO_S = 20
-
-LOGGER = logging.getLogger("primrosepitch")
-LOGGER.propagate = False
-LOGGER.addHandler(logging.NullHandler())
-
-
-def run(body):
-    """Run a coroutine with a bound, so that a fault cannot hang the tests."""
-    return asyncio.run(asyncio.wait_for(body, SCENARIO_S))
-
-
-async def until(condition):
-    """Let the loop go on until a condition holds."""
-    while not condition():
-        await asyncio.sleep(0.005)
-
-
-@asynccontextmanager
-async def platform():
-    """Run a platform stand-in and yield it with its address."""
-    found = Platform()
-    await found.start()
-    try:
-        yield found, f"127.0.0.1:{found.server.port}"
-    finally:
-        await found.stop()
-
-
-@asynccontextmanager
-async def entry(address, name="e1"):
-    """Run an entry and stop it gracefully."""
-    settings = Settings(
-        name=name,
-        dc="dc1",
-        instance=f"i-{name}",
-        address="127.0.0.1",
-        platform=address,
-        http_port=0,
-        peer_port=0,
-    )
-    found = Entry(settings, NullRecorder())
-    found.task = asyncio.ensure_future(found.run())
-    await until(lambda: found.task.done() or found.state.may_start)
-    try:
-        yield found
-    finally:
-        found.stop()
-        found.exit_code = await found.task
-
-
-async def publish(process, port):
-    """Publish a configuration with one endpoint and an open queue."""
-    worker = {"dc": "dc1", "rack": "r1", "pool": "p", "address": "127.0.0.1"}
-    document = {
-        "pools": {"p": {}},
-        "services": {"quotes": {"pool": "p", "open": True}},
-        "instances": {"w1": {**worker, "port": port}},
-    }
-    body = {"base_offset": -1, "documents": {"a.yaml": document}}
-    answer = await call(process.http_address(), "POST", "/-/config", body)
-    assert answer.status == 200, answer.body
-
-
-@asynccontextmanager
-async def site():
-    """Run platform, endpoint and entry with a configuration in force."""
-    endpoint = Endpoint(EndpointSettings(instance="w1"))
-    await endpoint.start()
-    try:
-        async with platform() as (log, address), entry(address) as process:
-            await publish(process, endpoint.port)
-            yield log, endpoint, process
-    finally:
-        await endpoint.stop()
+
+NO_PORT = 9
+"""Port of an endpoint that no scenario connects to."""
 
 
-def records(log):
-    """Return the records of the stream."""
-    return [decode_record(data) for data in log.streams["fleet"].records]
+def _get(process, target, request_id="", **headers):
+    named = {k.replace("_", "-"): v for k, v in headers.items()}
+    if request_id:
+        named["Primrose-Request-Id"] = request_id
+    return call(process.http_address(), "GET", target, None, named)
 
 
-# A whole entry
+def _post(process, request_id="", timeout_ms=300):
+    headers = {"Primrose-Timeout-Ms": str(timeout_ms)}
+    if request_id:
+        headers["Primrose-Request-Id"] = request_id
+    return call(process.http_address(), "POST", "/q/quotes/7", {"n": 1}, headers)
 
 
 @when("a caller sends a request through an entry and the entry gets SIGTERM")
 def step_through(context):
     async def body():
         async with site() as (log, _, process):
-            target = process.http_address()
-            headers = {"Primrose-Request-Id": "r-1"}
-            context.answer = await call(target, "GET", "/q/quotes/7", None, headers)
+            context.answer = await _get(process, "/q/quotes/7", "r-1")
             os.kill(os.getpid(), signal.SIGTERM)
             await process.task
         context.records = records(log)
@@ -134,3 +86,298 @@
 @then("the entry exited with code 0")
 def step_exit(context):
     assert context.exit_code == 0
+
+
+@when("a caller sends a request while the endpoint is {mode} and then another one")
+def step_mode(context, mode):
+    async def body():
+        async with site() as (_, endpoint, process):
+            await _post(process)
+            address = f"127.0.0.1:{endpoint.port}"
+            fault = {"mode": mode, "count": 1, "seconds": 0.05}
+            await call(address, "POST", "/mode", fault)
+            context.first = await _post(process)
+            context.second = await _post(process, timeout_ms=5000)
+
+    run(body())
+
+
+@then("the first caller got the outcome {outcome} and the second its own answer")
+def step_mode_outcome(context, outcome):
+    assert context.first.headers["primrose-outcome"] == outcome, context.first
+    assert context.second.headers["primrose-outcome"] == "answered", context.second
+    own = context.second.headers["primrose-request-id"]
+    assert context.second.json()["request_id"] == own
+
+
+@when("a caller sends a request and repeats its id at another entry")
+def step_repeat(context):
+    async def body():
+        async with site() as (_, endpoint, first):
+            address = first.settings.platform
+            async with entry(address, "e2") as second:
+                await until(lambda: first.state.claims.settled)
+                await until(lambda: second.state.claims.settled)
+                context.answers = [
+                    await _post(first, "r-9", 5000),
+                    await _post(second, "r-9", 5000),
+                ]
+        context.ran = endpoint.counts.runs
+
+    run(body())
+
+
+@then("both answers are equal and the endpoint ran it once")
+def step_repeated(context):
+    first, second = context.answers
+    assert first.headers["primrose-outcome"] == "answered", first
+    assert (first.status, first.body) == (second.status, second.body), second
+    assert context.ran["r-9"] == 1
+
+
+# The log
+
+
+@when("a record is appended and the answer to its append is lost")
+def step_lost(context):
+    async def body():
+        async with platform() as (log, address):
+            await control(address, "lose_answers", count=1)
+            client = PlatformClient(address, DcId("dc1"))
+            appender = Appender(client, SessionId("x"))
+            sending = asyncio.ensure_future(appender.run())
+            document = Document(pools={PoolId("p"): PoolSpec()})
+            given = ConfigPublished(
+                record_id=RecordId(""),
+                by=SessionId(""),
+                base_offset=Offset(-1),
+                documents={"a.yaml": document},
+            )
+            appender.append(given)
+            await until(lambda: _count(log, ConfigPublished) == 2)
+            sending.cancel()
+            async with entry(address) as process:
+                context.in_force = process.fleet().config_offset
+                context.pools = list(process.fleet().config.pools)
+            context.records = records(log)
+
+    run(body())
+
+
+def _count(log, kind):
+    return sum(isinstance(r, kind) for r in records(log)) if log.streams else 0
+
+
+@then("the log holds the same record twice and an entry folds it once")
+def step_lost_twice(context):
+    assert context.records[0] == context.records[1]
+    assert context.in_force == 0
+    assert context.pools == ["p"]
+
+
+@when("the log is truncated below a configuration that two entries have read")
+def step_truncate(context):
+    async def body():
+        handler = LoggedNumbers()
+        LOGGER.addHandler(handler)
+        async with (
+            platform() as (_, address),
+            entry(address) as first,
+            entry(address, "e2") as second,
+        ):
+            base = await publish(first, NO_PORT)
+            await publish(first, NO_PORT, base, "b.yaml", juice={})
+            await until(lambda: teams(second) == ["juice"])
+            await control(address, "truncate", high=base - 1)
+            await until(lambda: first.fleet().generation == 1)
+            await until(lambda: second.fleet().generation == 1)
+            await until(lambda: first.fleet().offset == second.fleet().offset)
+            context.states = [folded(first), folded(second)]
+            context.teams = [teams(first), teams(second)]
+            async with entry(address, "e3") as fresh:
+                context.fresh = teams(fresh)
+            context.kept = teams(first)
+        LOGGER.removeHandler(handler)
+        context.numbers = handler.numbers
+
+    run(body())
+
+
+@then("both kept the configuration and agree on generation 1 and one state")
+def step_truncate_kept(context):
+    assert context.teams == [["juice"], ["juice"]]
+    assert context.states[0] == context.states[1]
+
+
+@then("a fresh entry reads the same configuration from the log")
+def step_truncate_fresh(context):
+    assert context.fresh == context.kept == ["juice"]
+
+
+@then("event 1105 was written")
+def step_1105(context):
+    assert LOG_WENT_BACK.number in context.numbers
+
+
+@when("a truncated log holds a snapshot of generation 1 that has seen less")
+def step_older(context):
+    async def body():
+        async with platform() as (log, address), entry(address) as process:
+            older = snapshot_of(process.fleet())
+            base = await publish(process, NO_PORT)
+            await publish(process, NO_PORT, base, "b.yaml", juice={})
+            await control(address, "truncate", high=base - 1)
+            rows = log.streams["fleet"].records
+            for number, part in enumerate(snapshot_records(older, SessionId("x"), 1)):
+                rows.append(encode_record(_named(part, f"old-{number}")))
+            await until(lambda: process.fleet().generation >= 1)
+            context.generation = process.fleet().generation
+            context.teams = teams(process)
+
+    run(body())
+
+
+def _named(record, record_id):
+    fields = {f: getattr(record, f) for f in record.__struct_fields__}
+    return type(record)(**{**fields, "record_id": record_id})
+
+
+@then("the entry kept its configuration and generation 2 carries it")
+def step_older_kept(context):
+    assert context.generation == 2
+    assert context.teams == ["juice"]
+
+
+@when("the log has dropped the configuration's record and holds a snapshot")
+def step_retention(context):
+    async def body():
+        async with platform() as (log, address), entry(address) as process:
+            base = await publish(process, NO_PORT)
+            await publish(process, NO_PORT, base, "b.yaml", juice={})
+            for part in snapshot_records(process.fleet(), process.session):
+                process.append(part)
+            await until(lambda: process.tail.high == process.fleet().offset > base + 1)
+            await control(address, "retention", records=2)
+            assert log.streams["fleet"].low > base
+            async with entry(address, "e2") as fresh:
+                context.teams = teams(fresh)
+
+    run(body())
+
+
+@then("a fresh entry has the configuration")
+def step_retention_fresh(context):
+    assert context.teams == ["juice"]
+
+
+@when("an entry starts during an outage and a key is withdrawn at the other one")
+def step_outage(context):
+    async def body():
+        async with platform() as (log, address), entry(address) as first:
+            base = await publish(first, NO_PORT)
+            await publish(first, NO_PORT, base, "b.yaml", juice={})
+            async with entry(address, "e2") as second:
+                await control(address, "outage", log=True)
+                await until(lambda: not first.tail.up)
+                seeds = [f"127.0.0.1:{first.peer_port}"]
+                async with entry(address, "e3", serving=False, seeds=seeds) as fresh:
+                    await until(fresh.ready)
+                    context.teams = teams(fresh)
+                command = {"type": "KeyWithdrawn", "key_id": "k1"}
+                answer = await call(first.http_address(), "POST", "/-/records", command)
+                context.answer = (answer.status, answer.json())
+                await until(lambda: "k1" in second.state.pending_withdrawn)
+                context.pending = sorted(first.state.pending_withdrawn)
+                await control(address, "outage", log=False)
+                await until(lambda: "k1" in second.fleet().withdrawn)
+                await until(lambda: not second.withdrawals)
+        context.logged = _count(log, KeyWithdrawn)
+
+    run(body())
+
+
+@then("the fresh entry has the configuration of its peer")
+def step_outage_fresh(context):
+    assert context.teams == ["juice"]
+
+
+@then("both entries have the withdrawal, and the log has it after the outage")
+def step_outage_withdrawn(context):
+    assert context.answer == (202, {"pending": True})
+    assert context.pending == ["k1"]
+    assert context.logged >= 1
+
+
+@when("the link of one data centre to the platform is cut")
+def step_cut(context):
+    async def body():
+        async with (
+            platform() as (log, address),
+            entry(address) as first,
+            entry(address, "e2", dc="dc2", renew_s=0.3) as cut,
+        ):
+            await until(lambda: cut.session in first.fleet().sessions)
+            await control(address, "cut", dc="dc2", cut=True)
+            await until(lambda: not cut.tail.up)
+            at = cut.fleet().sessions[cut.session].renewed
+            await until(lambda: cut.fleet().sessions[cut.session].renewed > at)
+            assert not cut.tail.up
+            context.renewed = [
+                r
+                for r in records(log)[at + 1 :]
+                if isinstance(r, SessionRenewed) and r.sessions == [cut.session]
+            ]
+            await control(address, "cut", dc="dc2", cut=False)
+            await until(lambda: cut.tail.up)
+
+    run(body())
+
+
+@then("the log gets renewals of its entry, and the entry reads them from its peer")
+def step_cut_renewed(context):
+    assert context.renewed
+
+
+@when("the loop of an entry was paused for 5 seconds")
+def step_pause(context):
+    async def body():
+        async with platform() as (_, address), entry(address) as process:
+            before = len(process._trace.kinds)
+            process._last_turn -= 5
+            process.handle(process.tick())
+            context.kinds = process._trace.kinds[before:]
+
+    run(body())
+
+
+@then("the reducer got Resumed before the next tick")
+def step_paused(context):
+    assert context.kinds == ["Resumed", "Tick"]
+
+
+@when("an operator sends records that only processes may append")
+def step_forbidden(context):
+    commands = [
+        {"type": "SliceGive", "units": {"limit/a": 1}},
+        {"type": "SessionClosed", "session": "s"},
+        {"type": "SessionEnded", "session": "s", "proof": "removed"}
+        | {"renewed_offset": 0},
+        {"type": "Unknown"},
+    ]
+
+    async def body():
+        async with platform() as (log, address), entry(address) as process:
+            context.answers = [
+                await call(process.http_address(), "POST", "/-/records", command)
+                for command in commands
+            ]
+            context.count = len(records(log))
+
+    run(body())
+
+
+@then("each is refused with PRP-2402 and the log is unchanged")
+def step_refused(context):
+    assert [a.status for a in context.answers] == [400] * 4
+    assert all(a.json()["code"] == "PRP-2402" for a in context.answers)
+    assert context.count == 1
--- /dev/null
+++ b/features/steps/wire_http.py
@@ -0,0 +1,352 @@
+"""Steps about frames and HTTP messages."""
+
+import asyncio
+import random
+import socket
+import struct
+
+from behave import given, then, when
+
+from features.wire_world import Listener, ask, run, scripted, until
+from primrosepitch import clock
+from primrosepitch.errors import FrameError, PeerUnavailableError
+from primrosepitch.gen.primrose.ttypes import (
+    Claim,
+    ClaimEntry,
+    FetchState,
+    Hello,
+    Status,
+    SyncedClaims,
+    TeamUsage,
+    Usage,
+)
+from primrosepitch.ids import CallId, ConnId, RequestId
+from primrosepitch.net import frames, peers
+from primrosepitch.net.http_client import Sending, connect
+from primrosepitch.net.http_messages import HttpRequest, HttpResponse
+from primrosepitch.net.http_server import HttpServer, ServerLimits
+from primrosepitch.net.peers import PeerClient, PeerServer
+
+HELLO = Hello(session="s", dc="d", generation=0, offset=3)
+OK = b"HTTP/1.1 200 OK\r\nprimrose-request-id: r-1\r\n"
+
+# Frames
+
+
+def _samples():
+    usage = Usage(
+        origin="s",
+        teams=[TeamUsage(queue="q", team="t", running=1, waiting=2)],
+        whole=True,
+    )
+    status = Status(
+        session="s",
+        generation=1,
+        offset=2,
+        usage=[usage],
+        processes=[],
+        pending_withdrawals=[b"k"],
+        log_contact=True,
+    )
+    row = ClaimEntry(request_id="r", holder="s", outcome=2, age_ms=5)
+    claims = SyncedClaims(epoch=1, complete=True, claims=[row])
+    return [HELLO, status, claims, Claim(session="s", request_id="r", epoch=1)]
+
+
+@when("3000 truncated and corrupt envelopes are decoded with seed 7")
+def step_fuzz(context):
+    rng = random.Random(7)
+    context.results = []
+    for number in range(3000):
+        sample = _samples()[number % 4]
+        data = bytearray(frames.encode_frame(frames.envelope(1, sample))[4:])
+        if number % 2:
+            data = data[: rng.randrange(len(data))]
+        else:
+            for _ in range(rng.randrange(1, 4)):
+                data[rng.randrange(len(data))] = rng.randrange(256)
+        try:
+            frames.decode_envelope(bytes(data))
+            context.results.append("decoded")
+        except FrameError:
+            context.results.append("refused")
+
+
+@then("each was decoded or raised FrameError")
+def step_fuzzed(context):
+    assert len(context.results) == 3000
+    assert context.results.count("refused") > 1500
+
+
+def _bad_frame(kind):
+    whole = frames.encode_frame(frames.envelope(1, HELLO))
+    return {
+        "truncated": whole[:-3],
+        "corrupt": struct.pack(">I", 8) + b"\xff" * 8,
+        "too long": struct.pack(">I", frames.MAX_FRAME_BYTES + 1),
+        "empty": struct.pack(">I", 0),
+    }[kind]
+
+
+@given("a peer server with one healthy connection")
+def step_peer_server(context):
+    context.server = PeerServer(lambda question: question.answer(HELLO))
+
+
+@when("another peer sends a {kind} frame")
+def step_bad_frame(context, kind):
+    async def body():
+        port = await context.server.listen("127.0.0.1", 0)
+        healthy = PeerClient(f"127.0.0.1:{port}")
+        await healthy.ask(HELLO, 5)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(_bad_frame(kind))
+        if kind == "truncated":
+            writer.write_eof()
+        context.rest = await reader.read()
+        context.answer = await healthy.ask(HELLO, 5)
+        context.connections = healthy.connections
+        healthy.close()
+        context.server.close()
+
+    run(body())
+
+
+@then("its connection is closed and the healthy one gets its answer")
+def step_bad_frame_closed(context):
+    assert context.rest == b""
+    assert context.answer == HELLO
+    assert context.connections == 1
+
+
+@when("three questions go to a peer that is silent on its first connection")
+def step_silent_peer(context):
+    async def body():
+        answer = frames.encode_frame(frames.envelope(3, HELLO))
+        async with scripted(None, answer) as (port, _, _):
+            client = PeerClient(f"127.0.0.1:{port}")
+            context.results = []
+            for timeout_s in (0.05, 0.05, 10):
+                try:
+                    await client.ask(FetchState(), timeout_s)
+                    context.results.append("answered")
+                except PeerUnavailableError:
+                    context.results.append("failed")
+            context.connections = client.connections
+            client.close()
+
+    run(body())
+
+
+@then("two fail at their deadline and the third is answered on a new connection")
+def step_silent_replaced(context):
+    assert context.results == ["failed"] * peers.SILENT_QUESTIONS + ["answered"]
+    assert context.connections == 2
+
+
+# HTTP server
+
+HEAD = b"POST /q/a HTTP/1.1\r\nhost: x\r\n"
+MIB = 1 << 20
+
+MESSAGES = {
+    "malformed": b"GET /q/a\r\nnonsense\r\n\r\n",
+    "bad chunk": HEAD + b"transfer-encoding: chunked\r\n\r\nxyz\r\n",
+    "long header": HEAD + b"a: " + b"x" * 20_000 + b"\r\n\r\n",
+    "long declared body": HEAD + b"content-length: %d\r\n\r\n" % (MIB + 1),
+    "long chunked body": HEAD
+    + b"transfer-encoding: chunked\r\n\r\n"
+    + (b"%x\r\n" % 65536 + b"x" * 65536 + b"\r\n") * 17,
+    "one body too many": HEAD + b"content-length: 900\r\n\r\n" + b"x" * 800,
+    "one caller too many": b"",
+}
+GOOD = b"GET /q/a HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n"
+
+
+async def _hold(address, data):
+    """Open a connection, send a part of a message and leave it."""
+    host, _, port = address.rpartition(":")
+    _, writer = await asyncio.open_connection(host, int(port))
+    writer.write(data)
+    return writer
+
+
+@when("a caller sends a {kind} message")
+def step_bad_message(context, kind):
+    limits = ServerLimits(connections=2)
+    if kind == "one body too many":
+        limits = ServerLimits(buffered_bytes=1000)
+    server = HttpServer(lambda e: e.respond(HttpResponse(200, [], b"ok")), limits)
+
+    async def body():
+        address = f"127.0.0.1:{await server.listen('127.0.0.1', 0)}"
+        held = []
+        if kind == "one body too many":
+            held = [await _hold(address, MESSAGES[kind])]
+            await until(lambda: server.buffered >= 800)
+        elif kind == "one caller too many":
+            held = [await _hold(address, b"") for _ in range(2)]
+            await until(lambda: len(server.connections) == 2)
+        context.result = await ask(address, MESSAGES[kind])
+        for writer in held:
+            writer.transport.abort()
+        await until(lambda: not server.connections)
+        context.buffered = server.buffered
+        context.next = await ask(address, GOOD)
+        await server.drain(0)
+
+    run(body())
+
+
+@then("it gets status {status:d} with code {code} and its connection is closed")
+def step_error(context, status, code):
+    assert context.result[0] == status, context.result
+    assert context.result[1][b"primrose-code"] == code.encode()
+    assert context.result[1][b"primrose-outcome"] == b"not-run"
+
+
+@then("the next caller is served")
+def step_next_served(context):
+    assert context.next[0] == 200
+    assert context.buffered == 0
+
+
+STALLS = {
+    "before its first byte": b"",
+    "inside the head": HEAD,
+    "inside the body": HEAD + b"content-length: 9\r\n\r\nabc",
+    "while taking its response": GOOD,
+}
+
+
+@when("a caller stalls {where}")
+def step_stall(context, where):
+    limits = ServerLimits(message_s=0.05, idle_s=5, write_s=0.05, unsent_bytes=64 * MIB)
+    big = HttpResponse(200, [], b"x" * 16 * MIB)
+    server = HttpServer(lambda e: e.respond(big), limits)
+
+    async def body():
+        port = await server.listen("127.0.0.1", 0)
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(sock, ("127.0.0.1", port))
+        await loop.sock_sendall(sock, STALLS[where])
+        await until(lambda: server.connections)
+        await until(lambda: not server.connections)
+        context.held = (server.buffered, server.unsent)
+        sock.close()
+        await server.drain(0)
+
+    run(body())
+
+
+@then("the server closes its connection and holds no bytes for it")
+def step_stalled(context):
+    assert context.held == (0, {})
+
+
+# Connections to endpoints
+
+ANSWERS = {
+    "truncated": OK + b"content-length: 20\r\n\r\nabc#close",
+    "closed": b"",
+    "crossed": OK.replace(b"r-1", b"r-2") + b"content-length: 0\r\n\r\n",
+    "anonymous": b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+    "endless": OK + b"\r\nabc#close",
+    "malformed": b"nonsense\r\n\r\n",
+    "odd status": OK.replace(b"200", b"777") + b"content-length: 0\r\n\r\n",
+    "long head": OK + b"a: " + b"x" * 20_000 + b"\r\ncontent-length: 0\r\n\r\n",
+    "long": OK + b"content-length: %d\r\n\r\n" % (MIB + 1),
+    "long chunked": OK
+    + b"transfer-encoding: chunked\r\n\r\n"
+    + (b"%x\r\n" % 65536 + b"x" * 65536 + b"\r\n") * 17,
+}
+
+
+def _sending(**values):
+    request = HttpRequest(
+        b"POST", b"/q/a", [(b"host", b"x"), (b"primrose-request-id", b"r-1")], b"body!"
+    )
+    after = clock.monotonic() + 60
+    fields = {"not_after": after, **values}
+    return Sending(
+        call=CallId(1), request=request, request_id=RequestId("r-1"), **fields
+    )
+
+
+def _exchange(context, answers, sending, ready=lambda listener: None):
+    """Send one request to a scripted endpoint and keep what was reported."""
+
+    async def body():
+        listener = context.listener = Listener()
+        async with scripted(*answers) as (port, received, writers):
+            conn = await connect(ConnId(1), "127.0.0.1", port, 5, listener)
+            await until(lambda: writers)
+            ready(writers[0])
+            if ready is not _silent:
+                await until(lambda: listener.seen)
+            conn.send(sending())
+            await until(lambda: listener.seen)
+            await asyncio.sleep(0)
+            context.state = conn.state.name
+            conn.abandon()
+        context.received = b"".join(received)
+
+    run(body())
+
+
+def _silent(writer):
+    """Let the endpoint send nothing before the request."""
+
+
+@when("an endpoint sends a {kind} answer")
+def step_bad_answer(context, kind):
+    _exchange(context, [ANSWERS[kind]], _sending, _silent)
+
+
+@then("the exchange fails as {failure} and the connection is closed")
+def step_exchange_failed(context, failure):
+    assert context.listener.seen == [failure], context.listener.seen
+    assert context.state == "CLOSED"
+
+
+@when("a request is sent after its time")
+def step_too_late(context):
+    late = clock.monotonic() - 1
+    _exchange(context, [b""], lambda: _sending(not_after=late), _silent)
+
+
+@then("the endpoint got no byte and the send was reported as skipped")
+def step_skipped(context):
+    assert context.listener.seen == ["skipped", "gone"]
+    assert context.received == b""
+
+
+@when("an endpoint sends bytes that nobody asked for")
+def step_unexpected(context):
+    unasked = lambda writer: writer.write(OK + b"content-length: 0\r\n\r\n")  # noqa: E731
+    _exchange(context, [b""], _sending, unasked)
+
+
+@then("the connection is reported as closed and a send on it as not sent")
+def step_unexpected_closed(context):
+    assert context.listener.seen == ["gone", "not_sent"]
+    assert context.received == b""
+
+
+@when("a request that expects 100 Continue gets {first:d}")
+def step_expect(context, first):
+    answer = OK.replace(b"200", str(first).encode()) + b"content-length: 0\r\n\r\n"
+    if first == 100:
+        answer = [b"HTTP/1.1 100 Continue\r\n\r\n", OK + b"content-length: 0\r\n\r\n"]
+    _exchange(context, [answer], lambda: _sending(expect=True), _silent)
+
+
+@then("the endpoint got {count:d} bytes of the body and the result is {result}")
+def step_expected(context, count, result):
+    assert context.listener.seen == [result], context.listener.seen
+    head, _, body = context.received.partition(b"\r\n\r\n")
+    assert b"expect: 100-continue" in head
+    assert len(body) == count
--- a/primrosepitch/bin/daemon.py
+++ b/primrosepitch/bin/daemon.py
@@ -44,6 +44,7 @@
     Record,
     Role,
     SessionClosed,
+    SessionEnded,
     SessionOpened,
     SessionRenewed,
     decode_record,
@@ -77,8 +78,10 @@
 
 FAST_TICK_S = 0.05
 SLOW_TICK_S = 1.0
+BEAT_S = 0.5
 PAUSE_S = 1.0
-"""A gap between two turns of the loop, beyond the tick, that counts as a pause."""
+"""A gap between two turns of the loop that counts as a pause; the loop turns at least
+every ``BEAT_S`` otherwise."""
 
 STATUS_S = 1.0
 CLOSE_S = 5.0
@@ -96,7 +99,7 @@
 
     A subclass sets ``role`` and ``events`` (the module of its reducer's events) and
     overrides the hooks ``fleet``, ``step``, ``perform``, and, if needed, ``tick``,
-    ``open``, ``close``, ``is_busy``, ``peer_message``, ``status_for``,
+    ``open``, ``drain``, ``close``, ``is_busy``, ``peer_message``, ``status_for``,
     ``pending_withdrawals``, ``each_second``, ``record_folded``. It calls ``finish``
     when its reducer reports that all work has ended.
 
@@ -115,8 +118,10 @@
         self.peer_port = settings.peer_port
         self.peers = Membership(self.session, settings.dc, settings.seeds)
         self.platform = PlatformClient(settings.platform, settings.dc)
-        self.appender = Appender(self.platform, self.session, self._confirmed)
         self.tail = Tail(self.platform, self, self.peers, self.session)
+        self.appender = Appender(
+            self.platform, self.session, self._confirmed, self.tail.note_appended
+        )
         self._trace = trace
         self._peer_server = PeerServer(self._peer_message)
         self._queue: deque[Any] = deque()
@@ -157,6 +162,9 @@
     async def open(self) -> None:
         """Open further sockets, after the peer address has been bound."""
 
+    async def drain(self) -> None:
+        """Let callers take what was written, at the end of a graceful stop."""
+
     def close(self) -> None:
         """Close them."""
 
@@ -214,14 +222,23 @@
 
         Effects can cause further events; those wait until all effects are carried out.
         """
+        self._note_turn()
+        self._queue.append(event)
+        self._run_queue()
+        if self.is_busy():
+            self._wake.set()
+
+    def _note_turn(self) -> None:
+        """Queue ``Resumed`` if the process was paused since the last turn."""
         now = clock.monotonic()
         gap = now - self._last_turn
         self._last_turn = now
-        if gap > SLOW_TICK_S + PAUSE_S:
+        if gap > PAUSE_S:
             emit(RESUMED, gap_s=round(gap, 3))
             self.tail.recheck()
             self._queue.append(self.events.Resumed(now=now, gap=gap))
-        self._queue.append(event)
+
+    def _run_queue(self) -> None:
         if self._handling:
             return
         self._handling = True
@@ -230,8 +247,6 @@
                 self._step(self._queue.popleft())
         finally:
             self._handling = False
-        if self.is_busy():
-            self._wake.set()
 
     def _step(self, event: Any) -> None:
         effects = self.step(event)
@@ -265,7 +280,7 @@
         read = self.events.RecordRead
         self.handle(read(now=clock.monotonic(), offset=offset, record=record))
         self.appender.record_read(record, outcome)
-        if isinstance(record, SessionOpened | SessionClosed):
+        if isinstance(record, SessionOpened | SessionClosed | SessionEnded):
             self.peers.update(self.fleet())
             self._check_session()
         self.record_folded(offset, record)
@@ -416,11 +431,18 @@
             http=self.http_address(),
             peers=f"{address}:{self.peer_port}",
         )
-        loops = (self.tail.run, self.appender.run, self._ticks, self._seconds)
+        loops = (
+            self.tail.run,
+            self.appender.run,
+            self._ticks,
+            self._beats,
+            self._seconds,
+        )
         tasks = [asyncio.ensure_future(self._forever(body)) for body in loops]
         await self._finished.wait()
         if self._close_session:
             await self._append_closing()
+        await self.drain()
         await self._end(tasks)
         emit(STOPPED, session=self.session, exit_code=self._exit_code)
         return self._exit_code
@@ -456,6 +478,10 @@
             raise
 
     async def _append_closing(self) -> None:
+        """Close the session; one whose opening is under way is waited for."""
+        deadline = clock.monotonic() + CLOSE_S
+        while self.appender.pending(SessionOpened) and clock.monotonic() < deadline:
+            await asyncio.sleep(FAST_TICK_S)
         own = self.fleet().sessions.get(self.session)
         if own is None or own.state is not SessionState.OPEN:
             return
@@ -488,6 +514,13 @@
                     continue
             self.handle(self.tick())
 
+    async def _beats(self) -> None:
+        """Turn the loop often enough to notice any pause above ``PAUSE_S``."""
+        while True:
+            await asyncio.sleep(BEAT_S)
+            self._note_turn()
+            self._run_queue()
+
     async def _seconds(self) -> None:
         """Report to peers and look after the session each second."""
         while True:
--- a/primrosepitch/bin/entry.py
+++ b/primrosepitch/bin/entry.py
@@ -89,6 +89,10 @@
 CLAIM_S = 0.5
 SYNC_S = 3.0
 ANSWER_S = 2.0
+DRAIN_S = 2.0
+
+FRESH_S = 5.0
+"""Age up to which figures of another data centre are passed on."""
 
 SYNC_ROWS = 4096
 """Claims in one frame; a frame has at most 1 MiB."""
@@ -167,6 +171,7 @@
         self._last_call = 0
         self._last_token = 0
         self._usage: dict[str, Table] = {}
+        self._heard: dict[str, float] = {}
         self._own = Sender(self.session)
         self._dc_sums = Sender(settings.dc)
         self._relayed: dict[str, Sender] = {}
@@ -207,8 +212,12 @@
         address = self.settings.address
         self.http_port = await self.server.listen(address, self.http_port)
 
+    async def drain(self) -> None:
+        """Let callers take their responses."""
+        await self.server.drain(DRAIN_S)
+
     def close(self) -> None:
-        """Close all connections of callers and to endpoints."""
+        """Close all connections."""
         self.server.abort()
         for task in self._connecting.values():
             task.cancel()
@@ -560,6 +569,7 @@
                 continue
             table = take(self._usage.get(usage.origin, {}), usage)
             self._usage[usage.origin] = table
+            self._heard[usage.origin] = now
             self.handle(
                 events.UsageReported(
                     now=now,
@@ -594,12 +604,24 @@
         """Prepare the figures of this second and report to other data centres."""
         known = {*self.fleet().sessions, *self.peers.lowest_entries()}
         for origin in [o for o in self._usage if not self._is_origin(o, known)]:
-            del self._usage[origin]
+            del self._usage[origin], self._heard[origin]
         self._own.update(figures(self.state.running, self.state.waiting()))
+        self._own.forget(self.peers.of_dc())
+        for dc in self.peers.lowest_entries():
+            self._relayed.setdefault(dc, Sender(dc))
         for origin, sender in self._relayed.items():
             sender.update(dict(self._usage.get(origin, {})))
+            if not self._is_lowest() or not self._is_fresh(origin):
+                # Peers that miss a change get the whole table next time.
+                sender.forget(())
         if self._is_lowest():
             self._report_dc()
+        else:
+            self._dc_sums.forget(())
+
+    def _is_fresh(self, origin: str) -> bool:
+        heard = self._heard.get(origin)
+        return heard is not None and clock.monotonic() - heard < FRESH_S
 
     def _is_origin(self, origin: str, known: set[Any]) -> bool:
         return origin in known or origin in self.fleet().epochs
@@ -624,9 +646,9 @@
         """Return the report for a peer of the own data centre."""
         usage = [self._own.report(session, connection)]
         if self._is_lowest():
-            for dc in self.peers.lowest_entries():
-                sender = self._relayed.setdefault(dc, Sender(dc))
-                usage.append(sender.report(session, connection))
+            for dc, sender in self._relayed.items():
+                if self._is_fresh(dc):
+                    usage.append(sender.report(session, connection))
         return self.status(usage)
 
     def pending_withdrawals(self) -> list[bytes]:
@@ -717,6 +739,9 @@
         entry.answer(effect.call, error_response(error, "unknown"), "unknown")
         return
     kept = without_hop_headers(found.response.headers)
+    if found.exchange.request.method == b"HEAD":
+        length = header(found.response.headers, b"content-length")
+        kept += [(b"content-length", length)] if length is not None else []
     headers = [(k, v) for k, v in kept if k not in ANSWER_HEADERS]
     headers.append((b"primrose-outcome", b"answered"))
     response = HttpResponse(found.response.status, headers, found.response.body)
--- a/primrosepitch/bin/operators.py
+++ b/primrosepitch/bin/operators.py
@@ -11,6 +11,7 @@
 from primrosepitch import clock
 from primrosepitch.config.model import Document
 from primrosepitch.errors import (
+    AppendUnconfirmedError,
     LogUnavailableError,
     MessageError,
     NoStateError,
@@ -23,8 +24,17 @@
 from primrosepitch.fleet.records import (
     AnyRecord,
     ConfigPublished,
+    DrainCancelled,
+    DrainStarted,
+    KeyGiven,
     KeyWithdrawn,
+    Proof,
     Record,
+    SessionEnded,
+    WaveCancelled,
+    WavePaused,
+    WaveResumed,
+    WaveStarted,
 )
 from primrosepitch.fleet.state import FleetState
 from primrosepitch.ids import KeyId, Offset, RecordId, SessionId
@@ -34,6 +44,20 @@
 
 __all__ = ["OperatorsApi", "Publication"]
 
+COMMANDS = (
+    DrainCancelled,
+    DrainStarted,
+    KeyGiven,
+    KeyWithdrawn,
+    SessionEnded,
+    WaveCancelled,
+    WavePaused,
+    WaveResumed,
+    WaveStarted,
+)
+"""Records that operators may append. The others speak for a process: a slice given
+back over its head, or a session closed while it runs, would overdraw a count."""
+
 CONFIRM_S = 5.0
 """Time for a command to be read back; the roll-out has 7 s."""
 
@@ -201,9 +225,18 @@
     async def _record(self, request: HttpRequest) -> HttpResponse:
         record = _decode_record(request.body)
         if isinstance(record, KeyWithdrawn) and not self._process.log_up():
-            self._process.withdraw_pending(record.key_id)
-            return _json({"pending": True}, 202)
-        return await self._append(record)
+            return self._withdraw(record)
+        try:
+            return await self._append(record)
+        except AppendUnconfirmedError:
+            if isinstance(record, KeyWithdrawn):
+                return self._withdraw(record)
+            raise
+
+    def _withdraw(self, record: KeyWithdrawn) -> HttpResponse:
+        """Withdraw a key without the log; the entries tell each other."""
+        self._process.withdraw_pending(record.key_id)
+        return _json({"pending": True}, 202)
 
     async def _append(self, record: Record) -> HttpResponse:
         self._check_ready()
@@ -239,6 +272,12 @@
         found: AnyRecord = msgspec.convert(raw, AnyRecord)
     except (ValueError, RecursionError) as exc:
         raise MessageError(str(exc)) from exc
+    if not isinstance(found, COMMANDS):
+        raise MessageError(f"{type(found).__name__} is no operator's command")
+    if isinstance(found, SessionEnded) and found.proof is not Proof.FENCED:
+        raise MessageError("an operator ends a session by the proof 'fenced' only")
+    if isinstance(found, DrainStarted) and found.term is not None:
+        raise MessageError("only planners hold a lease term")
     return found
 
 
--- a/primrosepitch/fleet/snapshot.py
+++ b/primrosepitch/fleet/snapshot.py
@@ -17,6 +17,7 @@
     "WholeSnapshot",
     "decode_state",
     "encode_state",
+    "pack_state",
     "rebase",
     "snapshot_records",
 ]
@@ -56,6 +57,11 @@
         raise FrameError(f"a snapshot is corrupt: {exc}") from exc
 
 
+def pack_state(state: FleetState) -> bytes:
+    """Return the plain encoding that the event ``StateLoaded`` carries."""
+    return _encoder.encode(state)
+
+
 def snapshot_records(
     state: FleetState, by: SessionId, generation: int | None = None
 ) -> list[Snapshot]:
--- a/primrosepitch/net/appender.py
+++ b/primrosepitch/net/appender.py
@@ -11,10 +11,14 @@
 import msgspec
 
 from primrosepitch import clock
-from primrosepitch.errors import AppendUnconfirmedError, LogUnavailableError
+from primrosepitch.errors import (
+    AppendUnconfirmedError,
+    LogUnavailableError,
+    MessageTooLargeError,
+)
 from primrosepitch.fleet.fold import Outcome
 from primrosepitch.fleet.records import Record, encode_record, new_record_id
-from primrosepitch.ids import RecordId, SessionId
+from primrosepitch.ids import Offset, RecordId, SessionId
 from primrosepitch.net.platform import PlatformClient
 
 __all__ = ["STREAM", "Appender"]
@@ -24,6 +28,9 @@
 READ_BACK_S = 3.0
 """Time after an accepted append in which the record is expected to be read back."""
 
+MAX_RECORD_BYTES = 256 * 1024
+"""The log refuses longer records, and a refused one would hold up all others."""
+
 FIRST_BACKOFF_S = 0.1
 LAST_BACKOFF_S = 2.0
 
@@ -58,6 +65,8 @@
     :param session: session that appends
     :param on_confirmed: is told each record that was read back, with the boot-time
         clock before it was first sent
+    :param on_accepted: is told the offset of each accepted record that has not been
+        read back
     """
 
     def __init__(
@@ -65,6 +74,7 @@
         platform: PlatformClient,
         session: SessionId,
         on_confirmed: Callable[[Record, float], None] = lambda record, sent: None,
+        on_accepted: Callable[[Offset], None] = lambda offset: None,
     ) -> None:
         """Send nothing yet."""
         self._platform = platform
@@ -74,12 +84,14 @@
         self._wake = asyncio.Event()
         self._read = asyncio.Event()
         self._on_confirmed = on_confirmed
+        self._on_accepted = on_accepted
 
     def append(self, record: Record) -> RecordId:
         """Send a record until it has been read back.
 
         :param record: its id, session and time are filled in
         :returns: its id
+        :raises MessageTooLargeError: if it is longer than the log allows
         """
         return self._add(record).record.record_id
 
@@ -89,6 +101,7 @@
         :returns: whether it was accepted, or why it is void
         :raises AppendUnconfirmedError: if it was not read back in time; it is not sent
             again
+        :raises MessageTooLargeError: if it is longer than the log allows
         """
         pending = self._add(record)
         pending.confirmed = asyncio.get_running_loop().create_future()
@@ -142,7 +155,10 @@
         stamped: Any = msgspec.structs.replace(
             record, record_id=new_record_id(), by=self._session, at=clock.wall()
         )
-        pending = Pending(stamped, encode_record(stamped))
+        data = encode_record(stamped)
+        if len(data) > MAX_RECORD_BYTES:
+            raise MessageTooLargeError(f"a record of {len(data)} bytes")
+        pending = Pending(stamped, data)
         self._pending[stamped.record_id] = pending
         self._queue.append(stamped.record_id)
         self._wake.set()
@@ -198,8 +214,10 @@
                 await asyncio.wait((attempt, read), return_when=asyncio.FIRST_COMPLETED)
                 read.cancel()
                 if attempt.done():
-                    attempt.result()
+                    offset = attempt.result()
                     pending.accepted = True
+                    if pending.record.record_id in self._pending:
+                        self._on_accepted(offset)
                     return True
                 if pending.record.record_id not in self._pending:
                     return True
--- a/primrosepitch/net/http_client.py
+++ b/primrosepitch/net/http_client.py
@@ -18,6 +18,7 @@
     HttpRequest,
     HttpResponse,
     header,
+    header_bytes,
 )
 from primrosepitch.request.events import Failure
 
@@ -25,6 +26,7 @@
 
 REQUEST_ID = b"primrose-request-id"
 EXPECTATION_FAILED = 417
+STATUSES = range(200, 600)
 
 
 class Sending(msgspec.Struct, frozen=True):
@@ -251,12 +253,17 @@
             self._fail(Failure.NOT_SENT)
             return
         headers: Headers = list(head.headers)
-        if header(headers, REQUEST_ID) != sending.request_id.encode():
+        if head.status_code not in STATUSES:
+            self._fail(Failure.MALFORMED)
+        elif header(headers, REQUEST_ID) != sending.request_id.encode():
             self._fail(Failure.CROSSED)
         elif not _delimited(sending.request.method, head):
             # Without a length, a truncated body looks like a whole one.
             self._fail(Failure.MALFORMED)
-        elif int(header(headers, b"content-length") or 0) > MAX_BODY_BYTES:
+        elif (
+            header_bytes(headers) > MAX_HEADER_BYTES
+            or int(header(headers, b"content-length") or 0) > MAX_BODY_BYTES
+        ):
             self._fail(Failure.TOO_LARGE)
         else:
             self._head = head
--- a/primrosepitch/net/http_messages.py
+++ b/primrosepitch/net/http_messages.py
@@ -11,6 +11,7 @@
     "HttpRequest",
     "HttpResponse",
     "header",
+    "header_bytes",
     "without_hop_headers",
 ]
 
@@ -65,6 +66,15 @@
     return None
 
 
+def header_bytes(headers: Headers) -> int:
+    """Return the bytes of a header section.
+
+    h11 bounds only heads that are incomplete, so one that arrives in a single read can
+    be longer than its limit.
+    """
+    return sum(len(name) + len(value) + 4 for name, value in headers)
+
+
 def without_hop_headers(headers: Headers) -> Headers:
     """Return the fields that may be passed on, without those of one connection."""
     named = {
--- a/primrosepitch/net/http_server.py
+++ b/primrosepitch/net/http_server.py
@@ -23,10 +23,13 @@
     Headers,
     HttpRequest,
     HttpResponse,
+    header_bytes,
 )
 
 __all__ = ["Exchange", "HttpServer", "ServerLimits", "error_response"]
 
+DRAIN_POLL_S = 0.01
+
 _REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
@@ -35,6 +38,8 @@
 
     :param connections: most open connections; more are refused at once
     :param buffered_bytes: most bytes of request bodies held for all connections
+    :param unsent_bytes: most bytes of responses that callers have not taken; beyond
+        it the caller that has stalled for longest is closed
     :param message_s: time from the first byte of a request to its last
     :param idle_s: time that a connection may wait for its next request
     :param write_s: time in which the caller must take a response
@@ -42,6 +47,7 @@
 
     connections: int = 1000
     buffered_bytes: int = 4 << 20
+    unsent_bytes: int = 4 << 20
     message_s: float = 10.0
     idle_s: float = 75.0
     write_s: float = 10.0
@@ -92,6 +98,7 @@
         self.handler = handler
         self.connections: set[_Connection] = set()
         self.buffered = 0
+        self.unsent: dict[_Connection, int] = {}
         self.stopping = False
         self._server: asyncio.Server | None = None
 
@@ -116,12 +123,31 @@
         for conn in list(self.connections):
             conn.close_if_idle()
 
+    async def drain(self, timeout_s: float) -> None:
+        """Stop listening, let callers take their responses, then close everything."""
+        self.stop_listening()
+        deadline = clock.monotonic() + timeout_s
+        while self.connections and clock.monotonic() < deadline:
+            await asyncio.sleep(DRAIN_POLL_S)
+        self.abort()
+
     def abort(self) -> None:
-        """Close everything at once."""
+        """Stop listening and close everything at once."""
         self.stop_listening()
         for conn in list(self.connections):
             conn.abort()
 
+    def note_unsent(self, conn: _Connection, size: int) -> None:
+        """Note bytes that a caller has not taken, and close the slowest beyond a bound.
+
+        :param size: bytes that wait; 0 when the caller has taken all
+        """
+        self.unsent.pop(conn, None)
+        if size:
+            self.unsent[conn] = size
+        while sum(self.unsent.values()) > self.limits.unsent_bytes:
+            next(iter(self.unsent)).abort()
+
 
 class _Connection(asyncio.Protocol):
     """Connection of a caller."""
@@ -155,8 +181,10 @@
 
     def data_received(self, data: bytes) -> None:
         if self._closing:
+            # Read and dropped: closing with unread bytes would reset the connection
+            # and destroy the error before the caller has read it.
             return
-        if self._exchange is not None:
+        if self._exchange is not None or self._writing:
             # A pipelined request waits in h11; the caller must not send without end.
             self._waiting_bytes += len(data)
             if self._waiting_bytes > MAX_HEADER_BYTES and self._transport:
@@ -171,6 +199,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._server.connections.discard(self)
+        self._server.unsent.pop(self, None)
         self._release()
         if self._timer is not None:
             self._timer.cancel()
@@ -187,8 +216,11 @@
 
     def resume_writing(self) -> None:
         self._writing = False
-        if self._exchange is None and not self._closing:
-            self._set_deadline(self._limits.idle_s)
+        self._server.note_unsent(self, 0)
+        if self._exchange is not None:
+            self._deadline = 0.0
+        elif not self._closing:
+            self._next_request()
 
     # Reading
 
@@ -203,7 +235,7 @@
 
     def _pump(self) -> None:
         """Handle the events that h11 has, up to the end of one request."""
-        while self._exchange is None and not self._closing:
+        while self._exchange is None and not self._writing and not self._closing:
             event = self._h11.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 if self._h11.they_are_waiting_for_100_continue:
@@ -224,6 +256,10 @@
 
     def _begin(self, head: h11.Request) -> None:
         self._head = head
+        size = len(head.target) + header_bytes(list(head.headers))
+        if size > MAX_HEADER_BYTES:
+            self._fail(MessageTooLargeError(f"headers of {size} bytes"))
+            return
         for name, value in head.headers:
             if name == b"content-length" and int(value) > MAX_BODY_BYTES:
                 self._fail(MessageTooLargeError(f"body of {int(value)} bytes"))
@@ -271,17 +307,19 @@
             self._close()
             return
         self._h11.start_next_cycle()
-        self._waiting_bytes = 0
-        self._transport.resume_reading()
         if not self._writing:
-            self._set_deadline(self._limits.idle_s)
-        self._receive_waiting()
+            self._next_request()
 
-    def _receive_waiting(self) -> None:
-        """Handle a pipelined request in the next turn of the loop."""
+    def _next_request(self) -> None:
+        """Wait for the next request, or handle a pipelined one in the next turn."""
+        if self._transport is not None:
+            self._waiting_bytes = 0
+            self._transport.resume_reading()
         if self._h11.trailing_data[0]:
             self._set_deadline(self._limits.message_s)
             self._loop.call_soon(self._resume)
+        else:
+            self._set_deadline(self._limits.idle_s)
 
     def _resume(self) -> None:
         if self._transport is not None and not self._closing:
@@ -295,12 +333,14 @@
         self._release()
         if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self._send(error_response(error), close=True)
-        self._close()
+        self._linger()
 
     def _send(self, response: HttpResponse, close: bool) -> None:
         head = bytes(self._head.method) if self._head is not None else b""
         headers: Headers = [*response.headers]
-        headers.append((b"content-length", str(len(response.body)).encode()))
+        told = any(name == b"content-length" for name, _ in headers)
+        if not told and response.status != 204:
+            headers.append((b"content-length", str(len(response.body)).encode()))
         if close:
             headers.append((b"connection", b"close"))
         start = h11.Response(
@@ -317,6 +357,9 @@
     def _write(self, data: bytes | None) -> None:
         if data and self._transport is not None:
             self._transport.write(data)
+            left = self._transport.get_write_buffer_size()
+            if left:
+                self._server.note_unsent(self, left)
 
     # Closing
 
@@ -338,6 +381,15 @@
         self._set_deadline(self._limits.write_s)
         self._transport.close()
 
+    def _linger(self) -> None:
+        """End the sending side and drop what comes, until the caller closes."""
+        if self._transport is None or self._closing:
+            return
+        self._closing = True
+        self._set_deadline(self._limits.write_s)
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+
     def _set_deadline(self, seconds: float) -> None:
         self._deadline = clock.monotonic() + seconds
         if self._timer is None or self._timer.when() > self._loop.time() + seconds:
--- a/primrosepitch/net/tail.py
+++ b/primrosepitch/net/tail.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import deque
 from typing import Protocol, TypeGuard, cast
 
 import msgspec
 
+from primrosepitch import clock
 from primrosepitch.errors import FrameError, LogUnavailableError
 from primrosepitch.events import (
     LOG_WENT_BACK,
@@ -28,7 +30,7 @@
     SnapshotCollector,
     WholeSnapshot,
     decode_state,
-    encode_state,
+    pack_state,
     rebase,
     snapshot_records,
 )
@@ -43,6 +45,10 @@
 """Time that a read may wait. A connection that goes silent is noticed after this time
 and the read's own timeout, so it must stay well below the 7 s of a roll-out."""
 
+VERIFY_S = 0.25
+"""A page is folded only if the record before it was compared this recently: a log that
+was truncated and has grown again looks as if it went on."""
+
 RETRY_S = 0.5
 PAGE_RECORDS = 32
 KEPT_RECORDS = 512
@@ -96,6 +102,10 @@
     """Follows the log for the owner of a state.
 
     :param session: own session, for snapshots
+
+    ``ready`` is set once a state has been read, ``up`` tells whether the last read
+    succeeded, ``low`` and ``high`` are the ends of the log at that read, and ``kept``
+    holds the newest records for peers.
     """
 
     def __init__(
@@ -108,6 +118,8 @@
         """Read nothing yet."""
         self.ready = asyncio.Event()
         self.up = False
+        self.low = NOTHING_READ
+        self.high = NOTHING_READ
         self.kept: deque[tuple[Offset, bytes]] = deque()
         self._kept_bytes = 0
         self._platform = platform
@@ -115,7 +127,7 @@
         self._peers = peers
         self._session = session
         self._collector = SnapshotCollector()
-        self._verified = False
+        self._verified = float("-inf")
         self._back_offset: Offset | None = None
         self._highest_seen = 0
 
@@ -127,7 +139,7 @@
                 self._contact(True)
             except LogUnavailableError:
                 self._contact(False)
-                self._verified = False
+                self.recheck()
                 await self._follow_peers()
                 await asyncio.sleep(RETRY_S)
 
@@ -140,8 +152,16 @@
         self._highest_seen = max(self._highest_seen, generation)
 
     def recheck(self) -> None:
-        """Check the position again, after a pause of the process."""
-        self._verified = False
+        """Compare the record that was read last before folding another one."""
+        self._verified = float("-inf")
+
+    def note_appended(self, offset: Offset) -> None:
+        """Note where the log put a record that was not read back yet.
+
+        An offset that was read already shows that the log went back.
+        """
+        if offset <= self._target.fleet().offset:
+            self.recheck()
 
     def records_from(self, start: Offset) -> list[tuple[Offset, bytes]]:
         """Return kept records from an offset on, without a gap; else nothing."""
@@ -154,7 +174,11 @@
         fleet = self._target.fleet()
         if not self.ready.is_set():
             await self._first_read()
-        elif self._highest_seen > fleet.generation or not await self._verify():
+        elif (
+            self._back_offset is not None
+            or self._highest_seen > fleet.generation
+            or not await self._verify(math.inf)
+        ):
             await self._recover()
         else:
             await self._follow()
@@ -162,6 +186,12 @@
     async def _first_read(self) -> None:
         """Load the newest snapshot if the log no longer has its first record."""
         bounds = await self._platform.bounds(STREAM)
+        if any(p > (0, bounds.high) for p in await self._peers.positions()):
+            # The log went back, and the peers are about to write a snapshot.
+            await self._load_from_peers()
+            if not self.ready.is_set():
+                await asyncio.sleep(RETRY_S)
+            return
         if bounds.low > 0:
             found = await self._scan(bounds)
             if found is None or not self._load(found):
@@ -169,7 +199,6 @@
                 if not self.ready.is_set():
                     await asyncio.sleep(RETRY_S)
                 return
-        self._verified = True
         await self._catch_up(bounds.high)
         self.ready.set()
 
@@ -191,6 +220,12 @@
             self._note_went_back(page)
             await self._recover()
             return
+        self.low, self.high = page.low, page.high
+        if page.records and page.records[0][0] != start:
+            # A faulty log must not keep the process busy.
+            await asyncio.sleep(RETRY_S)
+        if page.records and not await self._verify(VERIFY_S):
+            return
         for offset, data in page.records:
             if offset != self._target.fleet().offset + 1:
                 break
@@ -249,7 +284,7 @@
         self._kept_bytes = 0
         self._collector = SnapshotCollector()
         self._back_offset = None
-        self._target.state_loaded(b"".join(encode_state(state)))
+        self._target.state_loaded(pack_state(state))
         return True
 
     async def _scan(self, bounds: LogPage) -> WholeSnapshot | None:
@@ -284,13 +319,14 @@
 
     # Logs that went back
 
-    async def _verify(self) -> bool:
-        """Check after an outage that the log still holds the record read last.
+    async def _verify(self, age_s: float) -> bool:
+        """Check that the log still holds the record that was read last.
 
-        A log that was restored and has grown since can look as if it went on.
+        :param age_s: age up to which an earlier check is good enough
         """
         fleet = self._target.fleet()
-        if self._verified or fleet.offset < 0:
+        age = clock.monotonic() - self._verified
+        if age < age_s or fleet.offset < 0:
             return True
         try:
             page = await self._platform.read(STREAM, fleet.offset, 1)
@@ -301,15 +337,18 @@
             return False
         offset, data = page.records[0]
         record = _decode(offset, data)
-        known = isinstance(record, Snapshot) or record.record_id in fleet.recent
-        if not known:
+        loaded = isinstance(record, Snapshot) and (
+            record.generation == fleet.generation
+        )
+        if record.record_id not in fleet.recent and not loaded:
             self._note_went_back(page)
-        self._verified = known
-        return known
+            return False
+        self._verified = clock.monotonic()
+        return True
 
     def _note_went_back(self, page: LogPage) -> None:
         fleet = self._target.fleet()
-        if self._back_offset != page.high:
+        if self._back_offset is None:
             self._back_offset = page.high
             emit(
                 LOG_WENT_BACK,
@@ -324,7 +363,6 @@
         bounds = await self._platform.bounds(STREAM)
         found = await self._scan(bounds)
         if found is not None and self._acceptable(found) and self._load(found):
-            self._verified = True
             return
         gone_back = self._back_offset is not None
         if not gone_back:
