Keep answering while the balancer learns that an entry stops

Cause: a stopping entry closed its listening socket as soon as its last request had ended; connections waiting to be accepted were reset with their requests, and the callers counted 4 to 6 lost answers. Change: a stopping entry answers 'not run, stopping' for at least 1 s before it closes the socket; the callers' stand-in avoids an entry that said so.

--- a/primrosepitch/bin/entry.py
+++ b/primrosepitch/bin/entry.py
@@ -91,6 +91,10 @@
 ANSWER_S = 2.0
 DRAIN_S = 2.0
 
+LAME_DUCK_S = 1.0
+"""Time for which a stopping entry answers that it is stopping, so that the balancer
+sends its callers elsewhere before the listening socket closes."""
+
 FRESH_S = 5.0
 """Age up to which figures of another data centre are passed on."""
 
@@ -170,6 +174,7 @@
         self._questions: dict[int, Question] = {}
         self._last_call = 0
         self._last_token = 0
+        self._listen_until = 0.0
         self._usage: dict[str, Table] = {}
         self._heard: dict[str, float] = {}
         self._own = Sender(self.session)
@@ -213,7 +218,8 @@
         self.http_port = await self.server.listen(address, self.http_port)
 
     async def drain(self) -> None:
-        """Let callers take their responses."""
+        """Let the balancer choose other entries and callers take their responses."""
+        await asyncio.sleep(self._listen_until - clock.monotonic())
         await self.server.drain(DRAIN_S)
 
     def close(self) -> None:
@@ -227,6 +233,7 @@
     def stop(self) -> None:
         """Begin a graceful stop."""
         self.server.stopping = True
+        self._listen_until = clock.monotonic() + LAME_DUCK_S
         super().stop()
 
     def http_address(self) -> str:
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -42,6 +42,9 @@
 POST_PART = 0.5
 OWN_ID_PART = 0.5
 REPEAT_PART = 0.2
+STOPPING_CODE = "PRP-2401"
+"""Code of a stopping entry; the balancer would no longer choose it."""
+
 GRACE_S = 5.0
 """Time beyond the deadline after which a request without an answer is lost."""
 
@@ -119,6 +122,7 @@
         weights = [k.weight for k in plan.kinds]
         self.plan = plan
         self.sent = 0
+        self._stopping: set[str] = set()
         self.totals = Totals(
             ends={k.name: Counter() for k in plan.kinds},
             refused_ids=set(),
@@ -154,13 +158,18 @@
     async def _work(self, waiting: Iterator[Request]) -> None:
         clients = {e: Client(e) for dc in self.plan.entries for e in dc}
         for request in waiting:
-            await self._send([clients[e] for e in request.entries], request)
+            await self._send(self._healthy(clients, request.entries), request)
             if request.repeat:
-                again = [clients[e] for e in reversed(request.entries)]
+                again = self._healthy(clients, request.entries[::-1])
                 await self._send(again, request)
         for client in clients.values():
             client.close()
 
+    def _healthy(self, clients: dict[str, Client], entries: list[str]) -> list[Client]:
+        """Return the clients of entries, those that are not stopping first."""
+        order = sorted(entries, key=lambda e: e in self._stopping)
+        return [clients[e] for e in order]
+
     async def _send(self, clients: list[Client], request: Request) -> None:
         """Send a request to the first entry that accepts a connection.
 
@@ -186,6 +195,8 @@
             self.totals.ends[request.kind.name]["lost"] += 1
             self.totals.other_ids.add(request.request_id)
             return
+        if answer.headers.get("primrose-code") == STOPPING_CODE:
+            self._stopping.add(client.address)
         self._count(request, answer, body, time.monotonic() - began)
 
     def _count(
--- a/standins/http.py
+++ b/standins/http.py
@@ -273,7 +273,7 @@
 
     def __init__(self, address: str) -> None:
         """Keep the address; the first request connects."""
-        self._address = address
+        self.address = address
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
         self._conn = h11.Connection(h11.CLIENT)
 
@@ -314,7 +314,7 @@
         if self._streams is not None and self._streams[0].at_eof():
             self.close()
         if self._streams is None:
-            self._streams = await asyncio.open_connection(*split_address(self._address))
+            self._streams = await asyncio.open_connection(*split_address(self.address))
             self._conn = h11.Connection(h11.CLIENT)
         return self._streams
 
@@ -323,7 +323,7 @@
     ) -> Response:
         reader, writer = await self.connect()
         conn = self._conn
-        head = [("Host", self._address), ("Content-Length", str(len(body)))]
+        head = [("Host", self.address), ("Content-Length", str(len(body)))]
         head += list(headers.items())
         data = conn.send(h11.Request(method=method, target=target, headers=head))
         data += conn.send(h11.Data(data=body)) if body else b""
