Test that the callers count what goes wrong

The demo's last line proves nothing if the callers' counts stay 0 whatever an entry does. A stand-in entry refuses, closes, doubles, crosses or refuses falsely; each must raise its own count and no other fault's, with the ends of all requests adding up.

--- a/features/standins.feature
+++ b/features/standins.feature
@@ -103,3 +103,20 @@
     When 3 requests run at a time over 5 connections
     Then one request was answered with 503 and one connection was closed
     And the counts tell of 3 concurrent requests and 5 connections
+
+  # Guards against callers whose counts stay 0 whatever an entry does.
+  Scenario Outline: The callers count what goes wrong when an entry <does>
+    Given an entry stand-in before an endpoint that <does>
+    When 40 seeded requests are sent through it
+    Then every request ended in one way
+    And the count <count> is above 0 and no other fault is counted
+
+    Examples:
+      | does                                   | count    |
+      | answers                                | answered |
+      | refuses                                | refused  |
+      | tells that the outcome is unknown      | unknown  |
+      | closes the connection                  | lost     |
+      | sends each request twice               | doubled  |
+      | gives the answer of another request    | wrong    |
+      | refuses as not run what it has sent    | untrue   |
