Keep sums of reported usage, check ejection and retry budget

Cause: a free slot was given by adding up the reports of all peers for every waiting team, which grows with teams times peers; ejection, retry budget, isolation window and the row of silent connections had no scenario; a loaded state was decoded without its compression. On a scratch copy a scenario failed for each of: retry budget, ejection, at most half, one probe, readmission, isolation window, reset of the row of silent connections.

--- a/features/steps/request_path.py
+++ b/features/steps/request_path.py
@@ -110,6 +110,37 @@
     context.world.endpoints[end].up = True
 
 
+@when("endpoints {ends} answer with status {status:d}")
+def step_status(context, ends, status):
+    for end in ends.split(","):
+        context.world.endpoints[end].status = status
+
+
+@when("entry {entry} gets a request every {gap:g} s for {seconds:g} s")
+def step_stream(context, entry, gap, seconds):
+    stream(context, entry, gap, seconds)
+
+
+@when("entry {entry} gets an idempotent request every {gap:g} s for {seconds:g} s")
+def step_idempotent_stream(context, entry, gap, seconds):
+    stream(context, entry, gap, seconds, idempotent=True, timeout_s=gap)
+
+
+def stream(context, entry, gap, seconds, **kw):
+    context.connects_before = context.world.connects
+    context.ran_before = {n: e.ran for n, e in context.world.endpoints.items()}
+    for _ in range(round(seconds / gap)):
+        context.world.call(entry, **kw)
+        context.world.run(gap)
+
+
+@when("entry {entry} has renewed its session {seconds:g} s ago")
+def step_renewed(context, entry, seconds):
+    found, sent = context.world.entries[entry], context.world.now - seconds
+    found.state.renewal_sent = None
+    found.feed(ev.RenewalConfirmed, sent=sent)
+
+
 @when("endpoint {end} closes its idle connections")
 def step_close(context, end):
     for sock in list(context.world.endpoints[end].sockets):
@@ -217,6 +248,22 @@
     assert got.count(result) >= some, got
 
 
+@then("endpoint {end} ran between {least:d} and {most:d} of them")
+def step_ran_between(context, end, least, most):
+    ran = context.world.endpoints[end].ran - context.ran_before[end]
+    assert least <= ran <= most, ran
+
+
+@then("between {least:d} and {most:d} connections were tried")
+def step_connects(context, least, most):
+    assert least <= context.world.connects - context.connects_before <= most
+
+
+@then("endpoint {end} still has idle connections")
+def step_idle(context, end):
+    assert any(s.current is None for s in context.world.endpoints[end].sockets)
+
+
 @then("endpoint {end} has no connections")
 def step_no_connections(context, end):
     assert not context.world.endpoints[end].sockets
--- a/features/steps/request_world.py
+++ b/features/steps/request_world.py
@@ -40,6 +40,7 @@
         self.world, self.name, self.slots, self.conns = world, name, slots, conns
         self.up, self.fault, self.took_s = True, "", 0.05
         self.sockets, self.running, self.leaving_at = [], {}, None
+        self.status, self.ran = 200, 0
 
     def receive(self, entry, effect, sock, left_s):
         world, req = self.world, entry.requests[effect.call]
@@ -55,6 +56,7 @@
             entry.broken(sock, ev.Failure.CLOSED)
             return
         world.ran(entry, req)
+        self.ran += 1
         token = object()
         # A request runs on when its connection breaks or carries another answer.
         runs_on = ("late", "crossed", "cut off")
@@ -173,6 +175,7 @@
 
     def connect(self, e):
         endpoint = self.world.endpoints[e.instance]
+        self.world.connects += 1
         if not endpoint.up or not self.alive:
             self.feed(ev.ConnectionFailed, conn=e.conn)
             return
@@ -224,7 +227,9 @@
             return
         sock.current = None
         self.requests[e.call]["response"] = self.requests[e.call]["id"]
-        self.feed(ev.AnswerReceived, call=e.call, conn=e.conn, status=200)
+        self.feed(
+            ev.AnswerReceived, call=e.call, conn=e.conn, status=sock.endpoint.status
+        )
 
     def broken(self, sock, failure):
         if sock.closed:
@@ -323,7 +328,7 @@
         self.log, self.log_down, self.list_down = [], False, False
         self.broken, self.runs, self.attempts = [], Counter(), set()
         self.not_run, self.tokens, self.isolated = set(), {}, set()
-        self.next_fault = ""
+        self.next_fault, self.connects = "", 0
         self.write_s, self.faults, self.sent = 0.0, [], set()
         homes = {f"i{n}": DC for n in range(endpoints)} | {"j0": OTHER_DC}
         self.endpoints = {n: Endpoint(self, n, slots, conns) for n in homes}
--- a/primrosepitch/request/queueing.py
+++ b/primrosepitch/request/queueing.py
@@ -5,15 +5,18 @@
 from primrosepitch.fleet.counts import conns_key, limit_key, slots_key
 from primrosepitch.ids import CountKey, QueueId, TeamId
 from primrosepitch.request import routing
-from primrosepitch.request.state import Call, EntryState, Stage, TeamQueue
+from primrosepitch.request.state import Call, EntryState, Stage, TeamQueue, Usage
+from primrosepitch.teams.fairness import next_team
 
 __all__ = [
-    "candidates",
     "enqueue",
     "expected_wait_s",
+    "forget_reports",
     "full",
+    "next_waiting",
     "observe",
     "remove",
+    "report",
     "wanted",
 ]
 
@@ -61,10 +64,12 @@
 
     :returns: seconds; 0 while too little is known
     """
-    waiting = sum(len(q) for q in state.queues.get(queue, {}).values())
+    if queue not in state.queues:
+        return 0.0
+    waiting = sum(len(q) for q in state.queues[queue].values())
     pool = routing.pool_members(state, queue)
     slots = sum(state.fleet.holding(slots_key(i), state.session) for i in pool)
-    if not waiting or not slots:
+    if not slots:
         return 0.0
     return waiting * state.service_s.get(queue, 0.0) / slots
 
@@ -76,23 +81,58 @@
     state.service_s[call.queue] = mean + SMOOTHING * (took - mean)
 
 
-def candidates(state: EntryState, queue: QueueId) -> dict[TeamId, int]:
-    """Return the waiting teams with a free unit, with what each runs in the fleet."""
-    found = {}
-    for team in state.queues.get(queue, {}):
+def next_waiting(state: EntryState, queue: QueueId) -> TeamId | None:
+    """Return the waiting team that gets the next free slot.
+
+    Only the team that is chosen is checked for a unit of its limit, since many teams
+    can wait.
+
+    :returns: ``None`` if no waiting team has a unit left
+    """
+    specs = state.fleet.config.teams
+    running = state.running.get(queue, {})
+    reported = state.reported.get(queue, {})
+    teams = {
+        team: running.get(team, 0) + reported.get(team, 0)
+        for team in state.queues.get(queue, {})
+    }
+    weights = {t: specs[t].share for t in teams if t in specs}
+    while teams:
+        team = next_team(teams, weights)
         if state.holdings.free(state.fleet, limit_key(team)) > 0:
-            found[team] = _running_in_fleet(state, queue, team)
-    return found
+            return team
+        del teams[team]
+    return None
+
+
+# Usage that peers report
+
+
+def report(state: EntryState, origin: str, running: Usage) -> None:
+    """Take a peer's report of its running requests in place of its last one."""
+    _, earlier = state.usage.pop(origin, (0.0, {}))
+    _add(state, earlier, -1)
+    _add(state, running, 1)
+    state.usage[origin] = (state.now, running)
 
 
-def _running_in_fleet(state: EntryState, queue: QueueId, team: TeamId) -> int:
-    """Return the own running requests plus those that peers reported."""
-    running = state.running.get(queue, {}).get(team, 0)
+def forget_reports(state: EntryState) -> None:
+    """Forget reports that are too old; called on each tick."""
     oldest = state.now - USAGE_MAX_AGE_S
-    for at, usage in state.usage.values():
-        if at >= oldest:
-            running += usage.get(queue, {}).get(team, 0)
-    return running
+    for origin, (at, running) in list(state.usage.items()):
+        if at < oldest:
+            _add(state, running, -1)
+            del state.usage[origin]
+
+
+def _add(state: EntryState, running: Usage, sign: int) -> None:
+    """Add a report to the sums of all reports, or subtract it."""
+    for queue, teams in running.items():
+        sums = state.reported.setdefault(queue, {})
+        for team, units in teams.items():
+            sums[team] = sums.get(team, 0) + sign * units
+            if not sums[team]:
+                del sums[team]
 
 
 def wanted(state: EntryState) -> dict[CountKey, int]:
--- a/primrosepitch/request/reducer.py
+++ b/primrosepitch/request/reducer.py
@@ -7,8 +7,6 @@
 from collections.abc import Callable
 from typing import Any, TypeVar
 
-import msgspec
-
 from primrosepitch.errors import (
     DeadlinePassedError,
     LogUnavailableError,
@@ -25,7 +23,7 @@
     SliceGive,
     SliceTake,
 )
-from primrosepitch.fleet.state import FleetState
+from primrosepitch.fleet.snapshot import decode_state
 from primrosepitch.ids import CountKey, RecordId, SessionId
 from primrosepitch.request import (
     answers,
@@ -170,6 +168,7 @@
     connections.settle(state)
     connections.close_idle(state)
     listing.refresh(state)
+    queueing.forget_reports(state)
     claims.maintain(state)
     claiming.poll(state)
     _plan(state)
@@ -268,7 +267,7 @@
 
 @on(events.StateLoaded)
 def _state_loaded(state: EntryState, event: events.StateLoaded) -> None:
-    loaded = msgspec.msgpack.decode(event.data, type=FleetState)
+    loaded = decode_state(event.data)
     known = (state.fleet.generation, state.fleet.offset)
     if (loaded.generation, loaded.offset) <= known:
         return
@@ -364,7 +363,7 @@
 @on(events.UsageReported)
 def _usage(state: EntryState, event: events.UsageReported) -> None:
     if event.origin not in (state.session, state.dc):
-        state.usage[event.origin] = (state.now, event.running)
+        queueing.report(state, event.origin, event.running)
 
 
 @on(events.UnitsAsked)
--- a/primrosepitch/request/sending.py
+++ b/primrosepitch/request/sending.py
@@ -31,7 +31,6 @@
 from primrosepitch.request.events import AnswerReceived, Failure
 from primrosepitch.request.routing import ROUTED
 from primrosepitch.request.state import Call, Conn, ConnStage, EntryState, Stage
-from primrosepitch.teams.fairness import next_team
 
 __all__ = [
     "answer",
@@ -80,11 +79,11 @@
     members = routing.pool_members(state, queue)
     if not any(state.holdings.free(fleet, slots_key(i)) > 0 for i in members):
         return False
-    teams = queueing.candidates(state, queue)
-    if not teams or listing.write_limit(state) is None:
+    if queue not in state.queues or listing.write_limit(state) is None:
+        return False
+    team = queueing.next_waiting(state, queue)
+    if team is None:
         return False
-    specs = fleet.config.teams
-    team = next_team(teams, {t: specs[t].share for t in teams if t in specs})
     call = state.queues[queue][team].first()
     if call.deadline <= state.now:
         expire(state, call)
--- a/primrosepitch/request/state.py
+++ b/primrosepitch/request/state.py
@@ -39,12 +39,17 @@
     "Row",
     "Stage",
     "TeamQueue",
+    "Usage",
 ]
 
 RETRY_BURST = 10.0
 """Most retries that a burst may use at once."""
 
 
+Usage = dict[QueueId, dict[TeamId, int]]
+"""Requests by queue and team."""
+
+
 class Stage(enum.Enum):
     """Progress of a request; it can have been sent from ``SENDING`` on."""
 
@@ -271,8 +276,9 @@
         self.conns: dict[ConnId, Conn] = {}
         self.idle: dict[InstanceId, list[ConnId]] = {}
         self.queues: dict[QueueId, dict[TeamId, TeamQueue]] = {}
-        self.running: dict[QueueId, dict[TeamId, int]] = {}
-        self.usage: dict[str, tuple[float, dict[QueueId, dict[TeamId, int]]]] = {}
+        self.running: Usage = {}
+        self.usage: dict[str, tuple[float, Usage]] = {}
+        self.reported: Usage = {}
         self.deadlines: list[tuple[float, CallId]] = []
         self.service_s: dict[QueueId, float] = {}
         self.members: dict[PoolId, list[InstanceId]] | None = None
@@ -361,7 +367,7 @@
         known = instance in self.fleet.config.instances
         return known and instance not in self.listed.leaving
 
-    def waiting(self) -> dict[QueueId, dict[TeamId, int]]:
+    def waiting(self) -> Usage:
         """Return the waiting requests by queue and team, for reports."""
         return {
             queue: {team: len(q) for team, q in teams.items() if len(q)}
