--- a/primrosepitch/bin/daemon.py
+++ b/primrosepitch/bin/daemon.py
@@ -350,13 +350,15 @@
             )
             self.append(renewal)
         elif not self.tail.up and now >= self._relay_at:
-            self._relay_at = now + RELAY_EVERY_S
-            self.spawn(self._relay(waiting[0]))
+            peers = self.peers.with_log_contact()
+            if peers:
+                self._relay_at = now + RELAY_EVERY_S
+                self.spawn(self._relay(waiting[0], peers))
 
-    async def _relay(self, record: Record) -> None:
-        """Ask a peer that has contact with the log to append a record."""
+    async def _relay(self, record: Record, peers: list[SessionId]) -> None:
+        """Ask peers that have contact with the log, in turn, to append a record."""
         question = RelayAppend(record=encode_record(record))
-        for session in self.peers.with_log_contact():
+        for session in peers:
             self.appender.note_sent(record.record_id)
             with contextlib.suppress(PeerUnavailableError):
                 answer = await self.peers.ask(session, question, RELAY_S)
