Bound unfinished answers and the positions that entries pass on

Cause: answers of endpoints had no common bound; each status carried the positions of all known processes, about 45 bytes each, which at 60 processes and nine peers is far above 3 KB/s; a non-lowest entry of a cut-off data centre found no peer to relay its renewals. Change: AnswerBudget pauses reading beyond 2 MiB, oldest answer first; positions are passed on by the lowest entry every 10 s; relays fall back to the lowest entries of other data centres; bounds of the server lowered to 500 connections and 2 MiB.

--- a/features/steps/wire_http.py
+++ b/features/steps/wire_http.py
@@ -22,7 +22,7 @@
 )
 from primrosepitch.ids import CallId, ConnId, RequestId
 from primrosepitch.net import frames, peers
-from primrosepitch.net.http_client import Sending, connect
+from primrosepitch.net.http_client import AnswerBudget, Sending, connect
 from primrosepitch.net.http_messages import HttpRequest, HttpResponse
 from primrosepitch.net.http_server import HttpServer, ServerLimits
 from primrosepitch.net.peers import PeerClient, PeerServer
@@ -282,7 +282,8 @@
     async def body():
         listener = context.listener = Listener()
         async with scripted(*answers) as (port, received, writers):
-            conn = await connect(ConnId(1), "127.0.0.1", port, 5, listener)
+            budget = AnswerBudget()
+            conn = await connect(ConnId(1), "127.0.0.1", port, 5, listener, budget)
             await until(lambda: writers)
             ready(writers[0])
             if ready is not _silent:
@@ -350,3 +351,40 @@
     head, _, body = context.received.partition(b"\r\n\r\n")
     assert b"expect: 100-continue" in head
     assert len(body) == count
+
+
+@when("two endpoints send long answers and the first one pauses")
+def step_budget(context):
+    long = OK + b"content-length: 900000\r\n\r\n"
+
+    async def body():
+        budget = AnswerBudget(limit=50_000)
+        first, second = Listener(), Listener()
+        async with (
+            scripted(long + b"x" * 40_000) as (port, _, writers),
+            scripted(long + b"x" * 900_000) as (other, _, _),
+        ):
+            slow = await connect(ConnId(1), "127.0.0.1", port, 5, first, budget)
+            fast = await connect(ConnId(2), "127.0.0.1", other, 5, second, budget)
+            slow.send(_sending())
+            await until(lambda: budget.used == 40_000)
+            fast.send(_sending())
+            await until(lambda: budget.used > budget.limit)
+            for _ in range(20):
+                await asyncio.sleep(0)
+            context.before = [list(first.seen), list(second.seen)]
+            writers[0].write(b"x" * 860_000)
+            await until(lambda: first.seen and second.seen)
+            context.after = [first.seen, second.seen]
+            context.used = budget.used
+            slow.abandon()
+            fast.abandon()
+
+    run(body())
+
+
+@then("the second waits until the first is whole, and both are whole in the end")
+def step_budget_kept(context):
+    assert context.before == [[], []]
+    assert context.after == [["answered"], ["answered"]]
+    assert context.used == 0
--- a/features/wire.feature
+++ b/features/wire.feature
@@ -100,6 +100,11 @@
       | 417   | 0     | not_sent |
       | 403   | 0     | answered |
 
+  # Guards against memory that grows with the number of long answers.
+  Scenario: Long answers beyond the bound wait for each other
+    When two endpoints send long answers and the first one pauses
+    Then the second waits until the first is whole, and both are whole in the end
+
   # Guards against an answer that reaches the wrong caller over a whole entry.
   Scenario Outline: Callers get their own answers while an endpoint is <mode>
     When a caller sends a request while the endpoint is <mode> and then another one
--- a/primrosepitch/bin/daemon.py
+++ b/primrosepitch/bin/daemon.py
@@ -181,14 +181,17 @@
         :param connection: number of the connection to the peer; a new one has got no
             reports before
         """
-        return self.status([])
+        return self.status([], [])
 
     def pending_withdrawals(self) -> list[bytes]:
         """Return the withdrawn keys that the log does not have yet."""
         return []
 
-    def status(self, usage: list[Usage]) -> Status:
-        """Return a report with the positions of all known processes."""
+    def status(self, usage: list[Usage], rows: list[SessionId]) -> Status:
+        """Return a report.
+
+        :param rows: processes whose positions are passed on
+        """
         fleet = self.fleet()
         now = clock.monotonic()
         return Status(
@@ -204,6 +207,7 @@
                     age_ms=int(min((now - r.heard) * 1000, 2**31 - 1)),
                 )
                 for sid, r in self.peers.reports.items()
+                if sid in rows
             ],
             pending_withdrawals=self.pending_withdrawals(),
             log_contact=self.tail.up,
@@ -351,6 +355,8 @@
             self.append(renewal)
         elif not self.tail.up and now >= self._relay_at:
             peers = self.peers.with_log_contact()
+            # Entries of other data centres report to the lowest entry here only.
+            peers = peers or list(self.peers.lowest_entries().values())
             if peers:
                 self._relay_at = now + RELAY_EVERY_S
                 self.spawn(self._relay(waiting[0], peers))
--- a/primrosepitch/bin/entry.py
+++ b/primrosepitch/bin/entry.py
@@ -63,7 +63,12 @@
 )
 from primrosepitch.metrics import Metrics
 from primrosepitch.net.answers import AnswerCache
-from primrosepitch.net.http_client import EndpointConnection, Sending, connect
+from primrosepitch.net.http_client import (
+    AnswerBudget,
+    EndpointConnection,
+    Sending,
+    connect,
+)
 from primrosepitch.net.http_messages import (
     Headers,
     HttpRequest,
@@ -91,6 +96,9 @@
 ANSWER_S = 2.0
 DRAIN_S = 2.0
 
+ROWS_EVERY = 10
+"""Seconds between reports of the positions of other processes."""
+
 FRESH_S = 5.0
 """Age up to which figures of another data centre are passed on."""
 
@@ -162,6 +170,7 @@
         self.metrics = Metrics()
         self.server = HttpServer(self._on_exchange)
         self.answers = AnswerCache()
+        self._budget = AnswerBudget()
         self.withdrawals = PendingWithdrawals()
         self._operators = OperatorsApi(self)
         self._calls: dict[CallId, CallRecord] = {}
@@ -175,6 +184,7 @@
         self._own = Sender(self.session)
         self._dc_sums = Sender(settings.dc)
         self._relayed: dict[str, Sender] = {}
+        self._second = 0
         self._observe()
 
     def _observe(self) -> None:
@@ -372,7 +382,9 @@
     async def open_connection(self, effect: eff.OpenConnection) -> None:
         """Open a connection to an endpoint."""
         left = effect.deadline - clock.monotonic()
-        opened = await connect(effect.conn, effect.address, effect.port, left, self)
+        opened = await connect(
+            effect.conn, effect.address, effect.port, left, self, self._budget
+        )
         self._connecting.pop(effect.conn, None)
         if opened is not None:
             self._conns[effect.conn] = opened
@@ -602,6 +614,7 @@
 
     def each_second(self) -> None:
         """Prepare the figures of this second and report to other data centres."""
+        self._second += 1
         known = {*self.fleet().sessions, *self.peers.lowest_entries()}
         for origin in [o for o in self._usage if not self._is_origin(o, known)]:
             del self._usage[origin], self._heard[origin]
@@ -640,7 +653,7 @@
             client = self.peers.client(session)
             if client is not None and client.ready():
                 usage = [self._dc_sums.report(session, client.connections)]
-                client.tell(self.status(usage))
+                client.tell(self.status(usage, self._rows(own_dc=True)))
 
     def status_for(self, session: SessionId, connection: int) -> Status:
         """Return the report for a peer of the own data centre."""
@@ -649,7 +662,18 @@
             for dc, sender in self._relayed.items():
                 if self._is_fresh(dc):
                     usage.append(sender.report(session, connection))
-        return self.status(usage)
+        return self.status(usage, self._rows(own_dc=False))
+
+    def _rows(self, own_dc: bool) -> list[SessionId]:
+        """Return the processes whose positions are passed on in this second.
+
+        Only the lowest entry passes on positions, and rarely: at the target size, 60
+        rows a second to each peer would exceed the 3 KB/s of a node.
+        """
+        if self._second % ROWS_EVERY or not self._is_lowest():
+            return []
+        here = {self.session, *self.peers.of_dc()}
+        return [sid for sid in self.peers.reports if (sid in here) is own_dc]
 
     def pending_withdrawals(self) -> list[bytes]:
         """Return the withdrawals that the log does not have yet."""
--- a/primrosepitch/net/answers.py
+++ b/primrosepitch/net/answers.py
@@ -9,7 +9,7 @@
 
 __all__ = ["AnswerCache"]
 
-ANSWER_CACHE_BYTES = 2 << 20
+ANSWER_CACHE_BYTES = 1 << 20
 """All kept answers together; the process has 32 MB."""
 
 
--- a/primrosepitch/net/http_client.py
+++ b/primrosepitch/net/http_client.py
@@ -22,12 +22,21 @@
 )
 from primrosepitch.request.events import Failure
 
-__all__ = ["EndpointConnection", "EndpointListener", "Sending", "connect"]
+__all__ = [
+    "AnswerBudget",
+    "EndpointConnection",
+    "EndpointListener",
+    "Sending",
+    "connect",
+]
 
 REQUEST_ID = b"primrose-request-id"
 EXPECTATION_FAILED = 417
 STATUSES = range(200, 600)
 
+ANSWER_BYTES = 2 << 20
+"""Bytes of unfinished answers held for all endpoints; the process has 32 MB."""
+
 
 class Sending(msgspec.Struct, frozen=True):
     """One request on its way to an endpoint.
@@ -68,6 +77,44 @@
         """Take a whole response with the id of its request."""
 
 
+class AnswerBudget:
+    """Bound of the bytes of unfinished answers on all connections together.
+
+    Beyond it, connections stop reading until others have finished. The one that began
+    first goes on, so that there is always progress.
+
+    :param limit: bytes
+    """
+
+    def __init__(self, limit: int = ANSWER_BYTES) -> None:
+        """Start with nothing held."""
+        self.limit = limit
+        self.used = 0
+        self._held: dict[EndpointConnection, int] = {}
+        self._paused: list[EndpointConnection] = []
+
+    def take(self, conn: EndpointConnection, size: int) -> None:
+        """Count bytes of an answer, and pause its connection beyond the bound."""
+        self.used += size
+        self._held[conn] = self._held.get(conn, 0) + size
+        if self.used > self.limit and next(iter(self._held)) is not conn:
+            self._paused.append(conn)
+            conn.pause_reading()
+
+    def release(self, conn: EndpointConnection) -> None:
+        """Forget the bytes of an answer that has ended."""
+        size = self._held.pop(conn, None)
+        if size is None:
+            return
+        self.used -= size
+        paused, self._paused = self._paused, []
+        for other in paused:
+            if self.used <= self.limit or next(iter(self._held)) is other:
+                other.resume_reading()
+            elif other in self._held:
+                self._paused.append(other)
+
+
 class State(enum.Enum):
     """Life of a connection to an endpoint."""
 
@@ -78,7 +125,12 @@
 
 
 async def connect(
-    conn: ConnId, address: str, port: int, timeout_s: float, listener: EndpointListener
+    conn: ConnId,
+    address: str,
+    port: int,
+    timeout_s: float,
+    listener: EndpointListener,
+    budget: AnswerBudget,
 ) -> EndpointConnection | None:
     """Open a connection and tell the listener how it went.
 
@@ -89,7 +141,7 @@
     try:
         async with asyncio.timeout(timeout_s):
             _, protocol = await loop.create_connection(
-                lambda: EndpointConnection(conn, listener), address, port
+                lambda: EndpointConnection(conn, listener, budget), address, port
             )
     except (OSError, TimeoutError):
         listener.connection_failed(conn)
@@ -103,8 +155,11 @@
     :param conn: number given by the reducer
     """
 
-    def __init__(self, conn: ConnId, listener: EndpointListener) -> None:
+    def __init__(
+        self, conn: ConnId, listener: EndpointListener, budget: AnswerBudget
+    ) -> None:
         """Wait for the transport."""
+        self._budget = budget
         self.conn = conn
         self.state = State.IDLE
         self._listener = listener
@@ -153,6 +208,16 @@
         """Close at once and report nothing, at the end of the process."""
         self._drop()
 
+    def pause_reading(self) -> None:
+        """Leave further bytes to the kernel."""
+        if self._transport is not None:
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read again."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
     # asyncio.Protocol
 
     def connection_made(self, transport: Any) -> None:
@@ -227,6 +292,8 @@
             self._body.append(bytes(event.data))
             if self._size > MAX_BODY_BYTES:
                 self._fail(Failure.TOO_LARGE)
+            else:
+                self._budget.take(self, len(event.data))
         elif isinstance(event, h11.EndOfMessage):
             self._finish()
         elif isinstance(event, h11.ConnectionClosed):
@@ -306,6 +373,7 @@
             self._transport.abort()
 
     def _reset(self) -> None:
+        self._budget.release(self)
         self._sending = None
         self._head = None
         self._body = []
--- a/primrosepitch/net/http_server.py
+++ b/primrosepitch/net/http_server.py
@@ -45,9 +45,9 @@
     :param write_s: time in which the caller must take a response
     """
 
-    connections: int = 1000
-    buffered_bytes: int = 4 << 20
-    unsent_bytes: int = 4 << 20
+    connections: int = 500
+    buffered_bytes: int = 2 << 20
+    unsent_bytes: int = 2 << 20
     message_s: float = 10.0
     idle_s: float = 75.0
     write_s: float = 10.0
--- a/primrosepitch/net/platform.py
+++ b/primrosepitch/net/platform.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
@@ -34,6 +33,8 @@
 MAX_PAGE_BYTES = 8 << 20
 """Longest page of records; the reader asks for few records at a time."""
 
+MAX_ANSWER_BYTES = 4 << 20
+
 IDLE_LINKS = 2
 """Idle connections kept for requests other than reads."""
 
@@ -255,7 +256,11 @@
     @asynccontextmanager
     async def _link(self) -> AsyncIterator[HttpLink]:
         """Take an idle connection or a new one, and keep it afterwards."""
-        link = self._idle.pop() if self._idle else HttpLink(self._address, 8 << 20)
+        link = (
+            self._idle.pop()
+            if self._idle
+            else HttpLink(self._address, MAX_ANSWER_BYTES)
+        )
         try:
             yield link
         finally:
@@ -273,8 +278,3 @@
             return msgspec.json.decode(response.body, type=kind)
         except msgspec.MsgspecError as exc:
             raise LogUnavailableError(str(exc)) from exc
-
-
-async def sleep_backoff(attempt: int) -> None:
-    """Wait before a repeated request: 0.1 s, doubled up to 2 s."""
-    await asyncio.sleep(min(2.0, 0.1 * 2 ** min(attempt, 5)))
