Count a connection as closed once the endpoint has closed it

Cause: an entry gave back the unit of an idle connection when it aborted it; a new connection could reach the endpoint before the reset of the old one, and two fault runs saw 65 of 64 connections. A response cut in its head was taken for a proof that the request had run. Change: idle connections are closed by a half-close and their unit returns when the endpoint has closed its side, or after 1 s; only a whole head of a response counts as truncated.

--- a/features/wire_world.py
+++ b/features/wire_world.py
@@ -5,11 +5,10 @@
 from contextlib import asynccontextmanager
 
 import h11
-import msgspec
 
 from primrosepitch.bin.entry import Entry
 from primrosepitch.fleet.records import decode_record
-from primrosepitch.fleet.snapshot import pack_state
+from primrosepitch.fleet.snapshot import decode_state, pack_state
 from primrosepitch.settings import Settings
 from standins.endpoint import Endpoint, EndpointSettings
 from standins.http import call
@@ -228,4 +227,4 @@
 
 def snapshot_of(state):
     """Return a copy of a state."""
-    return msgspec.msgpack.decode(pack_state(state), type=type(state))
+    return decode_state(pack_state(state))
--- a/primrosepitch/net/http_client.py
+++ b/primrosepitch/net/http_client.py
@@ -32,6 +32,9 @@
 
 REQUEST_ID = b"primrose-request-id"
 EXPECTATION_FAILED = 417
+
+CLOSE_S = 1.0
+"""Time for which an endpoint may take to close its side of an idle connection."""
 STATUSES = range(200, 600)
 
 ANSWER_BYTES = 2 << 20
@@ -121,6 +124,7 @@
     IDLE = enum.auto()
     EXPECTING = enum.auto()
     AWAITING = enum.auto()
+    CLOSING = enum.auto()
     CLOSED = enum.auto()
 
 
@@ -171,7 +175,6 @@
         self._head: h11.Response | None = None
         self._body: list[bytes] = []
         self._size = 0
-        self._received = False
 
     # Commands
 
@@ -199,8 +202,23 @@
         self._transport.write(data)
 
     def close(self) -> None:
-        """Close at once; an unanswered request is not reported any more."""
-        if self.state is not State.CLOSED:
+        """Close; an unanswered request is not reported any more.
+
+        An idle connection counts as closed once the endpoint has closed it as well.
+        Were its unit given back before, a new connection could reach the endpoint
+        first, which would then see more than its connections.
+        """
+        if self.state is State.IDLE and self._transport is not None:
+            self.state = State.CLOSING
+            self._transport.write_eof()
+            asyncio.get_running_loop().call_later(CLOSE_S, self._closed)
+        elif self.state not in (State.CLOSING, State.CLOSED):
+            self._drop()
+            self._listener.connection_closed(self.conn)
+
+    def _closed(self) -> None:
+        """Report once that a connection that was told to close has closed."""
+        if self.state is State.CLOSING:
             self._drop()
             self._listener.connection_closed(self.conn)
 
@@ -229,9 +247,8 @@
         if self.state is State.IDLE:
             self.close()
             return
-        if self.state is State.CLOSED:
+        if self.state in (State.CLOSING, State.CLOSED):
             return
-        self._received = True
         self._h11.receive_data(data)
         self._pump()
 
@@ -242,9 +259,11 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End the exchange that was under way."""
         if self.state is State.IDLE:
-            self.close()
+            self.state = State.CLOSING
+        if self.state is State.CLOSING:
+            self._closed()
         elif self.state is not State.CLOSED:
-            self._fail(Failure.TRUNCATED if self._received else Failure.CLOSED)
+            self._fail(Failure.TRUNCATED if self._head else Failure.CLOSED)
         self._transport = None
 
     # Writing
@@ -378,7 +397,6 @@
         self._head = None
         self._body = []
         self._size = 0
-        self._received = False
 
 
 def _delimited(method: bytes, head: h11.Response) -> bool:
