--- a/features/placement.feature
+++ b/features/placement.feature
@@ -40,9 +40,9 @@
   # Guards against urgent work that waits behind lesser work on full workers.
   Scenario: Urgent work starts within 2.3 s on full workers
     Given a running fleet with budget 0 and seed 5 and team blue with 100 units
-    When 24 tasks of blue that declare 2 cores and use 2 are submitted in a
+    When 40 tasks of blue that declare 2 cores and use 2 are submitted in a
     And 10 seconds pass
-    And 2 urgent tasks of blue that declare 6 cores and use 6 are submitted in a
+    And 3 urgent tasks of blue that declare 12 cores and use 12 are submitted in a
     Then the urgent tasks started within 2.3 seconds
 
   # Guards against a team over its limit while two planners know of its tasks.
--- a/features/planner_world.py
+++ b/features/planner_world.py
@@ -96,7 +96,7 @@
         # Seconds between an effect of the reducer and its call of the platform.
         self.stall = 0.0
         self.platform_down = False
-        self.answers = []
+        self.answers, self.commands = [], []
         self.lines = []
 
     def handle(self, event):
@@ -139,11 +139,16 @@
             ok = world.start_task(effect)
             self.answers.append((effect.task, ev.TaskAction.START, ok))
         elif isinstance(effect, out.ChangeTask) and now >= world.tasks_down_until:
-            ok = world.change_task(effect)
-            self.answers.append((effect.task, effect.action, ok))
+            # Each command takes effect after its own time, so room comes piecemeal.
+            self.commands.append((now + world.rng.random() * 0.5, effect))
 
     def turn(self):
         now = self.world.now
+        due = [effect for at, effect in self.commands if at <= now]
+        self.commands = [c for c in self.commands if c[0] > now]
+        for effect in due:
+            ok = self.world.change_task(effect)
+            self.answers.append((effect.task, effect.action, ok))
         answers, self.answers = self.answers, []
         for task, action, ok in answers:
             self.handle(ev.TaskAnswered(now=now, task=task, action=action, ok=ok))
--- a/primrosepitch/planning/moves.py
+++ b/primrosepitch/planning/moves.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+from collections import Counter
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
@@ -182,20 +183,21 @@
 
 def shortages(fleet: FleetState) -> dict[PoolId, int]:
     """Return how many instances each pool lacks, with those on their way counted."""
-    found: dict[PoolId, int] = {}
-    for pool, budget in buffer.needed(fleet).items():
-        coming = sum(1 for i in fleet.instances.values() if _comes(i, pool))
-        lacking = budget - fleet.available_in(pool) - coming
-        if lacking > 0:
-            found[pool] = lacking
-    return found
-
-
-def _comes(inst: Instance, pool: PoolId) -> bool:
-    """Whether an instance is being moved to a pool, or returns there from a stop."""
-    moving = inst.reason is DrainReason.MOVE and inst.to_pool == pool
-    rebooting = inst.reason is DrainReason.REBOOT and inst.pool == pool
-    return moving or (rebooting and inst.phase is not Phase.ACTIVE)
+    there: Counter[PoolId | None] = Counter()
+    for inst in fleet.instances.values():
+        if inst.available:
+            there[inst.pool] += 1
+        elif inst.phase is not Phase.ACTIVE:
+            there[_target(inst)] += 1
+    needed = buffer.needed(fleet).items()
+    return {p: budget - there[p] for p, budget in needed if budget > there[p]}
+
+
+def _target(inst: Instance) -> PoolId | None:
+    """Return the pool that a draining or stopping instance will be available in."""
+    if inst.reason is DrainReason.MOVE:
+        return inst.to_pool
+    return inst.pool if inst.reason is DrainReason.REBOOT else None
 
 
 def spare_donors(fleet: FleetState) -> list[Donor]:
--- a/primrosepitch/planning/placement.py
+++ b/primrosepitch/planning/placement.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from typing import NamedTuple
 
+from primrosepitch.config.model import PUBLIC_TEAM
 from primrosepitch.events import event
 from primrosepitch.fleet import records as rec
 from primrosepitch.fleet.counts import limit_key
@@ -61,6 +62,11 @@
 """Time for a checkpoint when nothing waits for the room."""
 
 ROOM_AGAIN_S = 1.0
+"""Time for which a worker is kept for the urgent task that it makes room for.
+
+Without that, the tasks that were ended would take the room again, one by one.
+"""
+
 RETRY_S = 1.0
 LAST_RETRY_S = 60.0
 FULL_S = 2.0
@@ -264,6 +270,9 @@
     task.worker = None
     task.name = ""
     task.ending_by = ""
+    if task.throttled:
+        # The size of a throttled task says nothing about its next attempt.
+        task.peaks = []
     task.throttled = False
     task.retry_at = now + delay
     return effects
@@ -418,9 +427,9 @@
     active, waiting = _needs(state)
     idle_s = state.fleet.config.fleet.idle_return_s
     units: dict[CountKey, int] = {}
-    for key, count in state.fleet.counts.items():
-        held = count.held.get(state.session, 0)
-        team = TeamId(key.removeprefix("limit/"))
+    for team in [*state.fleet.config.teams, PUBLIC_TEAM]:
+        key = limit_key(team)
+        held = state.fleet.holding(key, state.session)
         surplus = held - active[team] - waiting[team]
         if surplus <= 0:
             state.idle_since.pop(key, None)
@@ -447,6 +456,11 @@
         self.rack: dict[InstanceId, tuple[DcId, str]] = {}
         self.spare: dict[InstanceId, bool] = {}
         self.open: list[InstanceId] = []
+        self.reserved = {
+            t.reserved: t.spec.task
+            for t in state.tasks.values()
+            if t.reserved is not None and now - t.room_made < ROOM_AGAIN_S
+        }
         self.room: dict[InstanceId, Size] = {}
         self.rack_tasks: Counter[tuple[DcId, str]] = Counter()
         self.team_tasks: Counter[tuple[DcId, str, TeamId]] = Counter()
@@ -473,6 +487,11 @@
         self.rack_tasks[rack] += 1
         self.team_tasks[(*rack, task.spec.team)] += 1
 
+    def free_for(self, task: Task, worker: InstanceId) -> bool:
+        """Whether a worker is not kept for another task."""
+        name = task.spec.task
+        return self.reserved.get(worker, name) == name
+
     def fits_empty(self, task: Task) -> bool:
         """Whether any worker, even an empty one, could run a task."""
         need = self.size(task)
@@ -492,7 +511,7 @@
                 rack_tasks=self.rack_tasks[self.rack[name]],
             )
             for name in self.open
-            if need.fits(self.room[name])
+            if need.fits(self.room[name]) and self.free_for(task, name)
         ]
         if not workers:
             return None
@@ -523,6 +542,9 @@
     floor = Floor(state, now)
     active, _ = _needs(state)
     effects: list[Effect] = []
+    # Room only shrinks during the turn, so what is as large as a task that did not
+    # fit does not fit either.
+    blocked: list[Size] = []
     order = sorted(
         waiting, key=lambda t: (not t.spec.urgent, -t.spec.priority, t.arrived)
     )
@@ -537,8 +559,12 @@
         if active[team] >= _held(state, team):
             effects += _free_unit(state, now, task)
             continue
+        need = floor.size(task)
+        if not task.spec.urgent and any(size.fits(need) for size in blocked):
+            continue
         worker = floor.choose(task)
         if worker is None:
+            blocked += [need] * (not task.spec.urgent)
             effects += _make_room(state, now, task, floor)
             continue
         effects += _start(state, now, task, worker)
@@ -561,6 +587,7 @@
     task.attempt += 1
     task.state = TaskState.STARTING
     task.worker = worker
+    task.reserved = None
     task.changed = now
     task.name = f"{task.spec.task}.{task.attempt}"
     state.names[task.name] = task.spec.task
@@ -617,6 +644,8 @@
     lesser = _lesser(state, task)
     best: Victims | None = None
     for worker in floor.open:
+        if not floor.free_for(task, worker):
+            continue
         own = [t for t in lesser if t.worker == worker]
         found = _victims(floor, task, worker, own)
         if found and (best is None or _loss(found) < _loss(best)):
@@ -624,6 +653,9 @@
     if best is None:
         return []
     task.room_made = now
+    task.reserved = best.tasks[0].worker
+    if task.reserved is not None:
+        floor.reserved[task.reserved] = task.spec.task
     names = [t.spec.task for t in best.tasks]
     if best.throttle:
         line = log(ROOM_MADE.number, task=task.spec.task, throttles=names)
--- a/primrosepitch/planning/state.py
+++ b/primrosepitch/planning/state.py
@@ -142,6 +142,7 @@
     :param ending_by: command by which it was asked to end
     :param stop_at: boot-time clock from which it is stopped without a checkpoint
     :param room_made: boot-time clock when lesser work was asked to make room for it
+    :param reserved: worker on which room was made for it
     :param name: name of the present attempt at the platform
     """
 
@@ -159,6 +160,7 @@
     ending_by: str = ""
     stop_at: float = float("inf")
     room_made: float = float("-inf")
+    reserved: InstanceId | None = None
     name: str = ""
 
 
