--- a/features/steps/configuration_in_force.py
+++ b/features/steps/configuration_in_force.py
@@ -6,9 +6,11 @@
 from features.fleet_world import document
 from primrosepitch.fleet import records as rec
 from primrosepitch.fleet.fold import fold
-from primrosepitch.fleet.snapshot import decode_state, encode_state
+from primrosepitch.fleet.snapshot import decode_state, encode_state, pack_state
 from primrosepitch.fleet.state import FleetState
 from primrosepitch.planning import events as ev
+from primrosepitch.planning.reducer import step
+from primrosepitch.planning.state import PlannerState
 
 
 def publication(world, number, minimum):
@@ -79,6 +81,11 @@
         for state in loaded.values():
             fold(state, offset, record)
         fold(full, offset, record)
+        if offset == len(records) // 2:
+            planner = PlannerState("px", "a")
+            state_loaded = ev.StateLoaded(now=0, data=pack_state(full))
+            step(planner, state_loaded)
+            loaded["planner"] = planner.fleet
         if offset % 10 == 0:
             loaded[offset] = decode_state(b"".join(encode_state(full)))
     context.states = [msgspec.msgpack.encode(s) for s in loaded.values()]
--- a/primrosepitch/planning/events.py
+++ b/primrosepitch/planning/events.py
@@ -180,7 +180,7 @@
 class StateLoaded(Event, frozen=True, kw_only=True):
     """A snapshot from the log or a peer is to replace an older state.
 
-    :param data: encoding of the folded state
+    :param data: plain encoding of the folded state (``pack_state``)
     """
 
     data: bytes
--- a/primrosepitch/planning/reducer.py
+++ b/primrosepitch/planning/reducer.py
@@ -5,10 +5,12 @@
 from collections.abc import Callable
 from typing import Any, TypeVar
 
+import msgspec
+
 from primrosepitch.events import RECORD_VOID
 from primrosepitch.fleet import records as rec
 from primrosepitch.fleet.fold import Void, fold
-from primrosepitch.fleet.snapshot import decode_state
+from primrosepitch.fleet.state import FleetState
 from primrosepitch.planning import (
     budgets,
     events,
@@ -113,7 +115,7 @@
 
 @on(events.StateLoaded)
 def _state_loaded(state: PlannerState, event: events.StateLoaded) -> list[Effect]:
-    loaded = decode_state(event.data)
+    loaded = msgspec.msgpack.decode(event.data, type=FleetState)
     held = (state.fleet.generation, state.fleet.offset)
     if (loaded.generation, loaded.offset) <= held:
         return []
--- a/primrosepitch/request/reducer.py
+++ b/primrosepitch/request/reducer.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 from typing import Any, TypeVar
 
+import msgspec
+
 from primrosepitch.errors import (
     DeadlinePassedError,
     LogUnavailableError,
@@ -23,7 +25,7 @@
     SliceGive,
     SliceTake,
 )
-from primrosepitch.fleet.snapshot import decode_state
+from primrosepitch.fleet.state import FleetState
 from primrosepitch.ids import CountKey, RecordId, SessionId
 from primrosepitch.request import (
     answers,
@@ -267,7 +269,7 @@
 
 @on(events.StateLoaded)
 def _state_loaded(state: EntryState, event: events.StateLoaded) -> None:
-    loaded = decode_state(event.data)
+    loaded = msgspec.msgpack.decode(event.data, type=FleetState)
     known = (state.fleet.generation, state.fleet.offset)
     if (loaded.generation, loaded.offset) <= known:
         return
