--- a/primrosepitch/bin/entry.py
+++ b/primrosepitch/bin/entry.py
@@ -99,6 +99,10 @@
 ROWS_EVERY = 10
 """Seconds between reports of the positions of other processes."""
 
+LAME_DUCK_S = 1.0
+"""Time for which a stopping entry answers that it is stopping, so that the balancer
+sends its callers elsewhere before the listening socket closes."""
+
 FRESH_S = 5.0
 """Age up to which figures of another data centre are passed on."""
 
@@ -179,6 +183,7 @@
         self._questions: dict[int, Question] = {}
         self._last_call = 0
         self._last_token = 0
+        self._listen_until = 0.0
         self._usage: dict[str, Table] = {}
         self._heard: dict[str, float] = {}
         self._own = Sender(self.session)
@@ -223,7 +228,8 @@
         self.http_port = await self.server.listen(address, self.http_port)
 
     async def drain(self) -> None:
-        """Let callers take their responses."""
+        """Let the balancer choose other entries and callers take their responses."""
+        await asyncio.sleep(self._listen_until - clock.monotonic())
         await self.server.drain(DRAIN_S)
 
     def close(self) -> None:
@@ -237,6 +243,7 @@
     def stop(self) -> None:
         """Begin a graceful stop."""
         self.server.stopping = True
+        self._listen_until = clock.monotonic() + LAME_DUCK_S
         super().stop()
 
     def http_address(self) -> str:
