--- a/primrosepitch/fleet/snapshot.py
+++ b/primrosepitch/fleet/snapshot.py
@@ -58,8 +58,8 @@
 
 
 def pack_state(state: FleetState) -> bytes:
-    """Return the encoding that the event ``StateLoaded`` carries."""
-    return b"".join(encode_state(state))
+    """Return the plain encoding that the event ``StateLoaded`` carries."""
+    return _encoder.encode(state)
 
 
 def snapshot_records(
