Keep idle units while the reserve has enough of them

With more sessions than units each request of a quiet team took a unit and returned it two seconds later: 118 records/s and 26.0 KB/s of log at the target size. Idle units above the floor return only while the reserve is below a quarter of the count, so nobody waits for them otherwise. The scenario fails without the rule.

--- a/features/steps/upper_limit.py
+++ b/features/steps/upper_limit.py
@@ -306,6 +306,7 @@
 @when("an entry gives an idle unit back twice and the first record is repeated")
 def step_repeat(context):
     world, key = context.world, KEYS[1]
+    world.publish({"wide": 13, "narrow": 1})
     proc = context.proc = world.procs[0]
     records = []
     for _ in range(2):
@@ -395,3 +396,24 @@
 @then("i1 is {state}")
 def step_drained(context, state):
     assert context.world.tip.drained("i1") == (state == "drained")
+
+
+@when("one entry uses 1 unit of {key} each 5 s for {seconds:d} s")
+def step_seldom(context, key, seconds):
+    world, proc = context.world, context.world.procs[0]
+    world.calm(5, {})
+    context.proc, context.before = proc, len(world.log)
+    for _ in range(seconds // 5):
+        if not proc.holdings.free(proc.fleet, key):
+            world.plan(proc, {key: 1})
+        world.calm(1, {})
+        proc.start(world.now, key, 1, 1.0)
+        assert proc.holdings.in_use(key) == 1
+        world.calm(4, {})
+
+
+@then("it has appended one take and no give")
+def step_no_give(context):
+    late = context.world.log[context.before :]
+    own = [type(r) for r in late if r.by == context.proc.session]
+    assert own == [rec.SliceTake], late
--- a/features/upper_limit.feature
+++ b/features/upper_limit.feature
@@ -44,3 +44,9 @@
     Then i1 is not drained
     When all entries are idle for 4 s
     Then i1 is drained
+
+  # Guards against records at every request of a quiet team.
+  Scenario: Idle units stay with an entry while the reserve has enough of them
+    Given six entries in three data centres, driven by seed 1
+    When one entry uses 1 unit of limit/narrow each 5 s for 30 s
+    Then it has appended one take and no give
--- a/primrosepitch/teams/holdings.py
+++ b/primrosepitch/teams/holdings.py
@@ -19,6 +19,10 @@
 RECORD_INTERVAL_S = 1.0
 """At most one take and one give record are appended in this time."""
 
+SCARCE_PART = 0.25
+"""Idle units return only if the reserve is below this part of the total; returning
+them to a fuller reserve costs records at every request and helps nobody."""
+
 ASK_INTERVAL_S = 1.0
 """Time between two questions to peers."""
 
@@ -338,11 +342,17 @@
             held = self._held(fleet, key) - give.get(key, 0)
             above = held - self._floor(fleet, key)
             peak = max(self._peak.get(key, 0), self._in_use.get(key, 0))
-            units = min(above, held - peak)
+            units = min(above, held - peak) if self._scarce(fleet, key) else 0
             self._add(give, key, units)
             if above > max(0, units):
                 self._start_window(now, key)
 
+    @staticmethod
+    def _scarce(fleet: FleetState, key: CountKey) -> bool:
+        """Whether the reserve has so few units that idle ones should return."""
+        count = fleet.counts.get(key)
+        return count is None or count.available < SCARCE_PART * count.total
+
     def _subtract(
         self, now: float, units: dict[CountKey, int], to: SessionId | None
     ) -> rec.SliceGive:
