Estimate what teams run from smoothed reports

RunningEstimate smooths the reports by one half and counts an own change since the report twice, since others react as well.

--- a/primrosepitch/teams/fairness.py
+++ b/primrosepitch/teams/fairness.py
@@ -1,18 +1,33 @@
-"""Weighted max-min fairness in whole units."""
+"""Weighted max-min fairness between teams, and estimates of what each one runs."""
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Callable, Mapping
 
-from primrosepitch.ids import TeamId
+from primrosepitch.ids import QueueId, TeamId
 
-__all__ = ["POLICIES", "Policy", "fair_shares", "next_team", "policy"]
+__all__ = [
+    "POLICIES",
+    "Policy",
+    "RunningEstimate",
+    "fair_shares",
+    "next_team",
+    "policy",
+]
 
-Policy = Callable[[Mapping[TeamId, int], Mapping[TeamId, float]], TeamId]
+Policy = Callable[[Mapping[TeamId, float], Mapping[TeamId, float]], TeamId]
 
 POLICIES: dict[str, Policy] = {}
 """Policies that choose the waiting team that gets a free unit, by name."""
 
+SMOOTHING = 0.5
+"""Part of a new report that enters the estimate. With unsmoothed reports the entries
+correct the same deviation at once and the teams' shares oscillate."""
+
+REACTION = 2.0
+"""How much an own change since the report counts, since others react to it too."""
+
 DEFAULT_WEIGHT = 1.0
 """Weight of a team without a share, such as the public team."""
 
@@ -33,7 +48,7 @@
 
 
 def next_team(
-    candidates: Mapping[TeamId, int],
+    candidates: Mapping[TeamId, float],
     weights: Mapping[TeamId, float],
     policy: str = "max_min",
 ) -> TeamId:
@@ -53,7 +68,7 @@
 
 @policy("max_min")
 def _max_min(
-    candidates: Mapping[TeamId, int], weights: Mapping[TeamId, float]
+    candidates: Mapping[TeamId, float], weights: Mapping[TeamId, float]
 ) -> TeamId:
     """Choose the team that is lowest by weight after it got the unit."""
     return min(
@@ -64,14 +79,16 @@
 
 @policy("static")
 def _static(
-    candidates: Mapping[TeamId, int], weights: Mapping[TeamId, float]
+    candidates: Mapping[TeamId, float], weights: Mapping[TeamId, float]
 ) -> TeamId:
     """Choose the team that runs least, without weights."""
     return min(candidates, key=lambda t: (candidates[t], t))
 
 
 @policy("fifo")
-def _fifo(candidates: Mapping[TeamId, int], weights: Mapping[TeamId, float]) -> TeamId:
+def _fifo(
+    candidates: Mapping[TeamId, float], weights: Mapping[TeamId, float]
+) -> TeamId:
     """Choose the team whose oldest request has waited longest."""
     return next(iter(candidates))
 
@@ -97,3 +114,58 @@
         left -= shares[team]
         weight -= own
     return shares
+
+
+Usage = Mapping[QueueId, Mapping[TeamId, int]]
+
+
+class RunningEstimate:
+    """What each team runs in the fleet, from reports that are a second old.
+
+    :param own: origin of the own reports
+    """
+
+    def __init__(self, own: str) -> None:
+        """Start without reports."""
+        self._own = own
+        self._known: dict[str, dict[tuple[QueueId, TeamId], float]] = {}
+        self._total: dict[tuple[QueueId, TeamId], float] = defaultdict(float)
+
+    def report(self, origin: str, usage: Usage) -> None:
+        """Take the whole usage of an origin; also of the own entry, each second."""
+        known = self._known.setdefault(origin, {})
+        rows = {(q, t): n for q, teams in usage.items() for t, n in teams.items()}
+        for row in known.keys() | rows.keys():
+            old = known.get(row, 0.0)
+            new = old + SMOOTHING * (rows.get(row, 0) - old)
+            self._set(known, row, new if new > 0.01 else 0.0)
+
+    def forget(self, origin: str) -> None:
+        """Drop the reports of an origin that is gone or silent."""
+        known = self._known.pop(origin, {})
+        for row in list(known):
+            self._set(known, row, 0.0)
+
+    def running(self, queue: QueueId, team: TeamId, own_now: int) -> float:
+        """Return the estimate for the fleet.
+
+        :param own_now: running requests of the own entry
+        """
+        row = (queue, team)
+        own = self._known.get(self._own, {}).get(row, 0.0)
+        return max(0.0, self._total.get(row, 0.0) + REACTION * (own_now - own))
+
+    def _set(
+        self,
+        known: dict[tuple[QueueId, TeamId], float],
+        row: tuple[QueueId, TeamId],
+        new: float,
+    ) -> None:
+        """Change one figure and the total."""
+        self._total[row] += new - known.get(row, 0.0)
+        if new:
+            known[row] = new
+        else:
+            known.pop(row, None)
+        if self._total[row] < 0.01:
+            del self._total[row]
