Measure shares, limits and holdings against static slices

The requirements ask for the distance from the fair share, the usable limit of a cut-off data centre, the return of lent units and the bytes of reports and slices, at the sizes of today and of the target. bench/teams.py simulates the entries on a virtual clock with the real holdings, fold and fairness; the baselines run in the same run.

--- /dev/null
+++ b/bench/teams.py
@@ -0,0 +1,583 @@
+"""Shares and limits of teams on a virtual clock, against static equal slices.
+
+The entries share one folded log, whose records take effect one step later. Reports of
+usage are a second old. Each queue in turn asks for five times its mean demand.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from collections import Counter
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.TSerialization import serialize
+
+from bench.measure import Measure
+from primrosepitch.config.model import (
+    Document,
+    InstanceSpec,
+    PoolSpec,
+    ServiceSpec,
+    TeamSpec,
+)
+from primrosepitch.fleet import records as rec
+from primrosepitch.fleet.counts import limit_key, slots_key
+from primrosepitch.fleet.fold import fold
+from primrosepitch.fleet.state import FleetState
+from primrosepitch.gen.primrose.ttypes import Body, Envelope, Status, TeamUsage, Usage
+from primrosepitch.teams.fairness import RunningEstimate, fair_shares, next_team
+from primrosepitch.teams.holdings import Holdings, HoldingsPlan
+
+COMMAND = "python -m bench teams"
+SEEDS = (1, 2, 3)
+STEP_S = 0.05
+SERVICE_S = 0.5
+BURST_S = 10.0
+MEAN_LOAD = 0.4
+"""Mean demand of a queue as a part of its pool; five times it is twice the pool."""
+
+BURST = 5.0
+QUIET = 0.05
+QUEUE_LIMIT = 20
+"""Requests of a team that wait in one queue of one entry."""
+
+
+class Size(NamedTuple):
+    """A fleet; ``bursts`` is the number of queues that ask for more in turn."""
+
+    name: str
+    teams: int
+    workers: int
+    queues: int
+    entries: int
+    dcs: int
+    bursts: int
+
+
+TODAY = Size("today", 6, 30, 5, 8, 3, 5)
+TARGET = Size("target", 370, 880, 34, 60, 7, 1)
+
+
+class StaticSlices:
+    """Baseline: each entry has its equal part of each count for good."""
+
+    def __init__(self, rank: dict[str | None, tuple[int, int]]) -> None:
+        """Keep the rank among the sharers by data centre, and of all by ``None``."""
+        self.rank = rank
+        self.used: Counter[str] = Counter()
+
+    def free(self, fleet: FleetState, key: str) -> int:
+        """Return the unused units of the own part."""
+        kind, _, name = key.partition("/")
+        dc = None if kind == "limit" else fleet.config.instances[name].dc
+        if dc not in self.rank:
+            return 0
+        index, sharers = self.rank[dc]
+        total = fleet.counts[key].total
+        return total // sharers + (index < total % sharers) - self.used[key]
+
+    def use(self, key: str) -> None:
+        """Count a unit as in use."""
+        self.used[key] += 1
+
+    def release(self, key: str) -> None:
+        """Count a unit as no longer in use."""
+        self.used[key] -= 1
+
+    def plan(self, *_: object) -> HoldingsPlan:
+        """Move nothing."""
+        return HoldingsPlan({}, {}, {})
+
+    def folded(self, outcome: object) -> None:
+        """Ignore records."""
+
+
+class Entry:
+    """An entry with its queues and running requests."""
+
+    def __init__(self, session: str, dc: str, holdings: Holdings | StaticSlices):
+        """Start idle."""
+        self.session, self.dc, self.holdings = session, dc, holdings
+        self.waiting: dict[int, Counter[str]] = {}
+        self.running: Counter[tuple[int, str]] = Counter()
+        self.ends: list[tuple[float, int, str, str]] = []
+        self.estimate = RunningEstimate(session)
+
+
+def by_queue(rows: Counter[tuple[int, str]]) -> dict[int, dict[str, int]]:
+    """Return running requests by queue and team."""
+    usage: dict[int, dict[str, int]] = {}
+    for (queue, team), units in rows.items():
+        usage.setdefault(queue, {})[team] = units
+    return usage
+
+
+def document(size: Size) -> Document:
+    """Return the configuration of a fleet."""
+    racks = range(size.workers)
+    return Document(
+        pools={f"p{q}": PoolSpec() for q in range(size.queues)},
+        services={f"p{q}": ServiceSpec(pool=f"p{q}") for q in range(size.queues)},
+        teams={
+            f"t{i:03}": TeamSpec(share=1 + i % 3, limit=20 + 7 * (i % 6))
+            for i in range(size.teams)
+        },
+        instances={
+            f"i{n:03}": InstanceSpec(
+                dc=f"dc{n // size.queues % size.dcs}",
+                rack=f"r{n // 4}",
+                pool=f"p{n % size.queues}",
+                address="127.0.0.1",
+                port=1,
+            )
+            for n in racks
+        },
+    )
+
+
+class Sim:
+    """A fleet of entries on a virtual clock.
+
+    :param policy: ``max_min`` with holdings, or ``static``
+    """
+
+    def __init__(self, size: Size, policy: str, seed: int) -> None:
+        """Open all sessions."""
+        self.size, self.policy, self.rng = size, policy, random.Random(seed)
+        self.fleet, self.now, self.offset = FleetState(), 0.0, -1
+        self.inbox: list[rec.Record] = []
+        self.asks: list[tuple[str, str, dict[str, int]]] = []
+        self.slice_bytes = 0
+        self.entries: list[Entry] = []
+        doc = {"f": document(size)}
+        self.append(
+            rec.ConfigPublished(record_id="c", by="", base_offset=-1, documents=doc)
+        )
+        dcs = [f"dc{i % size.dcs}" for i in range(size.entries)]
+        for i, dc in enumerate(dcs):
+            rank = {
+                None: (i, size.entries),
+                dc: (dcs[:i].count(dc), dcs.count(dc)),
+            }
+            session = f"s{i:02}"
+            static = policy == "static"
+            holdings = StaticSlices(rank) if static else Holdings(session)
+            self.entries.append(Entry(session, dc, holdings))
+            self.append(
+                rec.SessionOpened(
+                    record_id=session,
+                    by=session,
+                    session=session,
+                    role=rec.Role.ENTRY,
+                    dc=dc,
+                    instance=session,
+                    peer_address=f"127.0.0.1:{i}",
+                )
+            )
+        self.deliver()
+        self.slice_bytes = 0
+        teams = self.fleet.config.teams
+        self.weights = {t: s.share for t, s in teams.items()}
+        queues = range(size.queues)
+        self.users = {
+            q: [
+                t
+                for i, t in enumerate(teams)
+                if size.teams < 20 or i % len(queues) == q
+            ]
+            for q in queues
+        }
+        self.pools: dict[tuple[int, str], list[str]] = {}
+        for name, inst in self.fleet.config.instances.items():
+            self.pools.setdefault((int(inst.pool[1:]), inst.dc), []).append(name)
+        self.slots = Counter(
+            int(i.pool[1:]) for i in self.fleet.config.instances.values()
+        )
+
+    def append(self, record: rec.Record) -> None:
+        """Hand a record to the log; it is read one step later."""
+        self.inbox.append(record)
+
+    def deliver(self) -> None:
+        """Fold what was appended, at every entry."""
+        records, self.inbox = self.inbox, []
+        for record in records:
+            self.offset += 1
+            self.slice_bytes += len(rec.encode_record(record))
+            outcome = fold(self.fleet, self.offset, record)
+            for entry in self.entries:
+                entry.holdings.folded(outcome)
+
+    # One step
+
+    def step(self, demand: dict[int, float], only: Entry | None = None) -> None:
+        """Advance the clock; ``demand`` is the load by queue in parts of its pool."""
+        self.now += STEP_S
+        self.deliver()
+        for queue, load in demand.items():
+            self.arrive(queue, load * self.slots[queue] * 8 / SERVICE_S * STEP_S, only)
+        for entry in self.entries:
+            self.finish(entry)
+            for queue in entry.waiting:
+                self.dispatch(entry, queue)
+            self.plan(entry)
+        self.answer_asks()
+
+    def arrive(self, queue: int, mean: float, only: Entry | None) -> None:
+        """Add Poisson arrivals at random entries."""
+        left = mean - self.rng.expovariate(1.0)
+        while left > 0:
+            entry = only or self.rng.choice(self.entries)
+            users = self.users[queue]
+            team = users[int(len(users) * self.rng.random() ** 1.5)]
+            waiting = entry.waiting.setdefault(queue, Counter())
+            if waiting[team] < QUEUE_LIMIT:
+                waiting[team] += 1
+            left -= self.rng.expovariate(1.0)
+
+    def finish(self, entry: Entry) -> None:
+        """End the requests that are due."""
+        due = [e for e in entry.ends if e[0] <= self.now]
+        if due:
+            entry.ends = [e for e in entry.ends if e[0] > self.now]
+        for _, queue, team, name in due:
+            entry.running[queue, team] -= 1
+            entry.holdings.release(limit_key(team))
+            entry.holdings.release(slots_key(name))
+
+    def dispatch(self, entry: Entry, queue: int) -> None:
+        """Start waiting requests while units are free."""
+        free = entry.holdings.free
+        waiting = entry.waiting[queue]
+        pool = self.pools.get((queue, entry.dc), [])
+        while True:
+            teams = [
+                t for t, n in waiting.items() if n and free(self.fleet, limit_key(t))
+            ]
+            if not teams or not pool:
+                return
+            name = max(pool, key=lambda i: free(self.fleet, slots_key(i)))
+            if free(self.fleet, slots_key(name)) <= 0:
+                return
+            known = {t: self.known_running(entry, queue, t) for t in teams}
+            team = next_team(known, self.weights, self.policy)
+            waiting[team] -= 1
+            entry.running[queue, team] += 1
+            entry.holdings.use(limit_key(team))
+            entry.holdings.use(slots_key(name))
+            end = self.now + self.rng.uniform(0.5, 1.5) * SERVICE_S
+            entry.ends.append((end, queue, team, name))
+
+    def known_running(self, entry: Entry, queue: int, team: str) -> float:
+        """Return what an entry knows to run; with static slices only its own."""
+        count = entry.running[queue, team]
+        if self.policy == "static":
+            return count
+        return entry.estimate.running(queue, team, count)
+
+    def plan(self, entry: Entry) -> None:
+        """Append what the holdings take and give, and ask peers."""
+        wanted: Counter[str] = Counter()
+        for queue, teams in entry.waiting.items():
+            waiting = {t: n for t, n in teams.items() if n}
+            for team, n in waiting.items():
+                wanted[limit_key(team)] += n
+            pool = self.pools.get((queue, entry.dc), [])
+            for name in pool if waiting else []:
+                wanted[slots_key(name)] += -(-sum(waiting.values()) // len(pool))
+        take, give, ask = entry.holdings.plan(self.now, self.fleet, wanted)
+        blank = {"record_id": self.new_id(), "by": entry.session}
+        if take:
+            self.append(rec.SliceTake(units=take, **blank))
+        if give:
+            blank["record_id"] = self.new_id()
+            self.append(rec.SliceGive(units=give, **blank))
+        self.asks += [(entry.session, peer, units) for peer, units in ask.items()]
+
+    def new_id(self) -> str:
+        """Return a record id of the usual length."""
+        return f"{self.rng.getrandbits(128):032x}"
+
+    def answer_asks(self) -> None:
+        """Let peers answer the questions of this step."""
+        asks, self.asks = self.asks, []
+        for session, peer, units in asks:
+            found = next(e for e in self.entries if e.session == peer)
+            give = found.holdings.asked(self.now, self.fleet, session, units)
+            if give is not None:
+                fields = {"units": give.units, "to": give.to, "by": peer}
+                self.append(rec.SliceGive(record_id=self.new_id(), **fields))
+
+    def report(self) -> None:
+        """Exchange the usage of this second; smoothing allows to sum the others'."""
+        total = Counter[tuple[int, str]]()
+        for entry in self.entries:
+            total.update(entry.running)
+        for entry in self.entries:
+            others = total.copy()
+            others.subtract(entry.running)
+            entry.estimate.report(entry.session, by_queue(entry.running))
+            entry.estimate.report("others", by_queue(others))
+
+    def run(self, demand: dict[int, float], seconds: float) -> Iterator[None]:
+        """Run for some seconds and pause after each step."""
+        for n in range(round(seconds / STEP_S)):
+            if n % round(1 / STEP_S) == 0:
+                self.report()
+            self.step(demand)
+            yield
+
+
+# Distance from the fair share
+
+
+def distance(sim: Sim, queue: int) -> float:
+    """Return the distance of one window from the fair share, in % of the pool."""
+    used: Counter[str] = Counter()
+    fair: Counter[str] = Counter()
+    demand = dict.fromkeys(range(sim.size.queues), MEAN_LOAD * QUIET)
+    demand[queue] = MEAN_LOAD * BURST
+    capacity = sim.slots[queue] * 8
+    limits = sim.fleet.config.teams
+    for _ in sim.run(demand, BURST_S):
+        running: Counter[str] = Counter()
+        elsewhere: Counter[str] = Counter()
+        asked: Counter[str] = Counter()
+        for entry in sim.entries:
+            asked.update(entry.waiting.get(queue, {}))
+            for (where, team), n in entry.running.items():
+                (running if where == queue else elsewhere)[team] += n
+        most = {
+            t: min(running[t] + asked[t], limits[t].limit - elsewhere[t])
+            for t in sim.users[queue]
+        }
+        used.update(running)
+        fair.update(fair_shares(most, sim.weights, capacity))
+    steps = BURST_S / STEP_S
+    gap = sum(abs(used[t] - fair[t]) for t in sim.users[queue])
+    return 100 * gap / steps / capacity
+
+
+def distances(size: Size, policy: str, seed: int) -> tuple[list[float], float]:
+    """Return the distance of each window and the bytes of slices a second."""
+    sim = Sim(size, policy, seed)
+    quiet = dict.fromkeys(range(size.queues), MEAN_LOAD * QUIET)
+    for _ in sim.run(quiet, 4.0):
+        pass
+    sim.slice_bytes = 0
+    found = [distance(sim, queue) for queue in range(size.bursts)]
+    return found, sim.slice_bytes / (size.bursts * BURST_S)
+
+
+def shares(size: Size) -> Iterator[Measure]:
+    """Measure the distance from the fair share and the bytes of slices."""
+    for seed in SEEDS if size is TODAY else SEEDS[:1]:
+        ours, slice_bytes = distances(size, "max_min", seed)
+        static, _ = distances(size, "static", seed)
+        for word, pick in (("largest", max), ("mean", lambda v: sum(v) / len(v))):
+            yield Measure(
+                f"{word} distance from fair share, 10 s windows, {size.name}",
+                pick(ours),
+                "% of the pool",
+                "0",
+                f"{pick(static):.1f} static slices",
+                seed,
+                COMMAND,
+            )
+        yield Measure(
+            f"log records of slices read by a node, burst, {size.name}",
+            slice_bytes / 1000,
+            "KB/s",
+            "3 with reports",
+            "0 static slices",
+            seed,
+            COMMAND,
+        )
+
+
+# Cut-off data centre, and return of lent units
+
+
+def cut_off(size: Size) -> Iterator[Measure]:
+    """Measure which part of a limit a data centre can use after it was cut off."""
+    sim = Sim(size, "max_min", SEEDS[0])
+    static = Sim(size, "static", SEEDS[0])
+    for _ in sim.run(dict.fromkeys(range(size.queues), MEAN_LOAD), 8.0):
+        pass
+    parts = {}
+    for fleet in (sim, static):
+        inside = [e for e in fleet.entries if e.dc == "dc1"]
+        held = []
+        for team, spec in fleet.fleet.config.teams.items():
+            key = limit_key(team)
+            units = sum(
+                e.holdings.free(fleet.fleet, key)
+                + sum(n for (_, t), n in e.running.items() if t == team)
+                for e in inside
+            )
+            held.append(units / spec.limit)
+        parts[fleet.policy] = 100 * sum(held) / len(held)
+    bound = 100 * len(inside) / size.entries
+    yield Measure(
+        f"limit usable in a cut-off data centre, mean of teams, {size.name}",
+        parts["max_min"],
+        "% of the limit",
+        f"{bound:.1f}",
+        f"{parts['static']:.1f} static slices",
+        SEEDS[0],
+        COMMAND,
+    )
+
+
+def lent_units(size: Size) -> Iterator[Measure]:
+    """Measure how soon units lent to one entry can move to another."""
+    sim = Sim(size, "max_min", SEEDS[0])
+    for _ in sim.run({}, 4.0):
+        pass
+    keys = [limit_key(t) for t in sim.users[0]]
+    first, second = sim.entries[:2]
+
+    def held(entry: Entry) -> int:
+        return sum(sim.fleet.holding(key, entry.session) for key in keys)
+
+    floor = held(second)
+    for _ in range(round(8.0 / STEP_S)):
+        sim.step({0: MEAN_LOAD * BURST}, first)
+    lent, start = held(first) - floor, sim.now
+    first.waiting.clear()
+    while held(second) - floor < 0.9 * lent and sim.now - start < 60.0:
+        sim.step({0: MEAN_LOAD * BURST}, second)
+    yield Measure(
+        f"time until 9/10 of {lent} lent units have moved, {size.name}",
+        sim.now - start,
+        "s",
+        "2 idle + 1 between records + work",
+        "static slices lend nothing",
+        SEEDS[0],
+        COMMAND,
+    )
+
+
+# Reports
+
+
+def encoded(rows: dict[tuple[int, str], tuple[int, int]], origin: str) -> int:
+    """Return the bytes of a status message with changed usage."""
+    teams = [TeamUsage(f"p{q}", t, r, w) for (q, t), (r, w) in rows.items()]
+    status = Status(
+        session="0" * 32,
+        generation=0,
+        offset=1_000_000,
+        usage=[Usage(origin, teams, False)],
+        processes=[],
+        pending_withdrawals=[],
+        log_contact=True,
+    )
+    envelope = Envelope(0, Body(status=status))
+    return 4 + len(serialize(envelope, TCompactProtocolAcceleratedFactory()))
+
+
+def usage_rows(
+    entries: list[Entry], busy_only: bool
+) -> dict[tuple[int, str], tuple[int, int]]:
+    """Return running and waiting requests by queue and team.
+
+    :param busy_only: whether to leave out queues in which nothing waits
+    """
+    running: Counter[tuple[int, str]] = Counter()
+    waiting: Counter[tuple[int, str]] = Counter()
+    for entry in entries:
+        running.update(entry.running)
+        for queue, teams in entry.waiting.items():
+            waiting.update({(queue, t): n for t, n in teams.items()})
+    busy = {queue for (queue, _), n in waiting.items() if n}
+    rows = running.keys() | waiting.keys()
+    return {k: (running[k], waiting[k]) for k in rows if k[0] in busy or not busy_only}
+
+
+def reports(size: Size) -> Iterator[Measure]:
+    """Measure bytes of reports by data centre against a full mesh."""
+    for busy_only in (False, True):
+        yield from reports_of(size, busy_only)
+
+
+def reports_of(size: Size, busy_only: bool) -> Iterator[Measure]:
+    """Measure reports of all queues, or only of those in which requests wait."""
+    sim = Sim(size, "max_min", SEEDS[0])
+    demand = dict.fromkeys(range(size.queues), MEAN_LOAD * QUIET)
+    demand[0] = MEAN_LOAD * BURST
+    groups: dict[str, list[Entry]] = {}
+    for entry in sim.entries:
+        groups.setdefault(entry.dc, []).append(entry)
+    last: dict[str, dict[tuple[int, str], tuple[int, int]]] = {}
+    mesh, lead, plain, seconds = 0, 0, 0, 5
+    for _ in range(seconds):
+        for _ in sim.run(demand, 1.0):
+            pass
+        sizes = {}
+        origins = {e.session: [e] for e in sim.entries} | groups
+        for origin, entries in origins.items():
+            rows = usage_rows(entries, busy_only)
+            old = last.get(origin, {})
+            changed = {k: v for k, v in rows.items() if old.get(k, (0, 0)) != v}
+            sizes[origin] = encoded(changed, origin)
+            last[origin] = rows
+        dc = groups["dc0"]
+        peers = [sizes[e.session] for e in dc[1:]]
+        others = sum(n for d, n in sizes.items() if d in groups and d != "dc0")
+        own, n = sizes[dc[0].session], len(dc) - 1
+        # The first entry of a data centre sends its aggregate to the others', and
+        # their aggregates on to its peers.
+        lead += n * (own + others) + sum(peers)
+        lead += sizes["dc0"] * (size.dcs - 1) + others
+        plain += n * peers[0] + sum(peers[1:]) + own + others
+        everyone = sum(sizes[e.session] for e in sim.entries)
+        mesh += own * (size.entries - 1) + everyone - own
+    queues = "queues with waiting requests" if busy_only else "all queues"
+    for word, total in (("first entry of a data centre", lead), ("other entry", plain)):
+        yield Measure(
+            f"reports of {queues} sent and received, {word}, burst, {size.name}",
+            total / seconds / 1000,
+            "KB/s",
+            "3 with slices",
+            f"{mesh / seconds / 1000:.1f} full mesh",
+            SEEDS[0],
+            COMMAND,
+        )
+
+
+# Cost
+
+
+def idle_cost(size: Size) -> Iterator[Measure]:
+    """Measure the processor time of holdings in an entry without requests."""
+    sim = Sim(size, "max_min", SEEDS[0])
+    for _ in sim.run({}, 8.0):
+        pass
+    holdings = sim.entries[0].holdings
+    steps = 4000
+    start = time.process_time()
+    for n in range(steps):
+        holdings.plan(sim.now + n * STEP_S, sim.fleet, {})
+    took = time.process_time() - start
+    yield Measure(
+        f"processor time of holdings, idle, {size.name}",
+        100 * took / (steps * STEP_S),
+        "% of a core",
+        "1.3 for the process",
+        "0 static slices",
+        SEEDS[0],
+        COMMAND,
+    )
+
+
+def run() -> list[Measure]:
+    """Run all measures at the sizes of today and of the target."""
+    found: list[Measure] = []
+    for size in (TODAY, TARGET):
+        for measure in (shares, cut_off, lent_units, reports, idle_cost):
+            found += measure(size)
+    return found
