--- a/primrosepitch/request/state.py
+++ b/primrosepitch/request/state.py
@@ -39,12 +39,17 @@
     "Row",
     "Stage",
     "TeamQueue",
+    "Usage",
 ]
 
 RETRY_BURST = 10.0
 """Most retries that a burst may use at once."""
 
 
+Usage = dict[QueueId, dict[TeamId, int]]
+"""Requests by queue and team."""
+
+
 class Stage(enum.Enum):
     """Progress of a request; it can have been sent from ``SENDING`` on."""
 
@@ -235,6 +240,7 @@
     """Claims at this entry and how far they are complete.
 
     :param fresh: whether the claims from before the own session are missing
+    :param active: own call by claimed id
     :param settled: whether every claim of an earlier membership is known here
     :param history: memberships since the table was last settled, newest last
     :param synced: peers whose claims were read since the last change
@@ -242,6 +248,7 @@
     """
 
     rows: dict[RequestId, Row] = field(default_factory=dict)
+    active: dict[RequestId, CallId] = field(default_factory=dict)
     fresh: bool = True
     settled: bool = False
     history: list[list[SessionId]] = field(default_factory=list)
@@ -269,8 +276,9 @@
         self.conns: dict[ConnId, Conn] = {}
         self.idle: dict[InstanceId, list[ConnId]] = {}
         self.queues: dict[QueueId, dict[TeamId, TeamQueue]] = {}
-        self.running: dict[QueueId, dict[TeamId, int]] = {}
-        self.usage: dict[str, tuple[float, dict[QueueId, dict[TeamId, int]]]] = {}
+        self.running: Usage = {}
+        self.usage: dict[str, tuple[float, Usage]] = {}
+        self.reported: Usage = {}
         self.deadlines: list[tuple[float, CallId]] = []
         self.service_s: dict[QueueId, float] = {}
         self.members: dict[PoolId, list[InstanceId]] | None = None
@@ -359,7 +367,7 @@
         known = instance in self.fleet.config.instances
         return known and instance not in self.listed.leaving
 
-    def waiting(self) -> dict[QueueId, dict[TeamId, int]]:
+    def waiting(self) -> Usage:
         """Return the waiting requests by queue and team, for reports."""
         return {
             queue: {team: len(q) for team, q in teams.items() if len(q)}
