Report every damaged configuration file as a mistake

A value such as `!!int many` ended the check by an exception of PyYAML instead of a mistake with its place; so did a file without read permission, and a damaged or unwritable base file ended `primrosectl publish`. Such values and files are mistakes like others; a base that cannot be read or kept is unknown, which the next publication then has to name.

--- a/features/configuration_files.feature
+++ b/features/configuration_files.feature
@@ -72,6 +72,16 @@
       """
     Then the folder is refused at 20-more.yaml:2, 20-more.yaml:3, 20-more.yaml:3, 30-broken.yaml:1 and 40-uses-it.yaml:1
 
+  # Guards against a damaged file that ends the check by an exception of its own.
+  Scenario Outline: Random damage gives a valid folder or mistakes with a remedy
+    When the file "10-base.yaml" is damaged at random 300 times with seed <seed>
+    Then each folder was valid or refused with file, problem and remedy
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+
   # Guards against a report that hides a change or shows the hash of a key.
   Scenario: The difference of two folders is told by setting
     Given the folder as it is in force
--- a/features/steps/configuration_files.py
+++ b/features/steps/configuration_files.py
@@ -1,16 +1,22 @@
 """Steps about configuration folders."""
 
+import random
 import tempfile
 from collections import Counter
 from pathlib import Path
 
-from behave import given, then
+from behave import given, then, when
 
 from primrosepitch.config.diff import changed_files, diff
 from primrosepitch.config.loader import ConfigMistakesError, load_folder
 from primrosepitch.config.model import merge
 from primrosepitch.settings import load_settings
 
+DAMAGE = (
+    b"{", b"}", b"]", b":", b"- ", b"\n", b"  ", b"&a ", b"*a", b"&a [*a]", b"!!int ",
+    b"!!bool ", b"!!timestamp ", b"!!binary ", b"!!python/name:os.system ", b"null",
+    b".inf", b"-1", b"\xff", b"\x00", b"<<: ", b"? ", b"2026-13-45", b"9" * 30, b"'",
+)  # fmt: skip
 EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
 
 
@@ -62,6 +68,30 @@
     assert found == [message], found
 
 
+@when('the file "{name}" is damaged at random 300 times with seed {seed:d}')
+def step_damage(context, name, seed):
+    rng = random.Random(seed)
+    path = folder(context) / name
+    whole = path.read_bytes()
+    context.results = []
+    for _ in range(300):
+        data = whole
+        for _ in range(rng.randrange(1, 4)):
+            start = rng.randrange(len(data))
+            end = start + rng.randrange(6)
+            data = data[:start] + rng.choice(DAMAGE) + data[end:]
+        path.write_bytes(data)
+        context.results.append(mistakes(context))
+
+
+@then("each folder was valid or refused with file, problem and remedy")
+def step_damaged(context):
+    assert len(context.results) == 300
+    assert sum(bool(found) for found in context.results) > 100
+    told = [m for found in context.results for m in found]
+    assert all(m.file and m.problem and m.remedy for m in told)
+
+
 @then("the folder is refused at {places}")
 def step_refused_at(context, places):
     found = [f"{m.file}:{m.line}" for m in mistakes(context)]
--- a/primrosepitch/config/loader.py
+++ b/primrosepitch/config/loader.py
@@ -206,7 +206,7 @@
             values = enumerate(node.value)
             return [self._plain(loader, v, (*path, str(i))) for i, v in values]
         if not isinstance(node, yaml.MappingNode):
-            return loader.construct_object(node)
+            return _scalar(loader, node)
         found: dict[str, Any] = {}
         for key_node, value_node in node.value:
             key = str(key_node.value)
@@ -295,6 +295,19 @@
         self.report(path, "is an unknown setting", remedy)
 
 
+def _scalar(loader: yaml.SafeLoader, node: Any) -> Any:
+    """Return the value of a scalar.
+
+    :raises yaml.YAMLError: if its tag does not fit
+    """
+    try:
+        return loader.construct_object(node)
+    except (ValueError, LookupError, AttributeError, TypeError) as exc:
+        # PyYAML lets these through for values such as ``!!int many``.
+        problem = f"{node.tag} cannot be read"
+        raise yaml.MarkedYAMLError(None, None, problem, node.start_mark) from exc
+
+
 def load_folder(folder: Path) -> dict[str, Document]:
     """Read and check all YAML files of a folder.
 
@@ -307,7 +320,13 @@
     incomplete: set[str] = set()
     for path in _files(folder, mistakes):
         reader = _Reader(path.name, mistakes)
-        documents[path.name] = reader.read(path.read_bytes())
+        try:
+            data = path.read_bytes()
+        except OSError as exc:
+            reader.report((), f"cannot be read ({exc.strerror})", "check its rights")
+            incomplete.update(SECTIONS)
+            continue
+        documents[path.name] = reader.read(data)
         lines[path.name] = reader.lines
         incomplete |= reader.incomplete
     mistakes += check(documents, lines, incomplete)
--- a/primrosepitch/operators/commands.py
+++ b/primrosepitch/operators/commands.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
 from pathlib import Path
 
 import msgspec
@@ -114,15 +115,21 @@
 
 def load_base(folder: Path) -> ConfigView | None:
     """Return the configuration that a folder was changed from, if it is known."""
-    path = folder / BASE_FILE
-    if not path.exists():
+    try:
+        data = (folder / BASE_FILE).read_bytes()
+        return msgspec.json.decode(data, type=ConfigView)
+    except (OSError, msgspec.DecodeError):
         return None
-    return msgspec.json.decode(path.read_bytes(), type=ConfigView)
 
 
 def save_base(folder: Path, view: ConfigView) -> None:
-    """Remember the configuration that the folder's next change is made from."""
-    (folder / BASE_FILE).write_bytes(msgspec.json.encode(view))
+    """Remember the configuration that the folder's next change is made from.
+
+    In a folder that cannot be written the base stays unknown, and the next change
+    has to name it.
+    """
+    with suppress(OSError):
+        (folder / BASE_FILE).write_bytes(msgspec.json.encode(view))
 
 
 def publish(
