Let the platform stand-in lose answers of every write

`/control/lose_answers` takes `of` (log, instances or tasks) and keeps the log as its default, so existing callers are unchanged.

--- a/features/standins.feature
+++ b/features/standins.feature
@@ -17,6 +17,18 @@
     And 1 records are appended to its log
     Then a read from 0 gives the records 0 to 1
 
+  # Guards against lost answers of the log alone: every write can lose its answer.
+  Scenario: A lost answer leaves the task and the reboot in effect
+    Given a platform stand-in that keeps 100 records
+    And the platform fault "instance" with {"instance": "i1", "dc": "dc1", "rack": "r1"}
+    And the platform fault "list_lag" with {"seconds": 0}
+    And the platform fault "lose_answers" with {"count": 1, "of": "tasks"}
+    And the platform fault "lose_answers" with {"count": 1, "of": "instances"}
+    Then a task "a" of 1 cores with a lease of 60 s gets no answer
+    And the command "renew" for task "a" is answered with 200
+    And a stop of "i1" gets no answer
+    And the list comes to show no instance
+
   # Guards against long polls that miss a record or outlive a fault.
   Scenario Outline: A waiting reader learns of a change at once
     Given a platform stand-in that keeps 100 records
--- a/features/steps/standin_faults.py
+++ b/features/steps/standin_faults.py
@@ -208,8 +208,23 @@
 def step_task(context, name, cores, lease, answer):
     task = {"task": name, "instance": "i1", "team": "t", "cores": cores}
     task |= {"memory_gb": 1, "accelerators": 0, "lease_s": lease}
-    status = ask(context, "POST", "/tasks", task).status
-    assert answer == f"is answered with {status}", status
+    found = ask(context, "POST", "/tasks", task)
+    status = f"is answered with {found.status}" if found else "gets no answer"
+    assert answer == status, status
+
+
+@then('a stop of "{name}" gets no answer')
+def step_stop_lost(context, name):
+    assert ask(context, "POST", f"/instances/{name}/stop") is None
+
+
+@then("the list comes to show no instance")
+def step_list_comes(context):
+    async def gone():
+        while (await _ask(context, "GET", "/instances")).json()["instances"]:
+            await asyncio.sleep(0.001)
+
+    run(context, asyncio.wait_for(gone(), WAIT_MS / 1000))
 
 
 @then('the command "{command}" for task "{name}" is answered with {status:d}')
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -4,6 +4,8 @@
 
 ``POST /control/instance {"instance", "dc", "rack", "cores", "memory_gb",
 "accelerators"}`` adds an instance without a process; its reboots take ``reboot_s``.
+``POST /control/lose_answers {"count", "of"}`` loses answers of ``log`` (the default),
+``instances`` (reboot and stop) or ``tasks`` after the write took effect.
 ``POST /control/remove {"instance"}`` makes an instance vanish.
 ``POST /control/retention {"records"}`` sets how many records of a stream are kept.
 ``POST /control/task {"task", "cores", "memory_gb", "accelerators", "state"}`` sets what
@@ -123,7 +125,7 @@
 
     log: bool = False
     list: bool = False
-    lose_answers: int = 0
+    lose_answers: dict[str, int] = {}
     list_lag_s: float = 2.0
     slow_s: float = 0.0
     cut: set[str] = set()
@@ -158,7 +160,7 @@
     def __init__(self, limits: Limits = DEFAULTS) -> None:
         """Start with an empty log and no instances."""
         self.limits = limits
-        self.faults = Faults(list_lag_s=limits.list_lag_s, cut=set())
+        self.faults = Faults(list_lag_s=limits.list_lag_s, cut=set(), lose_answers={})
         self.streams: dict[str, Stream] = {}
         self.machines: dict[str, Machine] = {}
         self.tasks: dict[str, Task] = {}
@@ -209,8 +211,17 @@
             answer = json_response({"error": repr(exc)}, 400)
         if self.faults.slow_s:
             await asyncio.sleep(self.faults.slow_s)
+        if isinstance(answer, Response) and answer.status < 300:
+            return self._lose(req.method, parts[0]) or answer
         return answer
 
+    def _lose(self, method: str, what: str) -> Answer | None:
+        """Lose the answer of a write that took effect, as often as was asked for."""
+        if method != "POST" or self.faults.lose_answers.get(what, 0) <= 0:
+            return None
+        self.faults.lose_answers[what] -= 1
+        return Close()
+
     async def _route(self, req: Request, parts: list[str]) -> Answer:
         match [req.method, *parts]:
             case ["POST", "log", stream]:
@@ -247,9 +258,6 @@
         offset = stream.high
         self._forget(stream)
         self._wake()
-        if self.faults.lose_answers > 0:
-            self.faults.lose_answers -= 1
-            return Close()
         return json_response({"offset": offset})
 
     def _take_token(self) -> bool:
@@ -510,7 +518,10 @@
         self.faults.list = bool(value.get("list", self.faults.list))
 
     def _lose_answers(self, value: dict[str, Any]) -> None:
-        self.faults.lose_answers = int(value["count"])
+        what = value.get("of", "log")
+        if what not in ("log", "instances", "tasks"):
+            raise BadRequestError(f"no answers of {what}")
+        self.faults.lose_answers[what] = int(value["count"])
 
     def _list_lag(self, value: dict[str, Any]) -> None:
         self.faults.list_lag_s = float(value["seconds"])
