Refuse waiting requests that can no longer be answered in time

Cause: under overload requests waited until just before their deadline and were then sent; the endpoint answered too late, the outcome was unknown and the slot was lost until the deadline. A long queue of one team also turned away others. Ruled out: the choice of the endpoint, since random routing fell just as deep. Change: a request that had to wait is refused as not run when less time is left than a low estimate of the time it takes; the expected wait counts the team's own queue and its share of the slots.

--- a/primrosepitch/request/queueing.py
+++ b/primrosepitch/request/queueing.py
@@ -16,12 +16,17 @@
     "next_waiting",
     "observe",
     "remove",
+    "service_s",
+    "too_late",
     "report",
     "wanted",
 ]
 
-SMOOTHING = 0.1
-"""Weight of the newest request in the mean time that a request takes."""
+SMOOTHING = 0.05
+"""Weight of the newest request in the estimated time that a request takes."""
+
+SHORTER_SMOOTHING = 0.2
+"""Weight of the newest request when it took less than the estimate."""
 
 USAGE_MAX_AGE_S = 10.0
 """Age at which a peer's report of its usage no longer counts."""
@@ -59,26 +64,56 @@
     return waiting is not None and len(waiting) >= limit
 
 
-def expected_wait_s(state: EntryState, queue: QueueId) -> float:
-    """Estimate the wait of a new request from those before it and their mean time.
+def expected_wait_s(state: EntryState, queue: QueueId, team: TeamId) -> float:
+    """Estimate the wait of a new request behind its team's waiting ones.
+
+    The team is expected to get its share of the slots among the teams that wait, so
+    that a long queue of one team does not turn away the others.
 
-    :returns: seconds; 0 while too little is known
+    :returns: seconds; 0 while none of the team's requests waits
     """
-    if queue not in state.queues:
+    teams = state.queues.get(queue, {})
+    if team not in teams:
         return 0.0
-    waiting = sum(len(q) for q in state.queues[queue].values())
     pool = routing.pool_members(state, queue)
     slots = sum(state.fleet.holding(slots_key(i), state.session) for i in pool)
     if not slots:
         return 0.0
-    return waiting * state.service_s.get(queue, 0.0) / slots
+    specs = state.fleet.config.teams
+    weights = {t: specs[t].share if t in specs else 1.0 for t in teams}
+    own_slots = slots * weights[team] / sum(weights.values())
+    return len(teams[team]) * service_s(state, queue) / own_slots
+
+
+def service_s(state: EntryState, queue: QueueId) -> float:
+    """Return a low estimate of the time that a request of the queue takes.
+
+    :returns: seconds; 0 while nothing is known
+    """
+    return state.service_s.get(queue, 0.0)
+
+
+def too_late(state: EntryState, call: Call) -> bool:
+    """Whether a waiting request has too little time left to be answered in time.
+
+    A request that did not have to wait is always sent: were it refused, an estimate
+    that is too long could never be corrected.
+    """
+    waited = call.arrived < state.now
+    estimate = service_s(state, call.queue) if waited else 0.0
+    return call.deadline - estimate <= state.now
 
 
 def observe(state: EntryState, call: Call) -> None:
-    """Note how long an answered request took at its endpoint."""
+    """Note how long an answered request took at its endpoint.
+
+    The estimate follows shorter times faster than longer ones: it is used to refuse
+    requests, and one that could have been answered must not be refused.
+    """
     took = state.now - call.sent_at
-    mean = state.service_s.get(call.queue, took)
-    state.service_s[call.queue] = mean + SMOOTHING * (took - mean)
+    known = state.service_s.get(call.queue, took)
+    weight = SMOOTHING if took > known else SHORTER_SMOOTHING
+    state.service_s[call.queue] = known + weight * (took - known)
 
 
 def next_waiting(state: EntryState, queue: QueueId) -> TeamId | None:
--- a/primrosepitch/request/reducer.py
+++ b/primrosepitch/request/reducer.py
@@ -126,7 +126,9 @@
         return
     cfg = state.settings
     timeout_s = min(event.timeout_s or cfg.default_request_s, cfg.max_request_s)
-    wait_s = queueing.expected_wait_s(state, event.queue)
+    wait_s = queueing.expected_wait_s(state, event.queue, admission.team)
+    if wait_s:
+        wait_s += queueing.service_s(state, event.queue)
     if queueing.full(state, event.queue, admission.team) or wait_s > timeout_s:
         answers.refuse_new(state, event, QueueFullError.code)
         return
--- a/primrosepitch/request/sending.py
+++ b/primrosepitch/request/sending.py
@@ -85,7 +85,7 @@
     if team is None:
         return False
     call = state.queues[queue][team].first()
-    if call.deadline <= state.now:
+    if queueing.too_late(state, call):
         expire(state, call)
         return True
     instance = routing.choose(state, call)
