Measure the fair share with last and with smoothed reports

The measure of the distance used RunningEstimate only, while the entry's reducer still adds up the last reports. RunningEstimate takes its smoothing and reaction as arguments, and bench/teams.py prints both ways.

--- a/bench/teams.py
+++ b/bench/teams.py
@@ -10,6 +10,7 @@
 import time
 from collections import Counter
 from collections.abc import Iterator
+from statistics import mean
 from typing import NamedTuple
 
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
@@ -98,13 +99,19 @@
 class Entry:
     """An entry with its queues and running requests."""
 
-    def __init__(self, session: str, dc: str, holdings: Holdings | StaticSlices):
+    def __init__(
+        self,
+        session: str,
+        dc: str,
+        holdings: Holdings | StaticSlices,
+        estimate: RunningEstimate,
+    ) -> None:
         """Start idle."""
         self.session, self.dc, self.holdings = session, dc, holdings
         self.waiting: dict[int, Counter[str]] = {}
         self.running: Counter[tuple[int, str]] = Counter()
         self.ends: list[tuple[float, int, str, str]] = []
-        self.estimate = RunningEstimate(session)
+        self.estimate = estimate
 
 
 def by_queue(rows: Counter[tuple[int, str]]) -> dict[int, dict[str, int]]:
@@ -141,7 +148,7 @@
 class Sim:
     """A fleet of entries on a virtual clock.
 
-    :param policy: ``max_min`` with holdings, or ``static``
+    :param policy: ``smoothed`` or ``last`` reports with holdings, or ``static``
     """
 
     def __init__(self, size: Size, policy: str, seed: int) -> None:
@@ -165,7 +172,9 @@
             session = f"s{i:02}"
             static = policy == "static"
             holdings = StaticSlices(rank) if static else Holdings(session)
-            self.entries.append(Entry(session, dc, holdings))
+            last = RunningEstimate(session, smoothing=1.0, reaction=1.0)
+            estimate = last if policy == "last" else RunningEstimate(session)
+            self.entries.append(Entry(session, dc, holdings, estimate))
             self.append(
                 rec.SessionOpened(
                     record_id=session,
@@ -263,7 +272,8 @@
             if free(self.fleet, slots_key(name)) <= 0:
                 return
             known = {t: self.known_running(entry, queue, t) for t in teams}
-            team = next_team(known, self.weights, self.policy)
+            rule = "static" if self.policy == "static" else "max_min"
+            team = next_team(known, self.weights, rule)
             waiting[team] -= 1
             entry.running[queue, team] += 1
             entry.holdings.use(limit_key(team))
@@ -375,18 +385,19 @@
 def shares(size: Size) -> Iterator[Measure]:
     """Measure the distance from the fair share and the bytes of slices."""
     for seed in SEEDS if size is TODAY else SEEDS[:1]:
-        ours, slice_bytes = distances(size, "max_min", seed)
         static, _ = distances(size, "static", seed)
-        for word, pick in (("largest", max), ("mean", lambda v: sum(v) / len(v))):
-            yield Measure(
-                f"{word} distance from fair share, 10 s windows, {size.name}",
-                pick(ours),
-                "% of the pool",
-                "0",
-                f"{pick(static):.1f} static slices",
-                seed,
-                COMMAND,
-            )
+        for policy in ("smoothed", "last"):
+            ours, slice_bytes = distances(size, policy, seed)
+            for word, pick in (("largest", max), ("mean", mean)):
+                yield Measure(
+                    f"{word} distance from fair share, {policy} reports, {size.name}",
+                    pick(ours),
+                    "% of the pool",
+                    "0",
+                    f"{pick(static):.1f} static slices",
+                    seed,
+                    COMMAND,
+                )
         yield Measure(
             f"log records of slices read by a node, burst, {size.name}",
             slice_bytes / 1000,
@@ -403,7 +414,7 @@
 
 def cut_off(size: Size) -> Iterator[Measure]:
     """Measure which part of a limit a data centre can use after it was cut off."""
-    sim = Sim(size, "max_min", SEEDS[0])
+    sim = Sim(size, "smoothed", SEEDS[0])
     static = Sim(size, "static", SEEDS[0])
     for _ in sim.run(dict.fromkeys(range(size.queues), MEAN_LOAD), 8.0):
         pass
@@ -423,7 +434,7 @@
     bound = 100 * len(inside) / size.entries
     yield Measure(
         f"limit usable in a cut-off data centre, mean of teams, {size.name}",
-        parts["max_min"],
+        parts["smoothed"],
         "% of the limit",
         f"{bound:.1f}",
         f"{parts['static']:.1f} static slices",
@@ -434,7 +445,7 @@
 
 def lent_units(size: Size) -> Iterator[Measure]:
     """Measure how soon units lent to one entry can move to another."""
-    sim = Sim(size, "max_min", SEEDS[0])
+    sim = Sim(size, "smoothed", SEEDS[0])
     for _ in sim.run({}, 4.0):
         pass
     keys = [limit_key(t) for t in sim.users[0]]
@@ -506,7 +517,7 @@
 
 def reports_of(size: Size, busy_only: bool) -> Iterator[Measure]:
     """Measure reports of all queues, or only of those in which requests wait."""
-    sim = Sim(size, "max_min", SEEDS[0])
+    sim = Sim(size, "smoothed", SEEDS[0])
     demand = dict.fromkeys(range(size.queues), MEAN_LOAD * QUIET)
     demand[0] = MEAN_LOAD * BURST
     groups: dict[str, list[Entry]] = {}
@@ -554,7 +565,7 @@
 
 def idle_cost(size: Size) -> Iterator[Measure]:
     """Measure the processor time of holdings in an entry without requests."""
-    sim = Sim(size, "max_min", SEEDS[0])
+    sim = Sim(size, "smoothed", SEEDS[0])
     for _ in sim.run({}, 8.0):
         pass
     holdings = sim.entries[0].holdings
--- a/primrosepitch/teams/fairness.py
+++ b/primrosepitch/teams/fairness.py
@@ -123,11 +123,17 @@
     """What each team runs in the fleet, from reports that are a second old.
 
     :param own: origin of the own reports
+    :param smoothing: part of a new report that enters the estimate
+    :param reaction: weight of an own change since the report
     """
 
-    def __init__(self, own: str) -> None:
+    def __init__(
+        self, own: str, smoothing: float = SMOOTHING, reaction: float = REACTION
+    ) -> None:
         """Start without reports."""
         self._own = own
+        self._smoothing = smoothing
+        self._reaction = reaction
         self._known: dict[str, dict[tuple[QueueId, TeamId], float]] = {}
         self._total: dict[tuple[QueueId, TeamId], float] = defaultdict(float)
 
@@ -137,7 +143,7 @@
         rows = {(q, t): n for q, teams in usage.items() for t, n in teams.items()}
         for row in known.keys() | rows.keys():
             old = known.get(row, 0.0)
-            new = old + SMOOTHING * (rows.get(row, 0) - old)
+            new = old + self._smoothing * (rows.get(row, 0) - old)
             self._set(known, row, new if new > 0.01 else 0.0)
 
     def forget(self, origin: str) -> None:
@@ -153,7 +159,7 @@
         """
         row = (queue, team)
         own = self._known.get(self._own, {}).get(row, 0.0)
-        return max(0.0, self._total.get(row, 0.0) + REACTION * (own_now - own))
+        return max(0.0, self._total.get(row, 0.0) + self._reaction * (own_now - own))
 
     def _set(
         self,
