Fold the log in a planner that has finished

Cause: after its effect Finished the planner's reducer ignored every event, while the program follows the log for up to 5 s until its closing record is read back. A record of another process before that one was never folded, so the tail read it again and again and the closing was never confirmed. Change: a finished planner still folds records and loads states, without effects. The new scenario fails without the change and passes with it.

--- a/features/steps/planner_program.py
+++ b/features/steps/planner_program.py
@@ -7,7 +7,18 @@
 
 from primrosepitch.bin.entry import Entry
 from primrosepitch.bin.planner import Planner
-from primrosepitch.fleet.records import InstanceUp, StopRequested, decode_record
+from primrosepitch.fleet.records import (
+    InstanceUp,
+    Role,
+    SessionClosed,
+    SessionOpened,
+    StopRequested,
+    decode_record,
+)
+from primrosepitch.planning import events as ev
+from primrosepitch.planning.effects import Finished
+from primrosepitch.planning.reducer import step
+from primrosepitch.planning.state import PlannerState
 from primrosepitch.settings import Settings
 from primrosepitch.trace import NullRecorder
 from standins.endpoint import Endpoint, EndpointSettings
@@ -105,3 +116,35 @@
 @then("the planner exited with code 0 and its session is closed")
 def step_closed(context):
     assert context.exit_code == 0
+
+
+def read(offset, record):
+    return ev.RecordRead(now=2.0, offset=offset, record=record)
+
+
+@given("a planner that was asked to stop and has finished")
+def step_finished(context):
+    context.planner = PlannerState("s1", "dc1")
+    for offset, name in enumerate(["s1", "s2"]):
+        opened = SessionOpened(
+            record_id=f"o{name}", by=name, session=name, role=Role.PLANNER, dc="dc1",
+            instance=f"i-{name}", peer_address="127.0.0.1:1",
+        )  # fmt: skip
+        step(context.planner, read(offset, opened))
+    step(context.planner, ev.StopAsked(now=2.0))
+    effects = step(context.planner, ev.Tick(now=2.0, wall=2.0, seed=1))
+    assert [type(e) for e in effects] == [Finished], effects
+
+
+@when("it reads the closing records of an entry and of itself")
+def step_closings(context):
+    context.effects = []
+    for offset, name in enumerate(["s2", "s1"], start=2):
+        closed = SessionClosed(record_id=f"c{name}", by=name, session=name)
+        context.effects += step(context.planner, read(offset, closed))
+
+
+@then("it has no effects and its state is at the last record")
+def step_at_last(context):
+    assert context.effects == [], context.effects
+    assert context.planner.fleet.offset == 3, context.planner.fleet.offset
--- a/primrosepitch/planning/reducer.py
+++ b/primrosepitch/planning/reducer.py
@@ -50,6 +50,10 @@
     :returns: effects in the order in which they are to be carried out
     """
     if state.finished:
+        # The program follows the log until its own closing record is read back. A
+        # record that is not folded would be read again and again until then.
+        if isinstance(event, events.RecordRead | events.StateLoaded):
+            _HANDLERS[type(event)](state, event)
         return []
     return _HANDLERS[type(event)](state, event)
 
