Measure idle processes at the end of the demo

Cause: the control cost of a node has a bound that nothing measured. Change: scripts/measure_processes.py; DEMO_IDLE_S runs it in the demo.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -7,6 +7,7 @@
 # DEMO_REQUESTS  requests of the callers (1500)
 # DEMO_RECORD    if not empty, entries and planners record their traces
 # DEMO_FAULT     name of a fault of scripts/faults.sh to bring about meanwhile
+# DEMO_IDLE_S    seconds for which the idle processes are measured at the end
 # DEMO_CALLER    further options of the caller stand-in
 # Logs are kept under run/demo.
 set -eu
@@ -240,6 +241,11 @@
 check_code=0
 $PY scripts/check_run.py "$CONFIG" "$RUN/caller.json" "$FAULT_LOST" || check_code=$?
 
+if [ -n "${DEMO_IDLE_S:-}" ]; then
+    stop_group endpoint
+    $PY scripts/measure_processes.py --seconds "$DEMO_IDLE_S" "$RUN/control.pids"
+fi
+
 # Entries need the platform's log to close their sessions, so it stops last.
 stop_all
 [ "$unclean" -eq 0 ] || fail "$unclean processes did not stop gracefully"
