Check the configuration's offset of a state that moves

Cause: removing the move of the configuration's offset still failed no scenario. Change: an assertion on the offset of the configuration.

--- a/features/steps/wire.py
+++ b/features/steps/wire.py
@@ -275,6 +275,7 @@
     assert context.before > 5
     assert _numbers(to_builtins(context.state)) == 0
     assert (context.state.generation, context.state.offset) == (1, 7)
+    assert context.state.config_offset == 7
 
 
 @when("a truncated log holds a snapshot of generation 1 that has seen less")
