--- a/primrosepitch/request/reducer.py
+++ b/primrosepitch/request/reducer.py
@@ -126,7 +126,9 @@
         return
     cfg = state.settings
     timeout_s = min(event.timeout_s or cfg.default_request_s, cfg.max_request_s)
-    wait_s = queueing.expected_wait_s(state, event.queue)
+    wait_s = queueing.expected_wait_s(state, event.queue, admission.team)
+    if wait_s:
+        wait_s += queueing.service_s(state, event.queue)
     if queueing.full(state, event.queue, admission.team) or wait_s > timeout_s:
         answers.refuse_new(state, event, QueueFullError.code)
         return
@@ -170,7 +172,7 @@
     connections.settle(state)
     connections.close_idle(state)
     listing.refresh(state)
-    queueing.forget_reports(state)
+    queueing.refresh_estimate(state)
     claims.maintain(state)
     claiming.poll(state)
     _plan(state)
