--- a/features/steps/planner_program.py
+++ b/features/steps/planner_program.py
@@ -5,9 +5,20 @@
 
 from behave import given, then, when
 
-from features.wire_world import entry, publish, records, until
+from primrosepitch.bin.entry import Entry
 from primrosepitch.bin.planner import Planner
-from primrosepitch.fleet.records import InstanceUp, StopRequested
+from primrosepitch.fleet.records import (
+    InstanceUp,
+    Role,
+    SessionClosed,
+    SessionOpened,
+    StopRequested,
+    decode_record,
+)
+from primrosepitch.planning import events as ev
+from primrosepitch.planning.effects import Finished
+from primrosepitch.planning.reducer import step
+from primrosepitch.planning.state import PlannerState
 from primrosepitch.settings import Settings
 from primrosepitch.trace import NullRecorder
 from standins.endpoint import Endpoint, EndpointSettings
@@ -17,6 +28,40 @@
 SCENARIO_S = 60
 
 
+async def until(condition):
+    while not condition():
+        await asyncio.sleep(0.02)
+
+
+async def program(stack, kind, name, platform):
+    settings = Settings(
+        name=name,
+        dc="dc1",
+        instance=f"i-{name}",
+        address="127.0.0.1",
+        platform=platform,
+        http_port=0,
+        peer_port=0,
+    )
+    found = kind(settings, NullRecorder())
+    found.task = asyncio.ensure_future(found.run())
+    stack.callback(found.task.cancel)
+    await until(lambda: found.session in found.fleet().sessions)
+    return found
+
+
+async def publish(entry, port):
+    worker = {"dc": "dc1", "rack": "rack1", "pool": "p", "address": "127.0.0.1"}
+    document = {
+        "pools": {"p": {}},
+        "services": {"quotes": {"pool": "p", "open": True}},
+        "instances": {"w1": {**worker, "port": port}},
+    }
+    body = {"base_offset": -1, "documents": {"a.yaml": document}}
+    answer = await call(entry.http_address(), "POST", "/-/config", body)
+    assert answer.status == 200, answer.body
+
+
 @given("a platform, an endpoint, an entry and a planner on ephemeral ports")
 def step_given(context):
     context.limits = Limits(list_lag_s=0.2)
@@ -36,16 +81,10 @@
         endpoint = Endpoint(EndpointSettings(instance="w1", platform=address))
         await endpoint.start()
         stack.push_async_callback(endpoint.stop)
-        process = await stack.enter_async_context(entry(address))
-        await publish(process, endpoint.port)
-        ports = {"http_port": 0, "peer_port": 0, "address": "127.0.0.1"}
-        settings = Settings(
-            name="p1", dc="dc1", instance="i-p1", platform=address, **ports
-        )
-        planner = Planner(settings, NullRecorder())
-        task = asyncio.ensure_future(planner.run())
-        stack.callback(task.cancel)
-        fleet = process.fleet()
+        entry = await program(stack, Entry, "e1", address)
+        await publish(entry, endpoint.port)
+        planner = await program(stack, Planner, "p1", address)
+        fleet = entry.fleet()
         await until(lambda: fleet.instances["w1"].available)
         drain = {
             "type": "DrainStarted",
@@ -53,13 +92,16 @@
             "reason": "reboot",
             "base_offset": fleet.offset,
         }
-        answer = await call(process.http_address(), "POST", "/-/records", drain)
+        answer = await call(entry.http_address(), "POST", "/-/records", drain)
         assert answer.status == 200, answer.body
         await until(lambda: fleet.instances["w1"].maintained > 0)
         planner.stop()
-        context.exit_code = await task
+        context.exit_code = await planner.task
         await until(lambda: planner.session not in fleet.sessions)
-        context.records = records(platform)
+        entry.stop()
+        await entry.task
+        data = platform.streams["fleet"].records
+        context.records = [decode_record(r) for r in data]
 
 
 @then("the endpoint was signalled once, after its stop was in the log")
@@ -74,3 +116,35 @@
 @then("the planner exited with code 0 and its session is closed")
 def step_closed(context):
     assert context.exit_code == 0
+
+
+def read(offset, record):
+    return ev.RecordRead(now=2.0, offset=offset, record=record)
+
+
+@given("a planner that was asked to stop and has finished")
+def step_finished(context):
+    context.planner = PlannerState("s1", "dc1")
+    for offset, name in enumerate(["s1", "s2"]):
+        opened = SessionOpened(
+            record_id=f"o{name}", by=name, session=name, role=Role.PLANNER, dc="dc1",
+            instance=f"i-{name}", peer_address="127.0.0.1:1",
+        )  # fmt: skip
+        step(context.planner, read(offset, opened))
+    step(context.planner, ev.StopAsked(now=2.0))
+    effects = step(context.planner, ev.Tick(now=2.0, wall=2.0, seed=1))
+    assert [type(e) for e in effects] == [Finished], effects
+
+
+@when("it reads the closing records of an entry and of itself")
+def step_closings(context):
+    context.effects = []
+    for offset, name in enumerate(["s2", "s1"], start=2):
+        closed = SessionClosed(record_id=f"c{name}", by=name, session=name)
+        context.effects += step(context.planner, read(offset, closed))
+
+
+@then("it has no effects and its state is at the last record")
+def step_at_last(context):
+    assert context.effects == [], context.effects
+    assert context.planner.fleet.offset == 3, context.planner.fleet.offset
