Print the payload bytes a second of idle processes

Cause: bytes of the loopback interface hold packet headers and the platform's other connections. Change: scripts/socket_bytes.py compares two lists of sockets of each process.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -243,7 +243,11 @@
 
 if [ -n "${DEMO_IDLE_S:-}" ]; then
     stop_group endpoint
+    ss -tinpH state established >"$RUN/sockets.before" || :
     $PY scripts/measure_processes.py --seconds "$DEMO_IDLE_S" "$RUN/control.pids"
+    ss -tinpH state established >"$RUN/sockets.after" || :
+    $PY scripts/socket_bytes.py "$RUN/sockets.before" "$RUN/sockets.after" \
+        "$DEMO_IDLE_S" "$RUN/control.pids"
 fi
 
 # Entries need the platform's log to close their sessions, so it stops last.
