Replay recorded traces of real runs under faults

Cause: properties were shown by features in virtual time only; nothing replayed what entries and planners decided in real runs under faults. Facts read.KIND and log_failures show that the fault was met in the trace.

--- a/features/steps/replay.py
+++ b/features/steps/replay.py
@@ -1,5 +1,8 @@
 """Steps about the replay of traces."""
 
+import gzip
+import re
+import shutil
 import tempfile
 from pathlib import Path
 from types import SimpleNamespace
@@ -8,7 +11,7 @@
 from behave import given, then, when
 from typer.testing import CliRunner
 
-from primrosepitch.bin.replay import app
+from primrosepitch.bin.replay import PROPERTIES, app
 from primrosepitch.config.model import Config, Document, PoolSpec, ServiceSpec
 from primrosepitch.facts import EntryFacts, PlannerFacts
 from primrosepitch.fleet import records as rec
@@ -20,6 +23,8 @@
 from primrosepitch.request.state import EntryState
 from primrosepitch.trace import TraceRecorder
 
+TRACES = Path(__file__).resolve().parents[2] / "traces"
+
 OPENED = rec.SessionOpened(
     record_id="r1", by="s1", session="s1", role=rec.Role.ENTRY, dc="linz",
     instance="i1", peer_address="127.0.0.1:1",
@@ -82,6 +87,8 @@
         expected["code.PRP-1204"] = 0
     elif defect == "another session's reducer":
         context.statement["session"] = "s2"
+    elif defect == "another property":
+        context.statement["property"] = "at_most_twice"
     context.trace.write_bytes(b"".join(lines))
     path = context.trace.with_suffix(".yaml")
     path.write_text(yaml.safe_dump(context.statement), encoding="utf-8")
@@ -92,6 +99,50 @@
     assert not context.trace.with_suffix(".yaml").exists()
 
 
+@given("the trace is compressed and {state}")
+def step_compressed(context, state):
+    data = gzip.compress(context.trace.read_bytes())
+    data = data[:-12] if state == "truncated" else data
+    context.trace.with_suffix(".trace.gz").write_bytes(data)
+    context.trace.unlink()
+
+
+@when("the traces of the repository are replayed")
+def step_recorded(context):
+    context.result = CliRunner().invoke(app, [str(TRACES)])
+
+
+@when("the traces of the repository are replayed with a changed outcome")
+def step_changed(context):
+    with tempfile.TemporaryDirectory() as folder:
+        copy = Path(shutil.copytree(TRACES, Path(folder, "traces")))
+        path = sorted(copy.rglob("*.yaml"))[0]
+        stated = yaml.safe_load(path.read_text(encoding="utf-8"))
+        zero = next(k for k, v in stated["expected"].items() if v == 0)
+        stated["expected"][zero] = 1
+        path.write_text(yaml.safe_dump(stated), encoding="utf-8")
+        context.result = CliRunner().invoke(app, [str(copy)])
+
+
+def counts(output):
+    """Return traces and held traces by property."""
+    line = re.compile(r"^property (\w+): traces=(\d+) held=(\d+)$", re.MULTILINE)
+    return {name: (int(n), int(held)) for name, n, held in line.findall(output)}
+
+
+@then("each of the ten properties has traces and all of them hold")
+def step_all_hold(context):
+    found = counts(context.result.output)
+    assert tuple(found) == PROPERTIES, context.result.output
+    assert all(n == held > 0 for n, held in found.values()), context.result.output
+
+
+@then("one trace does not hold")
+def step_one_fails(context):
+    found = counts(context.result.output).values()
+    assert sum(n - held for n, held in found) == 1, context.result.output
+
+
 @when("the trace is replayed")
 def step_replay(context):
     context.result = CliRunner().invoke(app, [str(context.trace.parent)])
@@ -182,6 +233,14 @@
 DRAIN = rec.DrainStarted(
     instance="i1", reason=rec.DrainReason.STOP, base_offset=0, **BY
 )
+RUNS["log_failures"] = (
+    [(ev.LogContact(now=1.0, up=False), [])],
+    [(ev.LogContact(now=1.0, up=True), [])],
+)
+RUNS["read.DrainStarted"] = (
+    [(ev.RecordRead(now=1.0, offset=1, record=DRAIN), [])],
+    [(ev.RecordRead(now=1.0, offset=1, record=STOP), [])],
+)
 MOVED = rec.MoveFinished(instance="i1", dc="linz", term=1, **BY)
 
 
--- a/primrosepitch/bin/replay.py
+++ b/primrosepitch/bin/replay.py
@@ -1,8 +1,8 @@
 """Replay of recorded traces through the reducers, with their stated outcomes.
 
-Beside ``NAME.trace`` lies ``NAME.yaml``::
+Beside ``NAME.trace`` or ``NAME.trace.gz`` lies ``NAME.yaml``::
 
-    property: at_most_once        # name of the feature
+    property: at_most_once        # one of PROPERTIES
     program: entry                # or planner
     session: linz-entry-1-0a1b    # session and data centre of the recorded process
     dc: linz
@@ -16,6 +16,7 @@
 
 import importlib
 import sys
+import zlib
 from collections import Counter
 from pathlib import Path
 from typing import Annotated, Any, NamedTuple
@@ -28,9 +29,23 @@
 from primrosepitch.facts import KINDS
 from primrosepitch.trace import digest, read_trace
 
-__all__ = ["Bounds", "Replayed", "Statement", "app", "main", "replay"]
+__all__ = ["PROPERTIES", "Bounds", "Replayed", "Statement", "app", "main", "replay"]
 
-SUFFIX = ".trace"
+SUFFIXES = (".trace", ".trace.gz")
+
+PROPERTIES = (
+    "availability_budget",
+    "one_pool",
+    "keys",
+    "upper_limit",
+    "whole_answer",
+    "not_run_is_true",
+    "at_most_once",
+    "leaving_endpoint",
+    "graceful_stop",
+    "configuration_in_force",
+)
+"""Properties of section 1.2 of docs/design.md, in its order."""
 
 
 class Program(NamedTuple):
@@ -151,19 +166,26 @@
 
     :raises ValueError: if it is missing or wrong
     """
-    path = trace.with_suffix(".yaml")
+    plain = trace.with_suffix("") if trace.suffix == ".gz" else trace
+    path = plain.with_suffix(".yaml")
     try:
         raw: Any = yaml.safe_load(path.read_text(encoding="utf-8"))
-        return msgspec.convert(raw, Statement)
+        statement = msgspec.convert(raw, Statement)
     except (OSError, yaml.YAMLError, msgspec.ValidationError) as exc:
         raise ValueError(f"{path.name}: {exc}") from exc
+    if statement.property not in PROPERTIES:
+        raise ValueError(f"{path.name}: unknown property {statement.property}")
+    return statement
 
 
 def _traces(paths: list[Path]) -> list[Path]:
     """Return the named traces and those in the named folders."""
     found = []
     for path in paths:
-        found += sorted(path.rglob(f"*{SUFFIX}")) if path.is_dir() else [path]
+        if path.is_dir():
+            found += sorted(f for f in path.rglob("*") if f.name.endswith(SUFFIXES))
+        else:
+            found.append(path)
     return found
 
 
@@ -198,7 +220,7 @@
         held[name] += not problems
         for problem in problems:
             print(f"{trace}: {problem}", file=sys.stderr)
-    for name in sorted(total):
+    for name in [*PROPERTIES, *sorted(total.keys() - set(PROPERTIES))]:
         print(f"property {name}: traces={total[name]} held={held[name]}")
     if not total:
         print("no traces were found", file=sys.stderr)
@@ -213,7 +235,7 @@
         statement = _read_statement(trace)
         name = statement.property
         result = replay(trace, statement)
-    except (OSError, ValueError, TypeError) as exc:
+    except (OSError, EOFError, zlib.error, ValueError, TypeError) as exc:
         return name, [str(exc)]
     if show:
         for fact, value in sorted(result.facts.items()):
--- a/primrosepitch/facts.py
+++ b/primrosepitch/facts.py
@@ -14,7 +14,8 @@
 ``pool_changes_without_move``  other pool changes than by a finished move
 
 Others count ``event.KIND``, ``effect.KIND``, ``record.KIND`` (appended),
-``outcome.OUTCOME`` and ``code.CODE``.
+``read.KIND`` (records read from the log), ``outcome.OUTCOME`` and ``code.CODE``, and
+``log_failures`` the failed reads of the log.
 """
 
 from __future__ import annotations
@@ -50,6 +51,10 @@
 
 def _count_names(counts: Counter[str], event: Any, effects: Sequence[Any]) -> None:
     counts[f"event.{type(event).__name__}"] += 1
+    read = _record(event)
+    if read is not None:
+        counts[f"read.{type(read).__name__}"] += 1
+    counts["log_failures"] += getattr(event, "up", True) is False
     for effect in effects:
         counts[f"effect.{type(effect).__name__}"] += 1
         record = getattr(effect, "record", None)
--- a/primrosepitch/trace.py
+++ b/primrosepitch/trace.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gzip
 import hashlib
 from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
@@ -80,15 +81,16 @@
 
 
 def read_trace(path: Path, kind: Any) -> Iterator[tuple[Any, str]]:
-    """Read the events of a trace.
+    """Read the events of a trace; one whose name ends in ``.gz`` is decompressed.
 
     :param kind: type or union of the events
     :returns: pairs of event and digest of the effects
     :raises msgspec.DecodeError: if a line is malformed
+    :raises OSError, EOFError, zlib.error: if the file cannot be read
     """
     lines = msgspec.json.Decoder(TraceLine)
     events = msgspec.json.Decoder(kind)
-    with path.open("rb") as file:
+    with gzip.open(path) if path.suffix == ".gz" else path.open("rb") as file:
         for raw in file:
             line = lines.decode(raw)
             yield events.decode(line.event), line.effects
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -8,12 +8,12 @@
 # DEMO_RECORD    if not empty, entries and planners record their traces
 # DEMO_FAULT     name of a fault of scripts/faults.sh to bring about meanwhile
 # DEMO_CALLER    further options of the caller stand-in
-# Logs are kept under run/demo.
+# DEMO_RUN       folder of logs and traces (run/demo)
 set -eu
 cd "$(dirname "$0")/.."
 PY=${PY:-.venv/bin/python}
 export PYTHONPATH=.
-RUN=run/demo
+RUN=${DEMO_RUN:-run/demo}
 START_S=30
 STOP_S=60
 REQUESTS=${DEMO_REQUESTS:-1500}
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -119,6 +119,11 @@
     ctl move sundry-apps-wels-a press-slots
 }
 
+# A wave over the spare pool, one instance at a time.
+fault_wave() {
+    ctl wave start --pool sundry-apps --max-parallel 1 --name spare-pool
+}
+
 fault_limit_lowered() {
     sed -i 's/limit: 96/limit: 10/' "$CONFIG"/20-teams.yaml
     ctl publish "$CONFIG" --wait --operator fault | tail -n 1
