Allow for different clock speeds before units of lost sessions return

Cause: the wait before settlement was exactly the longest request; an endpoint counts the time left from when it reads the request, and the clocks of two instances may differ in speed. Change: 1 s for the way to the endpoint and 1 % for the clocks; the six-hour rule has the same 1 %.

--- a/primrosepitch/planning/sessions.py
+++ b/primrosepitch/planning/sessions.py
@@ -26,6 +26,13 @@
 SETTLE_MARGIN_S = 5.0
 """Added to the lease of a task for the way of its last renewal."""
 
+REQUEST_MARGIN_S = 1.0
+"""Added to the longest request: an endpoint counts the time left from when it reads
+the request."""
+
+CLOCK_RATIO = 1.01
+"""How much faster the own clock may run than that of the lost process."""
+
 REMOVED_S = 30.0
 """Seconds for which an instance is off the list and unreachable before that counts."""
 
@@ -80,7 +87,8 @@
 
 def _settle(state: PlannerState, now: float, name: SessionId) -> list[Effect]:
     seen = state.ends.get(name)
-    wait = max(state.longest_request_s, TASK_LEASE_S + SETTLE_MARGIN_S)
+    requests_s = state.longest_request_s + REQUEST_MARGIN_S
+    wait = max(requests_s, TASK_LEASE_S + SETTLE_MARGIN_S) * CLOCK_RATIO
     if seen is None or now - seen.at < wait:
         return []
     record = rec.SessionSettled(record_id=RecordId(""), by=state.session, session=name)
@@ -94,7 +102,7 @@
     """Return the end of an open session if one of the rules proves it."""
     seen = state.renewals.get(name)
     window = state.fleet.config.fleet.isolation_window_s
-    if seen is not None and now - seen.at > window:
+    if seen is not None and now - seen.at > window * CLOCK_RATIO:
         return _end(state, now, name, seen, rec.Proof.ISOLATED)
     if not state.removal_is_final or seen is None:
         return []
