--- a/features/replay.feature
+++ b/features/replay.feature
@@ -82,3 +82,4 @@
       | an instance changes its pool without a move    | pool_changes_without_move |
       | a drain is read from the log                   | read.DrainStarted |
       | a read of the log fails                        | log_failures |
+      | a team runs as much as it holds                | sends_at_limit |
--- a/features/steps/replay.py
+++ b/features/steps/replay.py
@@ -233,6 +233,10 @@
 DRAIN = rec.DrainStarted(
     instance="i1", reason=rec.DrainReason.STOP, base_offset=0, **BY
 )
+RUNS["sends_at_limit"] = (
+    [(arrived(1), [SEND])],
+    [{"held": 2}, (arrived(1), [SEND])],
+)
 RUNS["log_failures"] = (
     [(ev.LogContact(now=1.0, up=False), [])],
     [(ev.LogContact(now=1.0, up=True), [])],
--- a/primrosepitch/facts.py
+++ b/primrosepitch/facts.py
@@ -15,7 +15,8 @@
 
 Others count ``event.KIND``, ``effect.KIND``, ``record.KIND`` (appended),
 ``read.KIND`` (records read from the log), ``outcome.OUTCOME`` and ``code.CODE``, and
-``log_failures`` the failed reads of the log.
+``log_failures`` the failed reads of the log, ``sends_at_limit`` the sends that took the
+last unit held.
 """
 
 from __future__ import annotations
@@ -159,6 +160,7 @@
         known = fleet.instances.get(instance)
         draining = known is not None and known.phase is not Phase.ACTIVE
         self.counts["sends_over_limit"] += running > held
+        self.counts["sends_at_limit"] += running == held
         self.counts["sends_to_leaving"] += draining or instance in self._leaving
         self.counts["sends_with_withdrawn_key"] += effect.call in self._withdrawn
 
