--- a/primrosepitch/bin/entry.py
+++ b/primrosepitch/bin/entry.py
@@ -4,20 +4,18 @@
 
 import asyncio
 import random
-import re
 import sys
 import uuid
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import Any
-from urllib.parse import unquote
 
 import msgspec
 
 from primrosepitch import clock
 from primrosepitch.bin.daemon import Daemon, run_program
+from primrosepitch.bin.entry_effects import perform
 from primrosepitch.bin.operators import OperatorsApi
 from primrosepitch.errors import (
-    ERRORS,
     LogUnavailableError,
     MessageError,
     NoStateError,
@@ -26,7 +24,7 @@
     PrimroseError,
     QueueUnknownError,
 )
-from primrosepitch.events import CONFIG_IN_FORCE, EVENTS, emit
+from primrosepitch.events import CONFIG_IN_FORCE, emit
 from primrosepitch.fleet.counts import limit_key
 from primrosepitch.fleet.fold import Outcome as FoldOutcome
 from primrosepitch.fleet.records import (
@@ -42,12 +40,9 @@
     Claim,
     ClaimAnswer,
     ClaimDone,
-    ClaimEntry,
     FetchAnswer,
-    FetchedAnswer,
     Status,
     SyncClaims,
-    SyncedClaims,
 )
 from primrosepitch.ids import (
     CallId,
@@ -56,13 +51,28 @@
     InstanceId,
     KeyId,
     Offset,
-    QueueId,
     RecordId,
     RequestId,
     SessionId,
 )
 from primrosepitch.metrics import Metrics
 from primrosepitch.net.answers import AnswerCache
+from primrosepitch.net.caller_headers import (
+    PRIVATE_HEADERS,
+    REQUEST_ID,
+    flag,
+    is_idempotent,
+    queue_of,
+    text,
+    timeout_s,
+)
+from primrosepitch.net.claim_messages import (
+    claim_row,
+    fetched_answer,
+    kept_answer,
+    more_claims,
+    verdict_of,
+)
 from primrosepitch.net.http_client import (
     AnswerBudget,
     EndpointConnection,
@@ -73,13 +83,13 @@
     Headers,
     HttpRequest,
     HttpResponse,
-    header,
     without_hop_headers,
 )
 from primrosepitch.net.http_server import Exchange, HttpServer, error_response
 from primrosepitch.net.membership import Report
 from primrosepitch.net.peers import Question
-from primrosepitch.net.usage import Sender, Table, add_up, by_queue, figures, take
+from primrosepitch.net.usage import add_up, by_queue, figures
+from primrosepitch.net.usage_reports import UsageReports
 from primrosepitch.request import effects as eff
 from primrosepitch.request import events
 from primrosepitch.request.reducer import step
@@ -100,51 +110,6 @@
 """Time for which a stopping entry answers that it is stopping, so that the balancer
 sends its callers elsewhere before the listening socket closes."""
 
-ROWS_EVERY = 10
-"""Seconds between reports of the positions of other processes."""
-
-FRESH_S = 5.0
-"""Age up to which figures of another data centre are passed on."""
-
-SYNC_ROWS = 4096
-"""Claims in one frame; a frame has at most 1 MiB."""
-
-MORE_FOLLOWS = -1
-"""Epoch of all frames of claims but the last."""
-
-IDEMPOTENT = frozenset((b"GET", b"HEAD", b"PUT", b"DELETE", b"OPTIONS"))
-
-PRIVATE_HEADERS = frozenset(
-    (
-        b"primrose-key",
-        b"primrose-request-id",
-        b"primrose-timeout-ms",
-        b"primrose-team",
-        b"primrose-urgent",
-        b"primrose-idempotent",
-        b"primrose-repeat",
-    )
-)
-"""Fields of callers that endpoints do not get, or get with another value."""
-
-ANSWER_HEADERS = frozenset((b"primrose-outcome", b"primrose-code"))
-"""Fields that only an entry may set."""
-
-_REQUEST_ID = re.compile(r"[!-~]{1,128}")
-
-Performer = Callable[["Entry", Any], None]
-_PERFORMERS: dict[type, Performer] = {}
-
-
-def performs(kind: type) -> Callable[[Performer], Performer]:
-    """Register what carries out a kind of effect."""
-
-    def register(performer: Performer) -> Performer:
-        _PERFORMERS[kind] = performer
-        return performer
-
-    return register
-
 
 class CallRecord(msgspec.Struct):
     """What the shell keeps of a request until it is answered.
@@ -177,25 +142,20 @@
         self._budget = AnswerBudget()
         self.withdrawals = PendingWithdrawals()
         self._operators = OperatorsApi(self)
-        self._calls: dict[CallId, CallRecord] = {}
+        self.calls: dict[CallId, CallRecord] = {}
         self._conns: dict[ConnId, EndpointConnection] = {}
         self._connecting: dict[ConnId, asyncio.Task[None]] = {}
         self._questions: dict[int, Question] = {}
         self._last_call = 0
         self._last_token = 0
         self._listen_until = 0.0
-        self._usage: dict[str, Table] = {}
-        self._heard: dict[str, float] = {}
-        self._own = Sender(self.session)
-        self._dc_sums = Sender(settings.dc)
-        self._relayed: dict[str, Sender] = {}
-        self._second = 0
+        self._usage = UsageReports(self.session, settings.dc, self.peers)
         self._observe()
 
     def _observe(self) -> None:
         """Register the gauges."""
         gauge = self.metrics.observe
-        gauge("http.server.active_requests", "{request}", lambda: len(self._calls))
+        gauge("http.server.active_requests", "{request}", lambda: len(self.calls))
         gauge(
             "http.server.open_connections",
             "{connection}",
@@ -216,11 +176,11 @@
 
     def perform(self, effect: Any) -> None:
         """Carry out one effect."""
-        _PERFORMERS[type(effect)](self, effect)
+        perform(self, effect)
 
     def is_busy(self) -> bool:
         """Whether requests wait or run here."""
-        return bool(self._calls)
+        return bool(self.calls)
 
     async def open(self) -> None:
         """Listen for callers and operators."""
@@ -286,9 +246,9 @@
             raise NoStateError
         now = clock.monotonic()
         request = exchange.request
-        raw_key = _text(request.headers, b"primrose-key")
-        given_id = _text(request.headers, b"primrose-request-id")
-        if given_id and not _REQUEST_ID.fullmatch(given_id):
+        raw_key = text(request.headers, b"primrose-key")
+        given_id = text(request.headers, b"primrose-request-id")
+        if given_id and not REQUEST_ID.fullmatch(given_id):
             raise MessageError("Primrose-Request-Id: 1 to 128 visible characters")
         self._last_call += 1
         call = CallId(self._last_call)
@@ -297,28 +257,28 @@
             now=now,
             seed=random.getrandbits(31),
             call=call,
-            queue=_queue(request.target),
+            queue=queue_of(request.target),
             key_id=split_key(raw_key)[0],
             key_valid=bool(raw_key) and verify(self.fleet(), raw_key),
             request_id=request_id,
             caller_id=bool(given_id),
-            idempotent=_is_idempotent(request),
-            urgent=_flag(request.headers, b"primrose-urgent"),
-            repeat=_flag(request.headers, b"primrose-repeat"),
-            timeout_s=_timeout_s(request.headers),
+            idempotent=is_idempotent(request),
+            urgent=flag(request.headers, b"primrose-urgent"),
+            repeat=flag(request.headers, b"primrose-repeat"),
+            timeout_s=timeout_s(request.headers),
             size=len(request.body),
         )
-        self._calls[call] = CallRecord(exchange, request_id, now)
+        self.calls[call] = CallRecord(exchange, request_id, now)
         exchange.on_gone = lambda: self._caller_gone(call)
         self.handle(event)
 
     def _caller_gone(self, call: CallId) -> None:
-        if call in self._calls:
+        if call in self.calls:
             self.handle(events.CallerGone(now=clock.monotonic(), call=call))
 
     def answer(self, call: CallId, response: HttpResponse, outcome: str) -> None:
         """Answer a caller and forget the call."""
-        found = self._calls.pop(call, None)
+        found = self.calls.pop(call, None)
         if found is None:
             return
         exchange = found.exchange
@@ -366,7 +326,7 @@
         """Keep the answer and tell the reducer."""
         if not reusable:
             self._conns.pop(conn, None)
-        found = self._calls.get(call)
+        found = self.calls.get(call)
         if found is not None:
             found.response = response
         self._count_exchange(call, "answered")
@@ -382,7 +342,7 @@
         )
 
     def _count_exchange(self, call: CallId, result: str) -> None:
-        found = self._calls.get(call)
+        found = self.calls.get(call)
         if found is not None and found.sent:
             self.metrics.client_request(result, clock.monotonic() - found.sent)
 
@@ -414,7 +374,7 @@
 
     def send_request(self, effect: eff.SendRequest) -> None:
         """Write a request to a connection."""
-        call, conn = self._calls.get(effect.call), self._conns.get(effect.conn)
+        call, conn = self.calls.get(effect.call), self._conns.get(effect.conn)
         if call is None or conn is None:
             self.send_failed(effect.call, effect.conn, events.Failure.NOT_SENT)
             return
@@ -489,7 +449,9 @@
                 )
             )
         elif isinstance(body, FetchAnswer):
-            question.answer(_fetched(self.answers.get(RequestId(body.request_id))))
+            question.answer(
+                fetched_answer(self.answers.get(RequestId(body.request_id)))
+            )
 
     def _token(self, question: Question) -> int:
         self._last_token += 1
@@ -507,7 +469,7 @@
         self._questions.pop(token, None)
 
     def _take_claim_end(self, body: ClaimDone) -> None:
-        outcome = _verdict(body.outcome)
+        outcome = verdict_of(body.outcome)
         if outcome is not None:
             self.handle(
                 events.ClaimEnded(
@@ -527,7 +489,7 @@
         try:
             found = await self.peers.ask(effect.to, question, CLAIM_S)
             if isinstance(found, ClaimAnswer):
-                verdict = _verdict(found.verdict)
+                verdict = verdict_of(found.verdict)
                 epoch, holder = found.epoch, SessionId(found.holder)
         except PeerUnavailableError:
             pass
@@ -549,10 +511,10 @@
         if client is None:
             return
         try:
-            parts = await client.ask_parts(question, SYNC_S, _more_claims)
+            parts = await client.ask_parts(question, SYNC_S, more_claims)
         except PeerUnavailableError:
             return
-        rows = [_claim_row(row) for part in parts for row in part.claims]
+        rows = [claim_row(row) for part in parts for row in part.claims]
         self.handle(
             events.ClaimsSynced(
                 now=clock.monotonic(),
@@ -570,7 +532,7 @@
             question = FetchAnswer(request_id=effect.request_id)
             try:
                 reply = await self.peers.ask(effect.holder, question, ANSWER_S)
-                found = _kept_answer(reply)
+                found = kept_answer(reply)
             except PeerUnavailableError:
                 found = None
         if found is None:
@@ -584,11 +546,9 @@
     def _take_status(self, status: Status) -> None:
         now = clock.monotonic()
         for usage in status.usage:
-            if usage.origin in (self.session, self.settings.dc):
+            table = self._usage.take(usage, now)
+            if table is None:
                 continue
-            table = take(self._usage.get(usage.origin, {}), usage)
-            self._usage[usage.origin] = table
-            self._heard[usage.origin] = now
             self.handle(
                 events.UsageReported(
                     now=now,
@@ -621,66 +581,15 @@
 
     def each_second(self) -> None:
         """Prepare the figures of this second and report to other data centres."""
-        self._second += 1
-        known = {*self.fleet().sessions, *self.peers.lowest_entries()}
-        for origin in [o for o in self._usage if not self._is_origin(o, known)]:
-            del self._usage[origin], self._heard[origin]
-        self._own.update(figures(self.state.running, self.state.waiting()))
-        self._own.forget(self.peers.of_dc())
-        for dc in self.peers.lowest_entries():
-            self._relayed.setdefault(dc, Sender(dc))
-        for origin, sender in self._relayed.items():
-            sender.update(dict(self._usage.get(origin, {})))
-            if not self._is_lowest() or not self._is_fresh(origin):
-                # Peers that miss a change get the whole table next time.
-                sender.forget(())
-        if self._is_lowest():
-            self._report_dc()
-        else:
-            self._dc_sums.forget(())
-
-    def _is_fresh(self, origin: str) -> bool:
-        heard = self._heard.get(origin)
-        return heard is not None and clock.monotonic() - heard < FRESH_S
-
-    def _is_origin(self, origin: str, known: set[Any]) -> bool:
-        return origin in known or origin in self.fleet().epochs
-
-    def _is_lowest(self) -> bool:
-        entries = self.fleet().open_entries(self.settings.dc)
-        return bool(entries) and entries[0] == self.session
-
-    def _report_dc(self) -> None:
-        """Send the sums of the data centre to the lowest entry of each other one."""
-        peers = set(self.peers.of_dc())
-        tables = [t for origin, t in self._usage.items() if origin in peers]
         own = figures(self.state.running, self.state.waiting())
-        self._dc_sums.update(add_up([own, *tables]))
-        for session in self.peers.lowest_entries().values():
-            client = self.peers.client(session)
-            if client is not None and client.ready():
-                usage = [self._dc_sums.report(session, client.connections)]
-                client.tell(self.status(usage, self._rows(own_dc=True)))
+        self._usage.update(own, self.fleet())
+        for client, usage in self._usage.for_other_dcs():
+            client.tell(self.status(usage, self._usage.rows(own_dc=True)))
 
     def status_for(self, session: SessionId, connection: int) -> Status:
         """Return the report for a peer of the own data centre."""
-        usage = [self._own.report(session, connection)]
-        if self._is_lowest():
-            for dc, sender in self._relayed.items():
-                if self._is_fresh(dc):
-                    usage.append(sender.report(session, connection))
-        return self.status(usage, self._rows(own_dc=False))
-
-    def _rows(self, own_dc: bool) -> list[SessionId]:
-        """Return the processes whose positions are passed on in this second.
-
-        Only the lowest entry passes on positions, and rarely: at the target size, 60
-        rows a second to each peer would exceed the 3 KB/s of a node.
-        """
-        if self._second % ROWS_EVERY or not self._is_lowest():
-            return []
-        here = {self.session, *self.peers.of_dc()}
-        return [sid for sid in self.peers.reports if (sid in here) is own_dc]
+        usage = self._usage.for_peer(session, connection)
+        return self.status(usage, self._usage.rows(own_dc=False))
 
     def pending_withdrawals(self) -> list[bytes]:
         """Return the withdrawals that the log does not have yet."""
@@ -752,223 +661,6 @@
         }
 
 
-# Effects
-
-
-@performs(eff.Refuse)
-def _refuse(entry: Entry, effect: eff.Refuse) -> None:
-    error = ERRORS[effect.code](effect.detail)
-    outcome = effect.outcome.value
-    entry.answer(effect.call, error_response(error, outcome), outcome)
-
-
-@performs(eff.PassAnswer)
-def _pass_answer(entry: Entry, effect: eff.PassAnswer) -> None:
-    found = entry._calls.get(effect.call)
-    if found is None or found.response is None:
-        error = OutcomeUnknownError("the answer is not held")
-        entry.answer(effect.call, error_response(error, "unknown"), "unknown")
-        return
-    kept = without_hop_headers(found.response.headers)
-    if found.exchange.request.method == b"HEAD":
-        length = header(found.response.headers, b"content-length")
-        kept += [(b"content-length", length)] if length is not None else []
-    headers = [(k, v) for k, v in kept if k not in ANSWER_HEADERS]
-    headers.append((b"primrose-outcome", b"answered"))
-    response = HttpResponse(found.response.status, headers, found.response.body)
-    if effect.keep:
-        entry.answers.keep(found.request_id, response)
-    entry.answer(effect.call, response, "answered")
-
-
-@performs(eff.RepeatAnswer)
-def _repeat(entry: Entry, effect: eff.RepeatAnswer) -> None:
-    entry.spawn(entry.repeat_answer(effect))
-
-
-@performs(eff.OpenConnection)
-def _open(entry: Entry, effect: eff.OpenConnection) -> None:
-    entry.start_opening(effect)
-
-
-@performs(eff.CloseConnection)
-def _close(entry: Entry, effect: eff.CloseConnection) -> None:
-    entry.close_connection(effect.conn)
-
-
-@performs(eff.SendRequest)
-def _send(entry: Entry, effect: eff.SendRequest) -> None:
-    entry.send_request(effect)
-
-
-@performs(eff.Append)
-def _append(entry: Entry, effect: eff.Append) -> None:
-    entry.append(effect.record)
-
-
-@performs(eff.ListInstances)
-def _list(entry: Entry, effect: eff.ListInstances) -> None:
-    entry.spawn(entry.list_instances())
-
-
-@performs(eff.AskUnits)
-def _ask_units(entry: Entry, effect: eff.AskUnits) -> None:
-    client = entry.peers.client(effect.to)
-    if client is not None:
-        client.tell(AskUnits(session=entry.session, units=dict(effect.units)))
-
-
-@performs(eff.SendClaim)
-def _claim(entry: Entry, effect: eff.SendClaim) -> None:
-    entry.spawn(entry.claim(effect))
-
-
-@performs(eff.SendClaimEnd)
-def _claim_end(entry: Entry, effect: eff.SendClaimEnd) -> None:
-    client = entry.peers.client(effect.to)
-    if client is not None:
-        client.tell(
-            ClaimDone(
-                session=entry.session,
-                request_id=effect.request_id,
-                outcome=effect.outcome.value,
-            )
-        )
-
-
-@performs(eff.ReplyClaim)
-def _reply_claim(entry: Entry, effect: eff.ReplyClaim) -> None:
-    answer = ClaimAnswer(
-        verdict=effect.verdict.value, epoch=effect.epoch, holder=effect.holder
-    )
-    entry.answer_question(effect.token, answer)
-    entry.forget_question(effect.token)
-
-
-@performs(eff.SendSync)
-def _sync(entry: Entry, effect: eff.SendSync) -> None:
-    entry.spawn(entry.sync_claims(effect))
-
-
-@performs(eff.ReplySync)
-def _reply_sync(entry: Entry, effect: eff.ReplySync) -> None:
-    rows = [
-        ClaimEntry(
-            request_id=row.request_id,
-            holder=row.holder,
-            outcome=row.outcome.value,
-            age_ms=int(row.age_s * 1000),
-        )
-        for row in effect.claims
-    ]
-    while len(rows) > SYNC_ROWS:
-        part, rows = rows[:SYNC_ROWS], rows[SYNC_ROWS:]
-        entry.answer_question(
-            effect.token, SyncedClaims(epoch=MORE_FOLLOWS, complete=False, claims=part)
-        )
-    entry.answer_question(
-        effect.token,
-        SyncedClaims(epoch=effect.epoch, complete=effect.complete, claims=rows),
-    )
-    entry.forget_question(effect.token)
-
-
-@performs(eff.LogLine)
-def _log_line(entry: Entry, effect: eff.LogLine) -> None:
-    emit(EVENTS[effect.number], **effect.fields)
-
-
-@performs(eff.Finished)
-def _finished(entry: Entry, effect: eff.Finished) -> None:
-    entry.finish()
-
-
-# Parsing
-
-
-def _text(headers: Headers, name: bytes) -> str:
-    """Return a header field as text; empty without one."""
-    value = header(headers, name)
-    return value.decode("latin-1") if value is not None else ""
-
-
-def _flag(headers: Headers, name: bytes) -> bool:
-    return header(headers, name) == b"1"
-
-
-def _queue(target: bytes) -> QueueId:
-    """Return the queue of ``/q/{queue}/...``."""
-    path = target.partition(b"?")[0]
-    return QueueId(unquote(path.split(b"/", 3)[2].decode("latin-1")))
-
-
-def _is_idempotent(request: HttpRequest) -> bool:
-    said = header(request.headers, b"primrose-idempotent")
-    return request.method in IDEMPOTENT if said is None else said == b"1"
-
-
-def _timeout_s(headers: Headers) -> float:
-    """Return the time left; 0 without the header.
-
-    :raises MessageError: if it is no positive number
-    """
-    raw = _text(headers, b"primrose-timeout-ms")
-    if not raw:
-        return 0.0
-    if not raw.isascii() or not raw.isdecimal() or len(raw) > 9 or int(raw) == 0:
-        raise MessageError("Primrose-Timeout-Ms: a positive number of milliseconds")
-    return int(raw) / 1000
-
-
-def _verdict(value: int) -> events.ClaimVerdict | None:
-    """Return a verdict; ``None`` for one of a newer version."""
-    try:
-        return events.ClaimVerdict(value)
-    except ValueError:
-        return None
-
-
-def _more_claims(part: Any) -> bool:
-    return isinstance(part, SyncedClaims) and part.epoch == MORE_FOLLOWS
-
-
-def _claim_row(row: ClaimEntry) -> events.ClaimRow | None:
-    outcome = _verdict(row.outcome)
-    if outcome is None:
-        return None
-    return events.ClaimRow(
-        request_id=RequestId(row.request_id),
-        holder=SessionId(row.holder),
-        outcome=outcome,
-        age_s=row.age_ms / 1000,
-    )
-
-
-def _fetched(response: HttpResponse | None) -> FetchedAnswer:
-    """Return a kept answer as a message; repeated fields are joined by line ends."""
-    if response is None:
-        return FetchedAnswer(found=False, status=0, headers={}, body=b"")
-    headers: dict[str, str] = {}
-    for name, value in response.headers:
-        key = name.decode("latin-1")
-        text = value.decode("latin-1")
-        headers[key] = f"{headers[key]}\n{text}" if key in headers else text
-    return FetchedAnswer(
-        found=True, status=response.status, headers=headers, body=response.body
-    )
-
-
-def _kept_answer(reply: Any) -> HttpResponse | None:
-    if not isinstance(reply, FetchedAnswer) or not reply.found:
-        return None
-    headers = [
-        (name.encode("latin-1"), value.encode("latin-1"))
-        for name, values in reply.headers.items()
-        for value in values.split("\n")
-    ]
-    return HttpResponse(reply.status, headers, reply.body)
-
-
 def main() -> None:
     """Run the program and exit."""
     sys.exit(run_program("primrose-entry", Entry))
--- a/primrosepitch/planning/placement.py
+++ b/primrosepitch/planning/placement.py
@@ -11,7 +11,7 @@
 from primrosepitch.fleet import records as rec
 from primrosepitch.fleet.counts import limit_key
 from primrosepitch.fleet.state import Phase
-from primrosepitch.ids import CountKey, DcId, InstanceId, RecordId, TaskId, TeamId
+from primrosepitch.ids import CountKey, DcId, InstanceId, RecordId, TeamId
 from primrosepitch.planning import lease
 from primrosepitch.planning.effects import (
     ChangeTask,
@@ -22,34 +22,19 @@
 from primrosepitch.planning.events import (
     Size,
     TaskAction,
-    TaskReport,
-    TaskSpec,
 )
-from primrosepitch.planning.policies import HEADROOM, POLICIES, Worker
+from primrosepitch.planning.policies import POLICIES, Worker
 from primrosepitch.planning.sessions import TASK_LEASE_S
 from primrosepitch.planning.state import PlannerState, Task, TaskState, append, log
+from primrosepitch.planning.tasks import FAILED_STARTS
 
-__all__ = [
-    "answered",
-    "busy",
-    "cancel",
-    "listed",
-    "seen",
-    "submit",
-    "turn",
-    "urgent_waits",
-]
+__all__ = ["busy", "seen", "turn", "urgent_waits"]
 
 LIST_S = 1.0
 """Interval of reports while a task starts or ends or an urgent one waits."""
 
 QUIET_LIST_S = 5.0
 RENEW_S = 5.0
-PEAK_WINDOW_S = 300.0
-"""Window of the observed peak."""
-
-START_LOST_S = 5.0
-"""Age of an unanswered start after which a report without the task disproves it."""
 
 ENDING_S = 0.5
 """Interval of commands to a task that is to end.
@@ -67,23 +52,12 @@
 Without that, the tasks that were ended would take the room again, one by one.
 """
 
-RETRY_S = 1.0
-LAST_RETRY_S = 60.0
-FULL_S = 2.0
-FAILED_STARTS = 3
-"""Failed starts in a row after which a worker is avoided."""
-
 AVOIDED_PART = 4
 """At most one worker of this many in a pool is avoided."""
 
-GONE_S = 120.0
-"""Time for which an attempt that has ended is remembered."""
-
 SEEN_S = 15.0
 """Oldest report of tasks by which a worker counts as free of them."""
 
-LIVE_STATES = frozenset({"running", "throttled"})
-DONE_STATES = frozenset({"done", "finished", "completed", "succeeded"})
 ACTIVE = frozenset({TaskState.STARTING, TaskState.RUNNING, TaskState.ENDING})
 
 PLACED = event(3501, "task_placed", logging.INFO, "A task is started on a worker.")
@@ -97,17 +71,6 @@
 ROOM_MADE = event(
     3503, "room_made", logging.INFO, "Lesser work makes room for an urgent task."
 )
-WORKER_AVOIDED = event(
-    3504,
-    "worker_avoided",
-    logging.WARNING,
-    "A worker failed its last starts and gets no tasks for now.",
-    "check the worker",
-)
-ENDED = event(3505, "task_ended", logging.INFO, "A task no longer runs.")
-ADOPTED = event(
-    3506, "task_adopted", logging.INFO, "A task of a former planner is taken over."
-)
 
 
 class Victims(NamedTuple):
@@ -120,174 +83,6 @@
     throttle: bool
 
 
-# Events
-
-
-def submit(state: PlannerState, now: float, specs: list[TaskSpec]) -> None:
-    """Take new tasks; one that is known already changes nothing."""
-    for spec in specs:
-        if spec.task not in state.tasks:
-            state.tasks[spec.task] = Task(spec=spec, arrived=now)
-
-
-def cancel(state: PlannerState, now: float, names: list[TaskId]) -> None:
-    """Forget waiting tasks and mark the others; nothing is placed in between."""
-    for name in names:
-        task = state.tasks.get(name)
-        if task is None:
-            continue
-        if task.state is TaskState.WAITING:
-            _forget(state, name)
-        else:
-            task.dropped = True
-
-
-def answered(
-    state: PlannerState, now: float, name: str, action: TaskAction, ok: bool | None
-) -> list[Effect]:
-    """Take the platform's answer to a command."""
-    task = _by_name(state, name)
-    if task is None or ok is None:
-        return []
-    if action is TaskAction.START:
-        if ok:
-            task.state = TaskState.RUNNING
-            return []
-        if task.worker is not None:
-            state.full[task.worker] = now + FULL_S
-        return _ended(state, now, task, "refused")
-    if action is TaskAction.THROTTLE and ok:
-        size = POLICIES[state.policy].size(task).times(1 / HEADROOM)
-        halved = Size(size.cores / 2, size.memory_gb, size.accelerators)
-        task.throttled = True
-        task.peaks = [(now, halved)]
-        return []
-    if action in (TaskAction.CHECKPOINT, TaskAction.STOP) or not ok:
-        return _ended(state, now, task, action.value)
-    return []
-
-
-def listed(
-    state: PlannerState, now: float, asked: float, rows: list[TaskReport]
-) -> list[Effect]:
-    """Take the platform's report of all tasks of the data centre."""
-    effects: list[Effect] = []
-    found = {row.task: row for row in rows}
-    for name in list(state.names):
-        task = _by_name(state, name)
-        row = found.get(name)
-        if task is not None and (row is not None or _disproved(task, asked)):
-            effects += _report(state, now, task, row)
-    if not lease.holds(state):
-        return effects
-    state.tasks_seen = max(state.tasks_seen, asked)
-    state.gone = {n: at for n, at in state.gone.items() if now - at <= GONE_S}
-    for row in rows:
-        if row.task not in state.names and row.state in LIVE_STATES:
-            effects += _unknown(state, now, asked, row)
-    return effects
-
-
-def _disproved(task: Task, asked: float) -> bool:
-    """Whether a report without the task shows that it does not run."""
-    return asked > max(task.changed, task.renewed) + START_LOST_S
-
-
-def _report(
-    state: PlannerState, now: float, task: Task, row: TaskReport | None
-) -> list[Effect]:
-    if row is None or row.state not in LIVE_STATES:
-        how = row.state if row else "missing"
-        return _ended(state, now, task, how)
-    if task.state is TaskState.STARTING:
-        task.state = TaskState.RUNNING
-    if row.usage is not None:
-        if task.worker is not None:
-            state.worker_failures.pop(task.worker, None)
-        recent = [p for p in task.peaks if now - p[0] <= PEAK_WINDOW_S]
-        task.peaks = [*recent, (now, row.usage)][-60:]
-    return []
-
-
-def _unknown(
-    state: PlannerState, now: float, asked: float, row: TaskReport
-) -> list[Effect]:
-    """Stop an attempt that should have ended, or take over a former planner's task.
-
-    A report that was asked for before the attempt ended proves nothing.
-    """
-    base, _, attempt = row.task.rpartition(".")
-    name = TaskId(base or row.task)
-    known = state.tasks.get(name)
-    ended = state.gone.get(row.task, known.changed if known else float("-inf"))
-    if asked <= ended:
-        return []
-    if known is not None or row.task in state.gone:
-        return [ChangeTask(task=row.task, action=TaskAction.STOP)]
-    return _adopt(state, now, name, attempt, row)
-
-
-def _adopt(
-    state: PlannerState, now: float, name: TaskId, attempt: str, row: TaskReport
-) -> list[Effect]:
-    """Take over a running task of a former planner."""
-    spec = TaskSpec(task=name, team=row.team, size=row.size, priority=row.priority)
-    state.tasks[name] = Task(
-        spec=spec,
-        arrived=now,
-        state=TaskState.RUNNING,
-        worker=row.instance,
-        attempt=int(attempt) if attempt.isdigit() else 0,
-        changed=now,
-        name=row.task,
-        peaks=[(now, row.usage)] if row.usage else [],
-    )
-    state.names[row.task] = name
-    return [log(ADOPTED.number, task=name, instance=row.instance)]
-
-
-def _ended(state: PlannerState, now: float, task: Task, how: str) -> list[Effect]:
-    """Forget a task that is not to run again, or let it wait for another start."""
-    effects: list[Effect] = [
-        log(ENDED.number, task=task.spec.task, instance=task.worker, how=how)
-    ]
-    state.names.pop(task.name, None)
-    state.gone[task.name] = now
-    worker = task.worker
-    if how == "failed" and worker is not None:
-        failures = state.worker_failures.get(worker, 0) + 1
-        state.worker_failures[worker] = failures
-        if failures == FAILED_STARTS:
-            effects.append(log(WORKER_AVOIDED.number, instance=worker))
-    stopped = how == "stopped" and not task.ending_by
-    if task.dropped or stopped or how in DONE_STATES:
-        _forget(state, task.spec.task)
-        return effects
-    delay = 0.0
-    if how in ("failed", "refused"):
-        delay = min(LAST_RETRY_S, RETRY_S * 2 ** min(task.attempt - 1, 6))
-    task.state = TaskState.WAITING
-    task.worker = None
-    task.name = ""
-    task.ending_by = ""
-    if task.throttled:
-        # The size of a throttled task says nothing about its next attempt.
-        task.peaks = []
-    task.throttled = False
-    task.retry_at = now + delay
-    return effects
-
-
-def _forget(state: PlannerState, name: TaskId) -> None:
-    state.tasks.pop(name, None)
-    state.never_fits.discard(name)
-
-
-def _by_name(state: PlannerState, name: str) -> Task | None:
-    task = state.names.get(name)
-    return state.tasks.get(task) if task is not None else None
-
-
 # Questions
 
 
@@ -445,7 +240,7 @@
 # Placing
 
 
-class Floor:
+class Packing:
     """Workers of the data centre with what is in use on each."""
 
     def __init__(self, state: PlannerState, now: float) -> None:
@@ -539,7 +334,7 @@
     waiting = [t for t in state.tasks.values() if t.state is TaskState.WAITING]
     if not waiting:
         return []
-    floor = Floor(state, now)
+    packing = Packing(state, now)
     active, _ = _needs(state)
     effects: list[Effect] = []
     # Room only shrinks during the turn, so what is as large as a task that did not
@@ -549,7 +344,7 @@
         waiting, key=lambda t: (not t.spec.urgent, -t.spec.priority, t.arrived)
     )
     for task in order:
-        if not floor.fits_empty(task):
+        if not packing.fits_empty(task):
             effects += _report_never_fits(state, task)
             continue
         state.never_fits.discard(task.spec.task)
@@ -559,16 +354,16 @@
         if active[team] >= _held(state, team):
             effects += _free_unit(state, now, task)
             continue
-        need = floor.size(task)
+        need = packing.size(task)
         if not task.spec.urgent and any(size.fits(need) for size in blocked):
             continue
-        worker = floor.choose(task)
+        worker = packing.choose(task)
         if worker is None:
             blocked += [need] * (not task.spec.urgent)
-            effects += _make_room(state, now, task, floor)
+            effects += _make_room(state, now, task, packing)
             continue
         effects += _start(state, now, task, worker)
-        floor.add(task, worker)
+        packing.add(task, worker)
         active[team] += 1
     return effects
 
@@ -636,18 +431,18 @@
 
 
 def _make_room(
-    state: PlannerState, now: float, task: Task, floor: Floor
+    state: PlannerState, now: float, task: Task, packing: Packing
 ) -> list[Effect]:
     """Throttle or end the least tasks of the worker where least is lost."""
     if not _may_make_room(state, now, task):
         return []
     lesser = _lesser(state, task)
     best: Victims | None = None
-    for worker in floor.open:
-        if not floor.free_for(task, worker):
+    for worker in packing.open:
+        if not packing.free_for(task, worker):
             continue
         own = [t for t in lesser if t.worker == worker]
-        found = _victims(floor, task, worker, own)
+        found = _victims(packing, task, worker, own)
         if found and (best is None or _loss(found) < _loss(best)):
             best = found
     if best is None:
@@ -655,7 +450,7 @@
     task.room_made = now
     task.reserved = best.tasks[0].worker
     if task.reserved is not None:
-        floor.reserved[task.reserved] = task.spec.task
+        packing.reserved[task.reserved] = task.spec.task
     names = [t.spec.task for t in best.tasks]
     if best.throttle:
         line = log(ROOM_MADE.number, task=task.spec.task, throttles=names)
@@ -671,37 +466,39 @@
 
 
 def _victims(
-    floor: Floor, task: Task, worker: InstanceId, lesser: list[Task]
+    packing: Packing, task: Task, worker: InstanceId, lesser: list[Task]
 ) -> Victims | None:
     """Return the tasks of a worker that make room, if they can."""
-    need = floor.size(task)
-    room = floor.room[worker]
+    need = packing.size(task)
+    room = packing.room[worker]
     freed = room
     halved: list[Task] = []
     for other in lesser:
         if other.throttled:
             continue
-        freed = freed.plus(Size(cores=floor.size(other).cores / 2))
+        freed = freed.plus(Size(cores=packing.size(other).cores / 2))
         halved.append(other)
         if need.fits(freed):
             return Victims(halved, throttle=True)
     freed = room
     ended: list[Task] = []
     for other in lesser:
-        freed = freed.plus(floor.size(other))
+        freed = freed.plus(packing.size(other))
         ended.append(other)
         if need.fits(freed):
-            return Victims(_without_surplus(floor, need, freed, ended), throttle=False)
+            return Victims(
+                _without_surplus(packing, need, freed, ended), throttle=False
+            )
     return None
 
 
 def _without_surplus(
-    floor: Floor, need: Size, freed: Size, ended: list[Task]
+    packing: Packing, need: Size, freed: Size, ended: list[Task]
 ) -> list[Task]:
     """Keep tasks running that need not end, the most important ones first."""
     kept = list(ended)
     for other in reversed(ended):
-        less = freed.minus(floor.size(other))
+        less = freed.minus(packing.size(other))
         if need.fits(less) and len(kept) > 1:
             kept.remove(other)
             freed = less
--- a/primrosepitch/planning/reducer.py
+++ b/primrosepitch/planning/reducer.py
@@ -20,6 +20,7 @@
     pools,
     sessions,
     snapshots,
+    tasks,
     waves,
 )
 from primrosepitch.planning.effects import Effect, Finished
@@ -191,24 +192,24 @@
 
 @on(events.TasksSubmitted)
 def _submitted(state: PlannerState, event: events.TasksSubmitted) -> list[Effect]:
-    placement.submit(state, event.now, event.tasks)
+    tasks.submit(state, event.now, event.tasks)
     return []
 
 
 @on(events.TasksCancelled)
 def _cancelled(state: PlannerState, event: events.TasksCancelled) -> list[Effect]:
-    placement.cancel(state, event.now, event.tasks)
+    tasks.cancel(state, event.now, event.tasks)
     return []
 
 
 @on(events.TasksListed)
 def _tasks_listed(state: PlannerState, event: events.TasksListed) -> list[Effect]:
-    return placement.listed(state, event.now, event.asked, event.tasks)
+    return tasks.listed(state, event.now, event.asked, event.tasks)
 
 
 @on(events.TaskAnswered)
 def _task_answered(state: PlannerState, event: events.TaskAnswered) -> list[Effect]:
-    return placement.answered(state, event.now, event.task, event.action, event.ok)
+    return tasks.answered(state, event.now, event.task, event.action, event.ok)
 
 
 @on(events.StopAsked)
--- /dev/null
+++ b/primrosepitch/planning/tasks.py
@@ -0,0 +1,215 @@
+"""Life of tasks: submitted, started, reported, ended, and started again."""
+
+from __future__ import annotations
+
+import logging
+
+from primrosepitch.events import event
+from primrosepitch.ids import TaskId
+from primrosepitch.planning import lease
+from primrosepitch.planning.effects import ChangeTask, Effect
+from primrosepitch.planning.events import Size, TaskAction, TaskReport, TaskSpec
+from primrosepitch.planning.policies import HEADROOM, POLICIES
+from primrosepitch.planning.state import PlannerState, Task, TaskState, log
+
+__all__ = ["FAILED_STARTS", "answered", "cancel", "listed", "submit"]
+
+PEAK_WINDOW_S = 300.0
+"""Window of the observed peak."""
+
+START_LOST_S = 5.0
+"""Age of an unanswered start after which a report without the task disproves it."""
+
+RETRY_S = 1.0
+
+LAST_RETRY_S = 60.0
+
+FULL_S = 2.0
+
+FAILED_STARTS = 3
+"""Failed starts in a row after which a worker is avoided."""
+
+GONE_S = 120.0
+"""Time for which an attempt that has ended is remembered."""
+
+LIVE_STATES = frozenset({"running", "throttled"})
+
+DONE_STATES = frozenset({"done", "finished", "completed", "succeeded"})
+
+WORKER_AVOIDED = event(
+    3504,
+    "worker_avoided",
+    logging.WARNING,
+    "A worker failed its last starts and gets no tasks for now.",
+    "check the worker",
+)
+
+ENDED = event(3505, "task_ended", logging.INFO, "A task no longer runs.")
+ADOPTED = event(
+    3506, "task_adopted", logging.INFO, "A task of a former planner is taken over."
+)
+
+
+def submit(state: PlannerState, now: float, specs: list[TaskSpec]) -> None:
+    """Take new tasks; one that is known already changes nothing."""
+    for spec in specs:
+        if spec.task not in state.tasks:
+            state.tasks[spec.task] = Task(spec=spec, arrived=now)
+
+
+def cancel(state: PlannerState, now: float, names: list[TaskId]) -> None:
+    """Forget waiting tasks and mark the others; nothing is placed in between."""
+    for name in names:
+        task = state.tasks.get(name)
+        if task is None:
+            continue
+        if task.state is TaskState.WAITING:
+            _forget(state, name)
+        else:
+            task.dropped = True
+
+
+def answered(
+    state: PlannerState, now: float, name: str, action: TaskAction, ok: bool | None
+) -> list[Effect]:
+    """Take the platform's answer to a command."""
+    task = _by_name(state, name)
+    if task is None or ok is None:
+        return []
+    if action is TaskAction.START:
+        if ok:
+            task.state = TaskState.RUNNING
+            return []
+        if task.worker is not None:
+            state.full[task.worker] = now + FULL_S
+        return _ended(state, now, task, "refused")
+    if action is TaskAction.THROTTLE and ok:
+        size = POLICIES[state.policy].size(task).times(1 / HEADROOM)
+        halved = Size(size.cores / 2, size.memory_gb, size.accelerators)
+        task.throttled = True
+        task.peaks = [(now, halved)]
+        return []
+    if action in (TaskAction.CHECKPOINT, TaskAction.STOP) or not ok:
+        return _ended(state, now, task, action.value)
+    return []
+
+
+def listed(
+    state: PlannerState, now: float, asked: float, rows: list[TaskReport]
+) -> list[Effect]:
+    """Take the platform's report of all tasks of the data centre."""
+    effects: list[Effect] = []
+    found = {row.task: row for row in rows}
+    for name in list(state.names):
+        task = _by_name(state, name)
+        row = found.get(name)
+        if task is not None and (row is not None or _disproved(task, asked)):
+            effects += _report(state, now, task, row)
+    if not lease.holds(state):
+        return effects
+    state.tasks_seen = max(state.tasks_seen, asked)
+    state.gone = {n: at for n, at in state.gone.items() if now - at <= GONE_S}
+    for row in rows:
+        if row.task not in state.names and row.state in LIVE_STATES:
+            effects += _unknown(state, now, asked, row)
+    return effects
+
+
+def _disproved(task: Task, asked: float) -> bool:
+    """Whether a report without the task shows that it does not run."""
+    return asked > max(task.changed, task.renewed) + START_LOST_S
+
+
+def _report(
+    state: PlannerState, now: float, task: Task, row: TaskReport | None
+) -> list[Effect]:
+    if row is None or row.state not in LIVE_STATES:
+        how = row.state if row else "missing"
+        return _ended(state, now, task, how)
+    if task.state is TaskState.STARTING:
+        task.state = TaskState.RUNNING
+    if row.usage is not None:
+        if task.worker is not None:
+            state.worker_failures.pop(task.worker, None)
+        recent = [p for p in task.peaks if now - p[0] <= PEAK_WINDOW_S]
+        task.peaks = [*recent, (now, row.usage)][-60:]
+    return []
+
+
+def _unknown(
+    state: PlannerState, now: float, asked: float, row: TaskReport
+) -> list[Effect]:
+    """Stop an attempt that should have ended, or take over a former planner's task.
+
+    A report that was asked for before the attempt ended proves nothing.
+    """
+    base, _, attempt = row.task.rpartition(".")
+    name = TaskId(base or row.task)
+    known = state.tasks.get(name)
+    ended = state.gone.get(row.task, known.changed if known else float("-inf"))
+    if asked <= ended:
+        return []
+    if known is not None or row.task in state.gone:
+        return [ChangeTask(task=row.task, action=TaskAction.STOP)]
+    return _adopt(state, now, name, attempt, row)
+
+
+def _adopt(
+    state: PlannerState, now: float, name: TaskId, attempt: str, row: TaskReport
+) -> list[Effect]:
+    """Take over a running task of a former planner."""
+    spec = TaskSpec(task=name, team=row.team, size=row.size, priority=row.priority)
+    state.tasks[name] = Task(
+        spec=spec,
+        arrived=now,
+        state=TaskState.RUNNING,
+        worker=row.instance,
+        attempt=int(attempt) if attempt.isdigit() else 0,
+        changed=now,
+        name=row.task,
+        peaks=[(now, row.usage)] if row.usage else [],
+    )
+    state.names[row.task] = name
+    return [log(ADOPTED.number, task=name, instance=row.instance)]
+
+
+def _ended(state: PlannerState, now: float, task: Task, how: str) -> list[Effect]:
+    """Forget a task that is not to run again, or let it wait for another start."""
+    effects: list[Effect] = [
+        log(ENDED.number, task=task.spec.task, instance=task.worker, how=how)
+    ]
+    state.names.pop(task.name, None)
+    state.gone[task.name] = now
+    worker = task.worker
+    if how == "failed" and worker is not None:
+        failures = state.worker_failures.get(worker, 0) + 1
+        state.worker_failures[worker] = failures
+        if failures == FAILED_STARTS:
+            effects.append(log(WORKER_AVOIDED.number, instance=worker))
+    stopped = how == "stopped" and not task.ending_by
+    if task.dropped or stopped or how in DONE_STATES:
+        _forget(state, task.spec.task)
+        return effects
+    delay = 0.0
+    if how in ("failed", "refused"):
+        delay = min(LAST_RETRY_S, RETRY_S * 2 ** min(task.attempt - 1, 6))
+    task.state = TaskState.WAITING
+    task.worker = None
+    task.name = ""
+    task.ending_by = ""
+    if task.throttled:
+        # The size of a throttled task says nothing about its next attempt.
+        task.peaks = []
+    task.throttled = False
+    task.retry_at = now + delay
+    return effects
+
+
+def _forget(state: PlannerState, name: TaskId) -> None:
+    state.tasks.pop(name, None)
+    state.never_fits.discard(name)
+
+
+def _by_name(state: PlannerState, name: str) -> Task | None:
+    task = state.names.get(name)
+    return state.tasks.get(task) if task is not None else None
