--- a/bench/requests.py
+++ b/bench/requests.py
@@ -20,7 +20,7 @@
 
 COMMAND = "python -m bench requests"
 SEQUENTIAL = 2000
-CLOSINGS = 20
+FAULTS = 20
 WORK_MS = 100
 SLOTS = 8
 ENDPOINTS = 2
@@ -149,25 +149,37 @@
     return measures
 
 
-async def unknown_share() -> list[Measure]:
-    """Count outcomes when endpoints close idle connections as they are used.
+async def _faulty(mode: str, reuse: str, method: str) -> tuple[Counter[str], int]:
+    """Send requests while endpoints have a fault for some of them.
 
     A request that may have run keeps its slot until its deadline, so the deadline is
     short here.
+
+    :returns: outcomes, and how many requests ran more than once
     """
+    async with site(reuse=reuse) as found:
+        for endpoint in found.endpoints:
+            value = {"mode": mode, "count": FAULTS // ENDPOINTS, "seconds": 0.1}
+            await call(f"127.0.0.1:{endpoint.port}", "POST", "/mode", value)
+        address = found.entry.http_address()
+        headers = {"Primrose-Timeout-Ms": "500"}
+        _, outcomes = await latencies(address, method, "/q/quotes/1", headers)
+        twice = sum(n > 1 for e in found.endpoints for n in e.counts.once.values())
+    return outcomes, twice
+
+
+async def unknown_share() -> list[Measure]:
+    """Count unknown outcomes under each fault of an endpoint."""
+    cases = [("closing", reuse, "POST") for reuse in ("expect", "pooled")]
+    modes = ("closing", "silent", "truncated", "crossed", "late", "failing")
+    cases += [(mode, "fresh", method) for mode in modes for method in ("POST", "GET")]
     measures = []
-    for reuse in ("fresh", "expect", "pooled"):
-        async with site(reuse=reuse) as found:
-            for endpoint in found.endpoints:
-                mode = {"mode": "closing", "count": CLOSINGS // ENDPOINTS}
-                await call(f"127.0.0.1:{endpoint.port}", "POST", "/mode", mode)
-            address = found.entry.http_address()
-            headers = {"Primrose-Timeout-Ms": "500"}
-            _, outcomes = await latencies(address, "POST", "/q/quotes/1", headers)
-            ran = sum(n > 1 for e in found.endpoints for n in e.counts.once.values())
+    for mode, reuse, method in cases:
+        outcomes, twice = await _faulty(mode, reuse, method)
         share = outcomes["unknown"] / SEQUENTIAL * 10_000
-        name = f"unknown in 10,000 POST, {CLOSINGS} of {SEQUENTIAL} closed, {reuse}"
-        bound = f"0 run twice; {ran} did"
+        name = f"unknown in 10,000 {method}, {FAULTS} of {SEQUENTIAL} {mode}, {reuse}"
+        failed = outcomes["endpoint-failed"]
+        bound = f"{FAULTS * 10_000 // SEQUENTIAL}; ran twice {twice}, failed {failed}"
         measures.append(Measure(name, share, "requests", bound, "-", -1, COMMAND))
     return measures
 
--- a/features/ctl.feature
+++ b/features/ctl.feature
@@ -158,3 +158,12 @@
       | wave status                            | 0 | w1    cancelled  0     3 |
       | fence nobody-1 --powered-off           | 1 | the session is in another state |
       | status                                 | 0 | growers  0        0 |
+
+  # Guards against a wrong address that shows only when a command is urgent.
+  Scenario: The addresses of entries are checked before they are needed
+    When primrosectl checks the entries "127.0.0.1:8080 [::1]:8080"
+    Then it exits with 0 and prints "2 entries are named"
+    When primrosectl checks the entries "entry-1:8080"
+    Then it exits with 1 and prints "entry-1:8080 is not IP:PORT"
+    When primrosectl checks the entries "127.0.0.1:99999"
+    Then it exits with 1 and prints "is not IP:PORT"
--- a/features/fold.feature
+++ b/features/fold.feature
@@ -165,3 +165,9 @@
       | pa | up a11           | ok          |
       | pa | drain a11 reboot | ok          |
       | pa | stop a11         | WRONG_PHASE |
+
+  # Guards against a planner's probe that is one connection more than the endpoint
+  # accepts while the entries hold all of them.
+  Scenario: Connections of an endpoint are kept for probes
+    Given an endpoint of 64 connections is configured
+    Then entries can hold 62 connections of it
--- a/features/steps/ctl.py
+++ b/features/steps/ctl.py
@@ -282,3 +282,8 @@
     assert verify(state, context.raw_key)
     assert state.find_key(context.key_id) is None
     assert context.raw_key.split(".")[0] != context.key_id
+
+
+@when('primrosectl checks the entries "{entries}"')
+def step_check_entries(context, entries):
+    run(context, "--check", *entries.split())
--- a/features/steps/fold.py
+++ b/features/steps/fold.py
@@ -4,8 +4,11 @@
 from behave import given, then, when
 
 from features.fleet_world import command, document, stamp, started
+from primrosepitch.config.model import Document
+from primrosepitch.fleet import records as rec
+from primrosepitch.fleet.counts import conns_key
 from primrosepitch.fleet.fold import fold
-from primrosepitch.fleet.state import WaveState
+from primrosepitch.fleet.state import FleetState, WaveState
 
 
 @given("a fleet with budget {minimum:d}")
@@ -88,3 +91,22 @@
     voids = [outcome.void.name for outcome in context.again]
     assert voids == ["OLDER", "OLDER", "REPEATED"], voids
     assert context.log.state.offset == context.offset + 1
+
+
+@given("an endpoint of {total:d} connections is configured")
+def step_connections(context, total):
+    spec = {"dc": "d", "rack": "r", "pool": "p", "address": "127.0.0.1", "port": 1}
+    document = msgspec.convert(
+        {"pools": {"p": {}}, "instances": {"i": {**spec, "connections": total}}},
+        Document,
+    )
+    record = rec.ConfigPublished(
+        record_id="c", by="op", base_offset=-1, documents={"a.yaml": document}
+    )
+    context.folded = FleetState()
+    fold(context.folded, 0, record)
+
+
+@then("entries can hold {units:d} connections of it")
+def step_entry_connections(context, units):
+    assert context.folded.counts[conns_key("i")].total == units
--- a/primrosepitch/bin/ctl.py
+++ b/primrosepitch/bin/ctl.py
@@ -4,6 +4,7 @@
 
 import functools
 import getpass
+import ipaddress
 import os
 import sys
 import time
@@ -61,6 +62,8 @@
     rich_markup_mode=None,
     add_completion=False,
 )
+MAX_PORT = 65536
+
 key_app = typer.Typer(help="Keys of teams.", no_args_is_help=True)
 wave_app = typer.Typer(help="Maintenance waves.", no_args_is_help=True)
 app.add_typer(key_app, name="key")
@@ -120,11 +123,33 @@
 @app.callback(invoke_without_command=True)
 def options(
     version: Annotated[bool, typer.Option("--version", help="Print it.")] = False,
+    check: Annotated[
+        bool, typer.Option("--check", help="Check the addresses of PRIMROSE_ENTRY.")
+    ] = False,
 ) -> None:
     """Operate a fleet."""
     if version:
         print(f"primrosectl {__version__}")
         raise typer.Exit
+    if check:
+        _check_entries(os.environ.get("PRIMROSE_ENTRY", "").split())
+        raise typer.Exit
+
+
+def _check_entries(entries: list[str]) -> None:
+    """Exit with an error unless each address is an IP number and a port."""
+    if not entries:
+        _fail("PRIMROSE_ENTRY is not set: set it or use --entry", EXIT_REFUSED)
+    for entry in entries:
+        address, _, port = entry.rpartition(":")
+        try:
+            ipaddress.ip_address(address.strip("[]"))
+            valid = 0 < int(port) < MAX_PORT
+        except ValueError:
+            valid = False
+        if not valid:
+            _fail(f"PRIMROSE_ENTRY: {entry} is not IP:PORT", EXIT_REFUSED)
+    print(f"{len(entries)} entries are named")
 
 
 # Configuration
--- a/primrosepitch/bin/daemon.py
+++ b/primrosepitch/bin/daemon.py
@@ -588,6 +588,20 @@
     except OSError as exc:
         print(f"{program}: cannot listen: {exc}", file=sys.stderr)
         return 2
+    finally:
+        _ignore_signals()
+
+
+def _ignore_signals() -> None:
+    """Ignore further signals to stop, since closing the loop would reset them.
+
+    A second SIGTERM during the last moments of a graceful stop would otherwise kill
+    the process, which then does not exit with 0.
+    """
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
 
 
 def _parse(program: str, argv: Sequence[str] | None) -> argparse.Namespace:
--- a/primrosepitch/bin/replay.py
+++ b/primrosepitch/bin/replay.py
@@ -204,6 +204,9 @@
     facts: Annotated[
         bool, typer.Option("--facts", help="Print all facts of each trace.")
     ] = False,
+    check: Annotated[
+        bool, typer.Option("--check", help="Check the statements; replay nothing.")
+    ] = False,
     version: Annotated[
         bool, typer.Option("--version", callback=_version, is_eager=True)
     ] = False,
@@ -212,6 +215,9 @@
 
     Exit codes: 0 all hold; 1 one does not hold or cannot be read; 2 wrong usage.
     """
+    if check:
+        _check_statements(_traces(traces))
+        return
     total: Counter[str] = Counter()
     held: Counter[str] = Counter()
     for trace in _traces(traces):
@@ -228,6 +234,20 @@
         raise typer.Exit(1)
 
 
+def _check_statements(traces: list[Path]) -> None:
+    """Print what is wrong with the files beside traces; exits with 1 if anything is."""
+    wrong = 0
+    for trace in traces:
+        try:
+            _read_statement(trace)
+        except ValueError as exc:
+            print(f"{trace}: {exc}", file=sys.stderr)
+            wrong += 1
+    print(f"{len(traces)} traces, {wrong} with a wrong statement")
+    if wrong or not traces:
+        raise typer.Exit(1)
+
+
 def _check(trace: Path, show: bool) -> tuple[str, list[str]]:
     """Replay one trace; returns its property and what did not hold."""
     name = "unreadable"
--- a/primrosepitch/fleet/fold.py
+++ b/primrosepitch/fleet/fold.py
@@ -44,6 +44,10 @@
 FINISHED_WAVES = 16
 """Finished waves kept for operators; older ones are dropped from the state."""
 
+PROBE_CONNECTIONS = 2
+"""Connections of each endpoint kept for probes: of the planner that holds the lease,
+and of one that was paused while it held the lease before."""
+
 PUBLIC_LIMIT = 1_000_000
 """Upper limit of the built-in team when the configuration names none."""
 
@@ -228,7 +232,7 @@
         totals[limit_key(team)] = spec.limit
     for name, inst in state.config.instances.items():
         totals[slots_key(name)] = inst.slots
-        totals[conns_key(name)] = inst.connections
+        totals[conns_key(name)] = _connections_for_entries(inst.connections)
     for key, total in totals.items():
         if key in state.counts:
             state.counts[key].resize(total)
@@ -244,6 +248,11 @@
         state.counts[limit_key(team)].frozen = False
 
 
+def _connections_for_entries(connections: int) -> int:
+    """Return the connections of an endpoint that entries may hold."""
+    return max(connections - PROBE_CONNECTIONS, min(connections, 1))
+
+
 def _drop_if_whole(state: FleetState, key: CountKey) -> None:
     """Drop a count that nothing names once its units are all back."""
     count = state.counts[key]
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -6,7 +6,8 @@
 # DEMO_SHIFT     added to the ports 8070 8080 8090 9080 (0)
 # DEMO_REQUESTS  requests of the callers (1500)
 # DEMO_RECORD    if not empty, entries and planners record their traces
-# DEMO_FAULT     name of a fault of scripts/faults.sh to bring about meanwhile
+# DEMO_FAULT     name of a fault of scripts/faults.sh to bring about meanwhile, or two
+#                with a plus sign between; the second one may start processes
 # DEMO_IDLE_S    seconds for which the idle processes are measured at the end
 # DEMO_CALLER    further options of the caller stand-in
 # DEMO_RUN       folder of logs and traces (run/demo)
@@ -231,7 +232,20 @@
     --requests "$REQUESTS" --json "$RUN/caller.json" ${DEMO_CALLER:-} $endpoints
 if [ -n "${DEMO_FAULT:-}" ]; then
     sleep 1
-    "fault_$DEMO_FAULT"
+    first=${DEMO_FAULT%%+*}
+    second=${DEMO_FAULT#*+}
+    if [ "$first" = "$DEMO_FAULT" ]; then
+        "fault_$first"
+    else
+        "fault_$first" &
+        pair=$!
+        "fault_$second"
+        wait "$pair" || fail "fault $first could not be brought about"
+    fi
+    # The first of a pair runs in a subshell, which cannot set it here.
+    case $DEMO_FAULT in
+    *entry_killed* | *entry_replaced*) FAULT_LOST=1 ;;
+    esac
 fi
 caller_code=0
 wait "$(cut -d' ' -f1 "$RUN/caller.pids")" || caller_code=$?
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -21,6 +21,10 @@
     pid=$(pid_of "$1")
     kill -KILL "$pid"
     wait "$pid" 2>/dev/null || :
+    forget_process "$1"
+}
+
+forget_process() {
     for file in "$RUN"/*.pids; do
         sed "/ $1\$/d" "$file" >"$file.new"
         mv "$file.new" "$file"
@@ -53,6 +57,9 @@
 
 fault_entry_stopped() {
     kill -TERM "$(pid_of linz-entry-2)"
+    # Processes are stopped once more at the end; that must not meet a stopping one.
+    wait "$(pid_of linz-entry-2)" || fail "linz-entry-2 exited with $?"
+    forget_process linz-entry-2
 }
 
 fault_planner_killed() {
@@ -126,7 +133,10 @@
 
 fault_limit_lowered() {
     sed -i 's/limit: 96/limit: 10/' "$CONFIG"/20-teams.yaml
-    ctl publish "$CONFIG" --wait --operator fault | tail -n 1
+    # Published in the other data centre, since this one may be cut off.
+    ctl publish "$CONFIG" --wait --operator fault \
+        --entry "127.$NET.2.101:$http_port" >"$RUN/lowered.out" ||
+        fail "the lowered limit is not in force everywhere"
     $PY -c 'import time; print(time.monotonic())' >"$RUN/lowered_at"
 }
 
