--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -242,7 +242,7 @@
         "fault_$second"
         wait "$pair" || fail "fault $first could not be brought about"
     fi
-    # The first of a pair runs in a subshell, which cannot set it here.
+    # Callers of a killed entry find their connections closed without an answer.
     case $DEMO_FAULT in
     *entry_killed* | *entry_replaced*) FAULT_LOST=1 ;;
     esac
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -1,5 +1,4 @@
 # Faults that scripts/demo.sh brings about while its callers run; sourced by it.
-# FAULT_LOST is 1 where a caller may find its connection closed without an answer.
 
 pid_of() {
     grep -h " $1\$" "$RUN"/*.pids | cut -d' ' -f1
@@ -38,12 +37,10 @@
 }
 
 fault_entry_killed() {
-    FAULT_LOST=1
     kill_process linz-entry-2
 }
 
 fault_entry_replaced() {
-    FAULT_LOST=1
     kill_process linz-entry-2
     start control linz-entry-2 $PY -m primrosepitch.bin.entry \
         --settings "$CONFIG/processes/linz-entry-2.yaml"
