--- a/primrosepitch/events.py
+++ b/primrosepitch/events.py
@@ -162,3 +162,122 @@
     "A peer sent a malformed frame; its connection was closed.",
     "check that all processes run compatible versions",
 )
+
+
+# Jobs and their execution
+JOB_ACCEPTED = event(5001, "job_accepted", logging.INFO, "A job is stored.")
+JOB_REFUSED = event(
+    5002,
+    "job_refused",
+    logging.INFO,
+    "A job was not accepted and never runs.",
+    "see the reason; callers come back after Retry-After",
+)
+JOB_UNKNOWN = event(
+    5003,
+    "job_outcome_unknown",
+    logging.WARNING,
+    "The store did not say whether a job is stored; the caller was told so.",
+    "check the store; a repeat with the same id settles it",
+)
+JOB_CANCELLED = event(5004, "job_cancelled", logging.INFO, "A cancellation is stored.")
+JOB_ENDED = event(5005, "job_ended", logging.INFO, "A job has ended.")
+JOB_UNPLACEABLE = event(
+    5006,
+    "job_unplaceable",
+    logging.WARNING,
+    "A task is larger than any endpoint of its pool, or needs a label none has.",
+    "add instances of that size, or ask the caller to cancel the job",
+)
+RUN_STARTING = event(5011, "run_starting", logging.INFO, "A task got an endpoint.")
+RUN_REFUSED = event(
+    5012, "run_start_answered", logging.INFO, "A start was not plainly accepted."
+)
+RUN_ENDED = event(5013, "run_ended", logging.INFO, "An endpoint listed an end.")
+RUN_LOST = event(
+    5014,
+    "run_lost",
+    logging.WARNING,
+    "A run can't be going on any more; the task waits again.",
+)
+RUN_STOPPING = event(5015, "run_stopping", logging.INFO, "A run is being stopped.")
+RUN_ORPHANED = event(
+    5016,
+    "run_orphaned",
+    logging.WARNING,
+    "An endpoint runs what the ledger does not place there; it is stopped.",
+)
+RUN_PACED = event(5017, "run_paced", logging.INFO, "A filling task's pace was changed.")
+TERM_TAKEN = event(5101, "term_taken", logging.INFO, "This node schedules now.")
+TERM_LOST = event(
+    5102, "term_lost", logging.WARNING, "This node does not schedule any more."
+)
+TERM_CLAIMED = event(
+    5103, "term_claimed", logging.INFO, "No renewal was seen; the node claims a term."
+)
+ENDPOINT_JOINED = event(
+    5201, "endpoint_joined", logging.INFO, "An endpoint was seen for the first time."
+)
+ENDPOINT_SILENT = event(
+    5202,
+    "endpoint_silent",
+    logging.WARNING,
+    "An endpoint does not answer; its runs are given up when their leases lapse.",
+    "check the instance and the links to it",
+)
+ENDPOINT_BACK = event(5203, "endpoint_back", logging.INFO, "It answers again.")
+ENDPOINT_REBORN = event(
+    5204, "endpoint_restarted", logging.WARNING, "An endpoint has a new life."
+)
+ENDPOINT_DRAINING = event(
+    5205, "endpoint_draining", logging.INFO, "An endpoint is leaving."
+)
+ENDPOINT_GONE = event(5206, "endpoint_gone", logging.INFO, "An endpoint has left.")
+ENDPOINT_EJECTED = event(
+    5207, "endpoint_ejected", logging.WARNING, "An endpoint failed too much."
+)
+ENTRY_UNREADABLE = event(
+    5208,
+    "endpoint_report_unreadable",
+    logging.WARNING,
+    "A report in the platform's store could not be read and names no endpoint.",
+    "find the writer of that key",
+)
+WAVE_SEEN = event(5301, "wave_seen", logging.INFO, "A maintenance wave is asked for.")
+WAVE_COMPLETED = event(
+    5302, "wave_completed", logging.INFO, "All instances of a wave were maintained."
+)
+UPKEEP_BEGUN = event(
+    5303, "upkeep_answered", logging.INFO, "Maintenance of an instance was ordered."
+)
+EVACUATING = event(
+    5304, "evacuating", logging.INFO, "An endpoint is emptied for a planned stop."
+)
+MOVE_ANSWERED = event(
+    5305, "move_answered", logging.INFO, "A move of an instance was ordered."
+)
+STORE_DOWN = event(
+    5401,
+    "store_unavailable",
+    logging.WARNING,
+    "The platform's store does not answer this node.",
+    "check the platform; nothing new is accepted or started here",
+)
+STORE_BACK = event(5402, "store_available", logging.INFO, "The store answers again.")
+MANIFEST_IN_FORCE = event(
+    5403, "manifest_in_force", logging.INFO, "A configuration is in force here."
+)
+MANIFEST_UNREADABLE = event(
+    5404,
+    "manifest_unreadable",
+    logging.ERROR,
+    "A configuration could not be read and changes nothing.",
+    "correct the field that the line names",
+)
+LEDGER_UNREADABLE = event(
+    5405,
+    "ledger_record_unreadable",
+    logging.ERROR,
+    "A record of the ledger could not be read and changes nothing.",
+    "find the writer; a newer version may have written it",
+)
--- /dev/null
+++ b/primrosepitch/jobs/records.py
@@ -0,0 +1,244 @@
+"""Records of the job ledger in the platform's store, and their fold.
+
+The ledger is one keyed partition: the newest record of each key lasts. Any node writes
+``JobSpec`` and ``Cancellation`` records; only the scheduler of the newest term writes
+``Progress`` and ``Term`` records, which the store enforces by the producer's epoch.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from primrosepitch.jobs.model import (
+    EndpointId,
+    JobId,
+    JobSpec,
+    JobState,
+    TaskKey,
+)
+
+__all__ = [
+    "Cancellation",
+    "JobEntry",
+    "Ledger",
+    "Progress",
+    "TaskRecord",
+    "Term",
+    "WaveProgress",
+    "encode",
+]
+
+SPEC = "j/"
+CANCEL = "c/"
+PROGRESS = "p/"
+TERM = "term"
+WAVE = "w/"
+
+
+class TaskRecord(msgspec.Struct, array_like=True):
+    """What lasts of a task that was started at least once.
+
+    :param run: number of the newest start
+    :param placed: endpoint of a run that may be going on; empty when none is
+    :param born: incarnation of that endpoint
+    :param failed: runs that ended by a failure
+    :param done: whether a run has ended successfully
+    """
+
+    occurrence: int
+    step: int
+    index: int
+    run: int = 0
+    placed: EndpointId = EndpointId("")
+    born: int = 0
+    failed: int = 0
+    done: bool = False
+    checkpoint: str = ""
+
+    def key(self, job: JobId) -> TaskKey:
+        """Return the task that this is about."""
+        return TaskKey(job, self.occurrence, self.step, self.index)
+
+
+class Progress(msgspec.Struct):
+    """What lasts of a job's execution.
+
+    :param finished_ms: Unix time of the end; 0 before it
+    """
+
+    job: JobId
+    state: JobState
+    tasks: list[TaskRecord]
+    finished_ms: int = 0
+
+
+class Cancellation(msgspec.Struct):
+    """A caller's word that a job is to be stopped.
+
+    :param at_ms: Unix time
+    """
+
+    job: JobId
+    at_ms: int
+
+
+class Term(msgspec.Struct):
+    """A claim to schedule, or its renewal.
+
+    :param number: fencing token; one holder for each number
+    :param holder: name of the node
+    :param nonce: tells claims of one number by several nodes apart
+    """
+
+    number: int
+    holder: str
+    nonce: int
+
+
+class WaveProgress(msgspec.Struct):
+    """Instances of a maintenance wave whose maintenance has begun."""
+
+    wave: int
+    begun: list[str]
+
+
+Record = JobSpec | Cancellation | Progress | Term | WaveProgress
+
+
+def key_of(record: Record) -> str:
+    """Return the key under which a record is kept."""
+    if isinstance(record, Term):
+        return TERM
+    if isinstance(record, WaveProgress):
+        return f"{WAVE}{record.wave}"
+    prefix = {JobSpec: SPEC, Cancellation: CANCEL, Progress: PROGRESS}[type(record)]
+    return prefix + record.job
+
+
+def encode(record: Record) -> tuple[str, bytes]:
+    """Return the key and the stored value of a record."""
+    return key_of(record), msgspec.msgpack.encode(record)
+
+
+def drop_keys(job: JobId) -> list[tuple[str, bytes]]:
+    """Return the records that remove a job from the ledger."""
+    return [(prefix + job, b"") for prefix in (SPEC, CANCEL, PROGRESS)]
+
+
+class JobEntry(msgspec.Struct):
+    """What the ledger says of one job; parts may come in any order."""
+
+    spec: JobSpec | None = None
+    cancelled: Cancellation | None = None
+    progress: Progress | None = None
+
+    @property
+    def state(self) -> JobState:
+        """Return the state that callers are told."""
+        if self.progress is not None and self.progress.state.final:
+            return self.progress.state
+        if self.cancelled is not None:
+            return JobState.CANCELLED
+        return self.progress.state if self.progress is not None else JobState.QUEUED
+
+
+Fold = Callable[["Ledger", str, bytes], Record | None]
+_FOLDS: dict[str, Fold] = {}
+
+
+def _folds(prefix: str) -> Callable[[Fold], Fold]:
+    def register(fold: Fold) -> Fold:
+        _FOLDS[prefix] = fold
+        return fold
+
+    return register
+
+
+class Ledger:
+    """Fold of the ledger's records."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.jobs: dict[JobId, JobEntry] = {}
+        self.term = Term(0, "", 0)
+        self.waves: dict[int, WaveProgress] = {}
+
+    def apply(self, key: str, value: bytes) -> Record | None:
+        """Fold one record.
+
+        :returns: the record if it changed anything
+        :raises msgspec.DecodeError: if the value can't be read
+        """
+        prefix = key if key == TERM else key[:2]
+        fold = _FOLDS.get(prefix)
+        return fold(self, key, value) if fold is not None else None
+
+    def entry(self, job: JobId) -> JobEntry:
+        """Return a job's entry, made when it is missing."""
+        found = self.jobs.get(job)
+        if found is None:
+            found = self.jobs[job] = JobEntry()
+        return found
+
+    def known(self, job: JobId) -> JobEntry | None:
+        """Return the entry of an accepted job."""
+        found = self.jobs.get(job)
+        return found if found is not None and found.spec is not None else None
+
+
+def _decode(value: bytes, kind: Any) -> Any:
+    return msgspec.msgpack.decode(value, type=kind)
+
+
+@_folds(SPEC)
+def _fold_spec(ledger: Ledger, key: str, value: bytes) -> Record | None:
+    if not value:
+        ledger.jobs.pop(JobId(key[2:]), None)
+        return None
+    spec: JobSpec = _decode(value, JobSpec)
+    entry = ledger.entry(spec.job)
+    if entry.spec is not None:
+        return None
+    entry.spec = spec
+    return spec
+
+
+@_folds(CANCEL)
+def _fold_cancel(ledger: Ledger, key: str, value: bytes) -> Record | None:
+    if not value:
+        return None
+    cancellation: Cancellation = _decode(value, Cancellation)
+    entry = ledger.entry(cancellation.job)
+    if entry.cancelled is not None:
+        return None
+    entry.cancelled = cancellation
+    return cancellation
+
+
+@_folds(PROGRESS)
+def _fold_progress(ledger: Ledger, key: str, value: bytes) -> Record | None:
+    if not value:
+        return None
+    progress: Progress = _decode(value, Progress)
+    ledger.entry(progress.job).progress = progress
+    return progress
+
+
+@_folds(TERM)
+def _fold_term(ledger: Ledger, key: str, value: bytes) -> Record | None:
+    term: Term = _decode(value, Term)
+    if term.number > ledger.term.number:
+        ledger.term = term
+        return term
+    # A renewal of the same claim; another claim of the same number came too late.
+    return term if term == ledger.term else None
+
+
+@_folds(WAVE)
+def _fold_wave(ledger: Ledger, key: str, value: bytes) -> Record | None:
+    progress: WaveProgress = _decode(value, WaveProgress)
+    ledger.waves[progress.wave] = progress
+    return progress
--- /dev/null
+++ b/primrosepitch/node/__init__.py
@@ -0,0 +1,1 @@
+"""A node on the platform: intake of jobs, and the scheduler while it has the term."""
--- /dev/null
+++ b/primrosepitch/node/node.py
@@ -0,0 +1,105 @@
+"""One node: the parts and how they are tied together."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from primrosepitch import clock
+from primrosepitch.events import MANIFEST_IN_FORCE, TASK_FAILED, emit
+from primrosepitch.jobs.model import JobSpec
+from primrosepitch.jobs.records import Record
+from primrosepitch.jobs.store import StoreUnavailableError
+from primrosepitch.node.desk import JobDesk
+from primrosepitch.node.follower import Appender, Follower
+from primrosepitch.node.ports import Platform
+from primrosepitch.node.scheduler import SchedulerRunner
+from primrosepitch.scheduling.configuration import Configuration, WaveSpec
+from primrosepitch.scheduling.state import Limits
+
+__all__ = ["Node"]
+
+OPERATORS_WAIT_S = 5.0
+"""Time for which a reading of the configuration waits for a change."""
+
+RETRY_S = 0.2
+"""Pause after a failed reading."""
+
+STORE_SILENT_S = 2.5
+"""Time without the store after which callers are better served by another node."""
+
+
+class Node:
+    """A node of the deployment.
+
+    :param name: unique name, also of the holder of a term
+    """
+
+    def __init__(
+        self, name: str, platform: Platform, limits: Limits, rng: random.Random
+    ) -> None:
+        """Do nothing yet."""
+        self.cfg: Configuration | None = None
+        self.stopping = False
+        self._platform = platform
+        self._follower = Follower(platform.ledger, self._record_seen, rng)
+        self._appender = Appender(platform.ledger)
+        self.desk = JobDesk(self._follower, self._appender)
+        self.scheduler = SchedulerRunner(name, platform, self._follower, limits, rng)
+
+    @property
+    def ready(self) -> bool:
+        """Return whether callers should be sent here."""
+        fresh = clock.monotonic() - self._follower.read_at < STORE_SILENT_S
+        return self.cfg is not None and not self.stopping and fresh
+
+    async def run(self) -> None:
+        """Run all parts for good."""
+        parts = [
+            self._follow_operators(),
+            self._follower.run(),
+            self._appender.run(),
+            self.scheduler.run(),
+        ]
+        try:
+            await asyncio.gather(*parts)
+        except Exception as exc:
+            emit(TASK_FAILED, error=repr(exc))
+            raise
+
+    async def release(self, deadline: float) -> None:
+        """Take no new callers, and let another node schedule."""
+        self.stopping = True
+        try:
+            async with asyncio.timeout(max(0.0, deadline - clock.monotonic())):
+                await self.scheduler.release()
+        except TimeoutError:
+            emit(TASK_FAILED, error="the term was not released in time")
+
+    def _record_seen(self, record: Record) -> None:
+        if isinstance(record, JobSpec):
+            self.desk.folded(record.job)
+        self.scheduler.record_seen(record)
+
+    async def _follow_operators(self) -> None:
+        directory = self._platform.operators()
+        while True:
+            try:
+                changes = await directory.changes(OPERATORS_WAIT_S)
+            except StoreUnavailableError:
+                await asyncio.sleep(RETRY_S)
+                continue
+            for change in changes:
+                if isinstance(change, Configuration):
+                    self._configure(change)
+                elif isinstance(change, WaveSpec):
+                    self.scheduler.add_wave(change)
+            if not changes and self.cfg is None:
+                await asyncio.sleep(RETRY_S)
+
+    def _configure(self, cfg: Configuration) -> None:
+        if self.cfg is not None and cfg.version <= self.cfg.version:
+            return
+        self.cfg = cfg
+        emit(MANIFEST_IN_FORCE, version=cfg.version, queues=len(cfg.queues))
+        self.scheduler.configure(cfg)
--- /dev/null
+++ b/primrosepitch/node/scheduler.py
@@ -0,0 +1,389 @@
+"""Runs the scheduler while this node has the term."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import defaultdict
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+from primrosepitch import clock
+from primrosepitch.events import TERM_CLAIMED, TERM_LOST, emit
+from primrosepitch.jobs.model import EndpointId, JobSpec
+from primrosepitch.jobs.records import (
+    Cancellation,
+    Progress,
+    Record,
+    Term,
+    WaveProgress,
+    encode,
+)
+from primrosepitch.jobs.store import (
+    Fence,
+    KeyedRecord,
+    StoreFencedError,
+    StoreUnavailableError,
+    StoreUnknownError,
+)
+from primrosepitch.node.follower import Follower
+from primrosepitch.node.ports import Platform
+from primrosepitch.node.term import TermWatch
+from primrosepitch.scheduling import effects as ef
+from primrosepitch.scheduling import events as ev
+from primrosepitch.scheduling.configuration import Configuration, WaveSpec
+from primrosepitch.scheduling.leases import quiet_s
+from primrosepitch.scheduling.reducer import step
+from primrosepitch.scheduling.state import Limits, SchedulerState
+
+__all__ = ["SchedulerRunner"]
+
+TICK_S = 0.02
+"""Interval of the reducer's ticks."""
+
+WATCH_S = 0.1
+"""Interval at which a node that does not schedule looks for silence."""
+
+JITTER_S = 0.4
+"""Largest difference between nodes in how long they wait before they claim."""
+
+COMMIT_TRY_S = 1.0
+"""Time for one try of a commit; it is repeated under the same sequence number."""
+
+COMMIT_RETRY_S = 0.1
+"""Pause before a commit is repeated."""
+
+REPORTS_GAP_S = 0.25
+"""Pause between readings of the endpoints' reports."""
+
+ORDERS_AT_ONCE = 3
+"""Orders under way to one endpoint; more wait, and use the same connections."""
+
+STALE_ORDER_S = 1.0
+"""Age at which an order is dropped unsent: the process was paused meanwhile."""
+
+
+class SchedulerRunner:
+    """Claims terms, feeds the reducer and carries out its effects.
+
+    :param node: name of this node
+    """
+
+    def __init__(
+        self,
+        node: str,
+        platform: Platform,
+        follower: Follower,
+        limits: Limits,
+        rng: random.Random,
+    ) -> None:
+        """Follow another node's term at first."""
+        self.state = SchedulerState(node=node, limits=limits)
+        self._node = node
+        self._platform = platform
+        self._follower = follower
+        self._limits = limits
+        self._rng = rng
+        self._cfg = Configuration()
+        self._waves: dict[int, WaveSpec] = {}
+        self._sign_at = 0.0
+        self._sequence = 0
+        self._claiming = False
+        self._stopping = False
+        self._orders: dict[EndpointId, asyncio.Semaphore] = defaultdict(
+            lambda: asyncio.Semaphore(ORDERS_AT_ONCE)
+        )
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._perform: dict[type, Callable[[Any], None]] = {
+            ef.Commit: self._commit,
+            ef.Start: self._start,
+            ef.Stop: self._stop,
+            ef.Hold: self._hold,
+            ef.Pace: self._pace,
+            ef.ListInstances: self._list,
+            ef.Upkeep: self._upkeep,
+            ef.MoveInstance: self._move,
+            ef.WaveStatus: self._wave_status,
+            ef.AskAdvice: self._advice,
+            ef.StepDown: self._step_down,
+            ef.Note: self._note,
+        }
+
+    @property
+    def leading(self) -> bool:
+        """Return whether this node schedules."""
+        return self.state.term > 0
+
+    # What happens
+
+    def configure(self, cfg: Configuration) -> None:
+        """Take a configuration."""
+        self._cfg = cfg
+        self._feed(ev.ConfigurationSeen(cfg))
+
+    def add_wave(self, wave: WaveSpec) -> None:
+        """Take a maintenance wave."""
+        if wave.wave not in self._waves:
+            self._waves[wave.wave] = wave
+            self._feed(ev.WaveSeen(wave))
+
+    def record_seen(self, record: Record) -> None:
+        """Take a record that the follower has folded."""
+        if isinstance(record, Progress | Term | WaveProgress):
+            self._sign_at = clock.monotonic()
+            if isinstance(record, Term) and record.number > self.state.term > 0:
+                self._step_down(ef.StepDown("a newer term is in the ledger"))
+        elif isinstance(record, JobSpec):
+            self._feed(ev.JobSeen(record))
+        elif isinstance(record, Cancellation):
+            self._feed(ev.CancelSeen(record.job))
+
+    # Programs
+
+    async def run(self) -> None:
+        """Watch, claim and schedule for good."""
+        jitter_s = self._rng.uniform(0.0, JITTER_S)
+        while True:
+            if self.leading:
+                wall_ms = round(clock.wall() * 1000)
+                self._feed(ev.Tick(clock.monotonic(), wall_ms))
+                await asyncio.sleep(TICK_S)
+                continue
+            await asyncio.sleep(WATCH_S)
+            watch = TermWatch(
+                self._follower.ledger.term,
+                self._sign_at,
+                self._follower.connected_at,
+                self._follower.read_at,
+                jitter_s,
+            )
+            if (
+                self._follower.loaded
+                and self._cfg.version
+                and not self._stopping
+                and watch.should_claim(clock.monotonic())
+            ):
+                await self._claim()
+
+    async def _claim(self) -> None:
+        """Claim the next term; it is won when the ledger shows this claim first."""
+        number = self._follower.ledger.term.number + 1
+        earlier = self._follower.ledger.term.number > 0
+        term = Term(number, self._node, self._rng.getrandbits(48))
+        fence = Fence(number, self._rng.getrandbits(40))
+        emit(TERM_CLAIMED, term=number, silent_s=round(self._silent_s(), 2))
+        record = KeyedRecord(*encode(term))
+        try:
+            deadline = clock.monotonic() + COMMIT_TRY_S
+            outcome = await self._platform.ledger.append([record], deadline, fence)
+            await self._follower.catch_up(outcome.offset + 1)
+        except (StoreUnavailableError, StoreUnknownError, StoreFencedError) as exc:
+            emit(TERM_LOST, term=number, reason=str(exc))
+            return
+        if self._follower.ledger.term != term:
+            emit(TERM_LOST, term=number, reason="another claim came first")
+            return
+        self._sequence = fence.sequence
+        self._begin(term, earlier)
+
+    def _silent_s(self) -> float:
+        return clock.monotonic() - max(self._sign_at, self._follower.connected_at)
+
+    def _begin(self, term: Term, earlier: bool) -> None:
+        now = clock.monotonic()
+        state = self.state = SchedulerState(node=self._node, limits=self._limits)
+        state.nonce = term.nonce
+        state.wall_ms = round(clock.wall() * 1000)
+        self._feed(ev.ConfigurationSeen(self._cfg))
+        for wave in self._waves.values():
+            self._feed(ev.WaveSeen(wave))
+        self._follower.leading = True
+        ledger = self._follower.ledger
+        quiet_until = now + quiet_s(self._limits) if earlier else now
+        waves = {number: w.begun for number, w in ledger.waves.items()}
+        taken = ev.TermTaken(now, term.number, ledger.jobs, quiet_until, waves)
+        self._feed(taken)
+        self._spawn(self._read_reports(term.number))
+
+    async def _read_reports(self, term: int) -> None:
+        """Follow the endpoints' reports while the term lasts."""
+        directory = self._platform.endpoints()
+        while self.state.term == term:
+            try:
+                changes = await directory.changes(REPORTS_GAP_S)
+            except StoreUnavailableError:
+                await asyncio.sleep(REPORTS_GAP_S)
+                continue
+            for change in changes:
+                now = clock.monotonic()
+                if isinstance(change, ev.EndpointReport):
+                    self._feed(ev.EndpointSeen(change, now))
+                elif isinstance(change, str):
+                    self._feed(ev.EndpointGone(change, now))
+            await asyncio.sleep(REPORTS_GAP_S)
+
+    async def release(self) -> None:
+        """Give up the term so that another node claims it at once."""
+        self._stopping = True
+        if not self.leading:
+            return
+        while self.state.committing and self.leading:
+            await asyncio.sleep(TICK_S)
+        number = self.state.term
+        self._step_down(ef.StepDown("the process stops"))
+        self._sequence += 1
+        record = KeyedRecord(*encode(Term(number, "", self.state.nonce)))
+        try:
+            await self._platform.ledger.append(
+                [record],
+                clock.monotonic() + COMMIT_TRY_S,
+                Fence(number, self._sequence),
+            )
+        except (StoreUnavailableError, StoreUnknownError, StoreFencedError) as exc:
+            emit(TERM_LOST, term=number, reason=f"not released: {exc}")
+
+    # Effects
+
+    def _feed(self, event: ev.Event) -> None:
+        for effect in step(self.state, event):
+            self._perform[type(effect)](effect)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _in_term(self, term: int, event: ev.Event) -> None:
+        """Feed an answer, unless the term it belongs to has ended."""
+        if self.state.term == term:
+            self._feed(event)
+
+    def _note(self, effect: ef.Note) -> None:
+        emit(effect.event, **{"term": self.state.term, **effect.fields})
+
+    def _commit(self, effect: ef.Commit) -> None:
+        self._sequence += 1
+        self._spawn(self._append(effect, Fence(self.state.term, self._sequence)))
+
+    async def _append(self, effect: ef.Commit, fence: Fence) -> None:
+        """Append until the store says that it is done, or that the term is over."""
+        while self.state.term == fence.epoch:
+            deadline = clock.monotonic() + COMMIT_TRY_S
+            try:
+                await self._platform.ledger.append(effect.records, deadline, fence)
+            except (StoreUnavailableError, StoreUnknownError):
+                await asyncio.sleep(COMMIT_RETRY_S)
+                continue
+            except StoreFencedError as exc:
+                if self.state.term == fence.epoch:
+                    self._step_down(ef.StepDown(f"fenced by the store: {exc}"))
+                return
+            now = clock.monotonic()
+            self._in_term(fence.epoch, ev.Committed(effect.number, now))
+            return
+
+    def _step_down(self, effect: ef.StepDown) -> None:
+        emit(TERM_LOST, term=self.state.term, reason=effect.reason)
+        nonce = self.state.nonce
+        self.state = SchedulerState(node=self._node, limits=self._limits)
+        self.state.nonce = nonce
+        self._follower.leading = False
+        self._sign_at = clock.monotonic()
+
+    def _start(self, order: ef.Start) -> None:
+        def answered(outcome: ev.Outcome) -> ev.Event:
+            now = clock.monotonic()
+            return ev.StartAnswered(order.task, order.run, order.endpoint, outcome, now)
+
+        self._order(order, self._platform.start, answered)
+
+    def _stop(self, order: ef.Stop) -> None:
+        def answered(outcome: ev.Outcome) -> ev.Event:
+            now = clock.monotonic()
+            return ev.StopAnswered(order.task, order.run, order.endpoint, outcome, now)
+
+        self._order(order, self._platform.stop, answered)
+
+    def _pace(self, order: ef.Pace) -> None:
+        self._order(order, self._platform.pace, lambda _: None)
+
+    def _order(
+        self,
+        order: Any,
+        send: Callable[[Any], Awaitable[ev.Outcome]],
+        answered: Callable[[ev.Outcome], ev.Event | None],
+    ) -> None:
+        self._spawn(self._send_order(order, send, answered, clock.monotonic()))
+
+    async def _send_order(
+        self,
+        order: Any,
+        send: Callable[[Any], Awaitable[ev.Outcome]],
+        answered: Callable[[ev.Outcome], ev.Event | None],
+        decided: float,
+    ) -> None:
+        async with self._orders[order.endpoint]:
+            if self.state.term != order.token:
+                return
+            if clock.monotonic() - decided > STALE_ORDER_S:
+                outcome = ev.Outcome.NOT_SENT
+            else:
+                outcome = await send(order)
+        if outcome is ev.Outcome.FENCED and self.state.term == order.token:
+            reason = f"{order.endpoint} has a higher fencing token"
+            self._step_down(ef.StepDown(reason))
+            return
+        event = answered(outcome)
+        if event is not None:
+            self._in_term(order.token, event)
+
+    def _hold(self, order: ef.Hold) -> None:
+        self._spawn(self._send_hold(order))
+
+    async def _send_hold(self, order: ef.Hold) -> None:
+        answer = await self._platform.hold(order)
+        if isinstance(answer, ev.Held):
+            self._in_term(order.token, answer)
+        else:
+            now = clock.monotonic()
+            self._in_term(order.token, ev.HoldFailed(order.endpoint, answer, now))
+
+    def _list(self, effect: ef.ListInstances) -> None:
+        self._spawn(self._read_instances(self.state.term))
+
+    async def _read_instances(self, term: int) -> None:
+        instances = await self._platform.instances()
+        self._in_term(term, ev.InstancesListed(instances, clock.monotonic()))
+
+    def _upkeep(self, order: ef.Upkeep) -> None:
+        self._spawn(self._send_upkeep(order))
+
+    async def _send_upkeep(self, order: ef.Upkeep) -> None:
+        outcome = await self._platform.upkeep(order)
+        now = clock.monotonic()
+        answer = ev.UpkeepAnswered(order.instance, order.wave, outcome, now)
+        self._in_term(order.token, answer)
+
+    def _move(self, order: ef.MoveInstance) -> None:
+        self._spawn(self._send_move(order))
+
+    async def _send_move(self, order: ef.MoveInstance) -> None:
+        outcome = await self._platform.move(order)
+        now = clock.monotonic()
+        answer = ev.MoveAnswered(order.instance, order.pool, outcome, now)
+        self._in_term(order.token, answer)
+
+    def _wave_status(self, effect: ef.WaveStatus) -> None:
+        self._spawn(self._tell_wave(self.state.term, effect))
+
+    async def _tell_wave(self, term: int, effect: ef.WaveStatus) -> None:
+        while self.state.term == term:
+            if await self._platform.tell_wave(effect.wave, effect.completed):
+                return
+            await asyncio.sleep(COMMIT_RETRY_S)
+
+    def _advice(self, question: ef.AskAdvice) -> None:
+        self._spawn(self._ask(self.state.term, question))
+
+    async def _ask(self, term: int, question: ef.AskAdvice) -> None:
+        self._in_term(term, await self._platform.advice(question))
--- /dev/null
+++ b/primrosepitch/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the scheduler: order, placement, limits, maintenance."""
--- /dev/null
+++ b/primrosepitch/scheduling/availability.py
@@ -0,0 +1,29 @@
+"""Which tasks of lasting steps may be taken away now."""
+
+from __future__ import annotations
+
+from primrosepitch.scheduling.state import Phase, SchedulerState, StepRun, Task
+
+__all__ = ["away", "may_take"]
+
+
+def step_of(state: SchedulerState, task: Task) -> StepRun:
+    """Return the step that a task belongs to."""
+    return state.jobs[task.key.job].steps[task.key.occurrence][task.key.step]
+
+
+def away(task: Task) -> bool:
+    """Return whether a task must be counted as not at work."""
+    return task.phase is not Phase.RUNNING or not task.working
+
+
+def may_take(state: SchedulerState, task: Task) -> bool:
+    """Return whether a planned stop may end a task's run.
+
+    Steps without an allowance have no availability budget, and a task that is not at
+    work costs none.
+    """
+    if task.spec.may_miss <= 0 or away(task):
+        return True
+    others = sum(away(other) for other in step_of(state, task).tasks)
+    return others < task.spec.may_miss
--- /dev/null
+++ b/primrosepitch/scheduling/leases.py
@@ -0,0 +1,377 @@
+"""Endpoints: their reports, the leases of what they run, and what they list."""
+
+from __future__ import annotations
+
+import msgspec
+
+from primrosepitch.events import (
+    ENDPOINT_BACK,
+    ENDPOINT_DRAINING,
+    ENDPOINT_GONE,
+    ENDPOINT_JOINED,
+    ENDPOINT_REBORN,
+    ENDPOINT_SILENT,
+    RUN_ORPHANED,
+)
+from primrosepitch.jobs.model import task_name
+from primrosepitch.scheduling.effects import Effect, Hold, Note, Start, StepDown, Stop
+from primrosepitch.scheduling.events import (
+    EndpointGone,
+    EndpointSeen,
+    Held,
+    HoldFailed,
+    Outcome,
+    Running,
+)
+from primrosepitch.scheduling.runs import (
+    find_task,
+    lose_run,
+    run_ended,
+    stop_order,
+)
+from primrosepitch.scheduling.state import Endpoint, Limits, Phase, SchedulerState, Task
+
+__all__ = [
+    "GRANT_S",
+    "due_holds",
+    "endpoint_gone",
+    "endpoint_seen",
+    "held",
+    "hold_failed",
+    "quiet_s",
+    "start_order",
+    "sweep",
+    "usable",
+]
+
+HOLD_WAIT_MS = 1000
+"""Time for which an endpoint may keep a hold open; a lease of 4.5 s survives two."""
+
+HOLD_GAP_S = 0.05
+"""Pause between two holds of an endpoint, in which ends gather for one answer."""
+
+RETRY_HOLD_S = 0.15
+"""Pause after a failed hold."""
+
+IDLE_LOOK_S = 10.0
+"""Interval of looks at an endpoint that runs nothing; its clock may drift by 2 %."""
+
+RELIST_S = 2.0
+"""Time in which reports that expired with the store's outage are back."""
+
+RETRY_ORDER_S = 0.3
+"""Pause before an unanswered order is repeated; the same run is never started twice."""
+
+GRANT_S = 6.0
+"""Time without an answer of the store after which no lease is extended any more: a
+newer term restarts what an endpoint out of its reach ran only when this, and the
+lease, have passed."""
+
+LAPSE_SLACK_S = 0.1
+"""Added to the computed lapse of a lease for the endpoint's own timers."""
+
+
+def endpoint_seen(state: SchedulerState, event: EndpointSeen) -> list[Effect]:
+    """Take a report from the platform's store."""
+    report = event.report
+    endpoint = state.endpoints.get(report.endpoint)
+    if endpoint is None:
+        endpoint = Endpoint(report, idle_since=state.now)
+        state.endpoints[report.endpoint] = endpoint
+        fields = {"endpoint": report.endpoint, "service": report.service}
+        return [Note(ENDPOINT_JOINED, fields), *_adopt(state, endpoint)]
+    effects: list[Effect] = []
+    if report.born < endpoint.report.born:
+        return effects
+    if report.born > endpoint.report.born:
+        effects += _new_life(state, endpoint, report.born)
+    if report.draining and not endpoint.report.draining:
+        effects.append(Note(ENDPOINT_DRAINING, {"endpoint": report.endpoint}))
+        state.replan = True
+    endpoint.report = report
+    endpoint.listed = True
+    return effects
+
+
+def _adopt(state: SchedulerState, endpoint: Endpoint) -> list[Effect]:
+    """Attach the tasks that the ledger places on an endpoint."""
+    effects: list[Effect] = []
+    for task in _unattached(state):
+        if task.endpoint != endpoint.id:
+            continue
+        if task.born < endpoint.report.born:
+            effects += lose_run(state, task, "endpoint restarted")
+        else:
+            endpoint.tasks[task.key] = task
+            endpoint.used = endpoint.used.plus(task.spec.needs)
+            endpoint.lapse_at = max(endpoint.lapse_at, state.quiet_until)
+    return effects
+
+
+def _unattached(state: SchedulerState) -> list[Task]:
+    """Return the tasks whose endpoint has not reported in this term."""
+    return [
+        task
+        for job in state.jobs.values()
+        for task in job.tasks()
+        if task.placed and not _attached(state, task)
+    ]
+
+
+def _attached(state: SchedulerState, task: Task) -> bool:
+    endpoint = state.endpoints.get(task.endpoint)
+    return endpoint is not None and task.key in endpoint.tasks
+
+
+def _new_life(state: SchedulerState, endpoint: Endpoint, born: int) -> list[Effect]:
+    """Start anew with an endpoint that has restarted: it runs nothing of before."""
+    effects: list[Effect] = [
+        Note(ENDPOINT_REBORN, {"endpoint": endpoint.id, "born": born})
+    ]
+    for task in list(endpoint.tasks.values()):
+        effects += lose_run(state, task, "endpoint restarted")
+    endpoint.contacted = endpoint.reachable = False
+    endpoint.processed = endpoint.last_seen = 0
+    endpoint.clock_ms, endpoint.clock_at = 0, 0.0
+    endpoint.hold_at = 0.0
+    endpoint.evacuating = ""
+    state.committing_acks.pop(endpoint.id, None)
+    return effects
+
+
+def endpoint_gone(state: SchedulerState, event: EndpointGone) -> list[Effect]:
+    """Note that an endpoint's report was removed."""
+    endpoint = state.endpoints.get(event.endpoint)
+    if endpoint is None or not endpoint.listed:
+        return []
+    endpoint.listed = False
+    endpoint.gone_at = event.now
+    state.replan = True
+    return [Note(ENDPOINT_GONE, {"endpoint": endpoint.id})]
+
+
+def usable(state: SchedulerState, endpoint: Endpoint) -> bool:
+    """Return whether an endpoint may get new tasks."""
+    listed = endpoint.listed or state.now - endpoint.gone_at < RELIST_S
+    return (
+        listed
+        and endpoint.contacted
+        and endpoint.reachable
+        and not endpoint.report.draining
+        and not endpoint.evacuating
+        and state.now >= endpoint.eject_until
+    )
+
+
+def until(state: SchedulerState, endpoint: Endpoint) -> int:
+    """Return the end of a lease granted now, on the endpoint's clock.
+
+    The bound by which it lapses is kept: the endpoint's clock may run slow.
+    """
+    elapsed_s = state.now - endpoint.clock_at
+    until_ms = endpoint.clock_ms + int((elapsed_s + state.limits.lease_s) * 1000)
+    span_s = (until_ms - endpoint.clock_ms) / 1000 / (1 - state.limits.clock_error)
+    lapse = endpoint.clock_at + span_s + LAPSE_SLACK_S
+    endpoint.lapse_at = max(endpoint.lapse_at, lapse)
+    return until_ms
+
+
+def due_holds(state: SchedulerState) -> list[Effect]:
+    """Return the holds that are due."""
+    return [
+        _hold(state, endpoint)
+        for endpoint in state.endpoints.values()
+        if not endpoint.holding and state.now >= endpoint.hold_at
+    ]
+
+
+def _hold(state: SchedulerState, endpoint: Endpoint) -> Hold:
+    endpoint.holding = True
+    working = endpoint.contacted and bool(endpoint.tasks)
+    if state.now - state.confirmed_at > GRANT_S:
+        working = False
+    until_ms = until(state, endpoint) if working else 0
+    return Hold(
+        endpoint.id,
+        endpoint.report.address,
+        until_ms,
+        endpoint.last_seen,
+        HOLD_WAIT_MS if working and endpoint.reachable else 0,
+        state.term,
+    )
+
+
+def hold_failed(state: SchedulerState, event: HoldFailed) -> list[Effect]:
+    """Note that an endpoint did not answer; its tasks go when their leases lapse."""
+    endpoint = state.endpoints.get(event.endpoint)
+    if endpoint is None:
+        return []
+    endpoint.holding = False
+    endpoint.hold_at = event.now + RETRY_HOLD_S * min(4, 1 + endpoint.failed_holds)
+    if event.outcome is Outcome.FENCED:
+        return [StepDown(f"{endpoint.id} has a higher fencing token")]
+    endpoint.failed_holds += 1
+    if not endpoint.reachable:
+        return []
+    endpoint.reachable = False
+    state.replan = True
+    fields = {
+        "endpoint": endpoint.id,
+        "outcome": event.outcome.value,
+        "tasks": len(endpoint.tasks),
+        "lapse_in_s": round(endpoint.lapse_at - event.now, 2),
+    }
+    return [Note(ENDPOINT_SILENT, fields)]
+
+
+def held(state: SchedulerState, event: Held) -> list[Effect]:
+    """Take an endpoint's lists."""
+    endpoint = state.endpoints.get(event.endpoint)
+    if endpoint is None:
+        return []
+    endpoint.holding = False
+    effects: list[Effect] = []
+    if event.born < endpoint.report.born:
+        return effects
+    if event.born > endpoint.report.born:
+        # The report of the new life is still on its way.
+        effects += _new_life(state, endpoint, event.born)
+        endpoint.report = msgspec.structs.replace(endpoint.report, born=event.born)
+    if not endpoint.reachable:
+        if endpoint.failed_holds:
+            effects.append(Note(ENDPOINT_BACK, {"endpoint": endpoint.id}))
+        state.replan = True
+    first = not endpoint.contacted
+    endpoint.contacted = endpoint.reachable = True
+    endpoint.failed_holds = 0
+    endpoint.clock_ms, endpoint.clock_at = event.clock_ms, event.now
+    for ended in event.ended:
+        if ended.number > endpoint.processed:
+            endpoint.processed = ended.number
+            effects += run_ended(state, endpoint, ended)
+    effects += _compare(state, endpoint, event)
+    endpoint.hold_at = _next_hold(state, endpoint, first)
+    return effects
+
+
+def _next_hold(state: SchedulerState, endpoint: Endpoint, first: bool) -> float:
+    if endpoint.processed > endpoint.last_seen:
+        # The next hold confirms the ends; it follows when they are durable.
+        return state.now + 1.0
+    if not endpoint.tasks:
+        return state.now + IDLE_LOOK_S
+    return state.now if first else state.now + HOLD_GAP_S
+
+
+def _compare(state: SchedulerState, endpoint: Endpoint, event: Held) -> list[Effect]:
+    """Compare what runs with what should."""
+    effects: list[Effect] = []
+    listed = {row.task: row for row in event.running}
+    for task in list(endpoint.tasks.values()):
+        row = listed.pop(task.key, None)
+        if row is not None and row.run == task.run:
+            _seen_running(state, task, row)
+        elif _absent(task, event.sent):
+            effects += lose_run(state, task, "not listed by its endpoint")
+    for row in listed.values():
+        effects += _orphan(state, endpoint, row)
+    return effects
+
+
+def _absent(task: Task, sent: float) -> bool:
+    """Return whether a run that is not listed can't be there or come later."""
+    if task.phase is Phase.RUNNING:
+        return task.started < sent
+    if task.phase is Phase.STARTING:
+        return task.tries < 0
+    if task.phase is Phase.STOPPING:
+        return 0 < task.started < sent or task.tries < 0
+    return False
+
+
+def _seen_running(state: SchedulerState, task: Task, row: Running) -> None:
+    if task.phase is Phase.STARTING:
+        task.phase = Phase.RUNNING
+        task.started = task.since = state.now
+        task.tries = 0
+    if row.checkpoint:
+        task.checkpoint = row.checkpoint
+    task.progress = row.percent
+    task.load = row.load
+    working = row.percent >= 100
+    if working and not task.working:
+        task.away_at = 0.0
+    task.working = working
+
+
+def _orphan(state: SchedulerState, endpoint: Endpoint, row: Running) -> list[Effect]:
+    task = find_task(state, row.task)
+    placed_here = task is not None and task.endpoint == endpoint.id and task.placed
+    if task is not None and placed_here and task.run == row.run:
+        return []
+    fields = {
+        "job": row.task.job,
+        "task": task_name(row.task),
+        "run": row.run,
+        "endpoint": endpoint.id,
+    }
+    address = endpoint.report.address
+    order = Stop(endpoint.id, address, row.task, row.run, state.term)
+    return [Note(RUN_ORPHANED, fields), order]
+
+
+def start_order(state: SchedulerState, task: Task, endpoint: Endpoint) -> Start:
+    """Return the order that starts a task's run."""
+    tickets = state.tickets.get(task.key[:3], {})
+    ticket = tickets.get(endpoint.id)
+    return Start(
+        endpoint.id,
+        endpoint.report.address,
+        task.key,
+        task.run,
+        state.jobs[task.key.job].spec.payload,
+        until(state, endpoint),
+        task.checkpoint,
+        ticket.text if ticket is not None else "",
+        state.term,
+    )
+
+
+def sweep(state: SchedulerState) -> list[Effect]:
+    """Give up runs whose leases have lapsed, and repeat orders without an answer."""
+    effects: list[Effect] = []
+    for endpoint in list(state.endpoints.values()):
+        if endpoint.tasks and not endpoint.reachable:
+            if state.now > endpoint.lapse_at and (
+                endpoint.contacted or state.now > state.quiet_until
+            ):
+                for task in list(endpoint.tasks.values()):
+                    effects += lose_run(state, task, "lease lapsed")
+        elif endpoint.tasks:
+            effects += _repeat_orders(state, endpoint)
+        unused = not (endpoint.listed or endpoint.tasks or endpoint.holding)
+        if unused and state.now - endpoint.gone_at > RELIST_S:
+            del state.endpoints[endpoint.id]
+    if state.now > state.quiet_until:
+        for task in _unattached(state):
+            effects += lose_run(state, task, "its endpoint has not come back")
+    return effects
+
+
+def _repeat_orders(state: SchedulerState, endpoint: Endpoint) -> list[Effect]:
+    effects: list[Effect] = []
+    for task in endpoint.tasks.values():
+        if task.tries < 0 or state.now - task.since < RETRY_ORDER_S:
+            continue
+        if task.phase is Phase.STARTING and task.tries:
+            task.since = state.now
+            effects.append(start_order(state, task, endpoint))
+        elif task.phase is Phase.STOPPING:
+            task.since = state.now
+            effects.append(stop_order(state, task, endpoint))
+    return effects
+
+
+def quiet_s(limits: Limits) -> float:
+    """Return how long runs ordered under an earlier term may go on unseen."""
+    return GRANT_S + limits.lease_s / (1 - limits.clock_error) + LAPSE_SLACK_S
--- /dev/null
+++ b/primrosepitch/scheduling/placement.py
@@ -0,0 +1,237 @@
+"""Choice of an endpoint for a task."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+from primrosepitch.events import JOB_UNPLACEABLE
+from primrosepitch.jobs.model import JobId, Resources, ServiceName
+from primrosepitch.scheduling.effects import AskAdvice, Effect, Note
+from primrosepitch.scheduling.leases import usable
+from primrosepitch.scheduling.limits import within_limit
+from primrosepitch.scheduling.ordering import ReadyStep, ready_steps
+from primrosepitch.scheduling.runs import place
+from primrosepitch.scheduling.state import Endpoint, SchedulerState, Task
+
+__all__ = ["start_waiting"]
+
+TICKET_MARGIN_S = 0.3
+"""A ticket must be valid for longer than an order takes to arrive."""
+
+ADVICE_AT_ONCE = 20
+"""Endpoints in one question; the service takes time for each."""
+
+
+class Room:
+    """What a planning pass may use, by pool."""
+
+    def __init__(self, state: SchedulerState) -> None:
+        """Collect the usable endpoints."""
+        self.pools: dict[ServiceName, list[Endpoint]] = defaultdict(list)
+        for endpoint in state.endpoints.values():
+            if usable(state, endpoint):
+                self.pools[endpoint.report.service].append(endpoint)
+        self.full: set[tuple[ServiceName, Resources, str]] = set()
+        self.capped: set[object] = set()
+
+
+def start_waiting(state: SchedulerState) -> list[Effect]:
+    """Give waiting steps room in their order."""
+    effects: list[Effect] = []
+    room = Room(state)
+    for ready in ready_steps(state):
+        if ready.step.spec.gang:
+            effects += _start_gang(state, room, ready)
+        else:
+            effects += _start_each(state, room, ready)
+    return effects
+
+
+def _start_each(state: SchedulerState, room: Room, ready: ReadyStep) -> list[Effect]:
+    spec = ready.step.spec
+    service = ready.job.spec.service
+    demand = (service, spec.needs, spec.label)
+    if demand in room.full and not spec.most_per_endpoint:
+        return []
+    workspace = ready.job.spec.workspace
+    effects: list[Effect] = []
+    pool = room.pools.get(service, [])
+    pool, asks = _advised(state, ready, pool)
+    effects += asks
+    for task in ready.tasks:
+        if not within_limit(state, workspace, spec.asks):
+            break
+        endpoint = _choose(task, ready, pool)
+        if endpoint is None:
+            if not asks:
+                room.full.add(demand)
+            effects += _check_placeable(state, ready)
+            break
+        effects += place(state, task, endpoint, _inputs(state, endpoint, pool, ready))
+    return effects
+
+
+def _inputs(
+    state: SchedulerState, endpoint: Endpoint, pool: list[Endpoint], ready: ReadyStep
+) -> dict[str, object]:
+    """Return what decided a placement, for the log."""
+    return {
+        "over": len(pool),
+        "free_cpu": endpoint.free().cpu,
+        "look_age_ms": round((state.now - endpoint.clock_at) * 1000),
+        "slack_ms": round(ready.rank[-1]),
+    }
+
+
+def _choose(task: Task, ready: ReadyStep, pool: list[Endpoint]) -> Endpoint | None:
+    spec = task.spec
+    best: Endpoint | None = None
+    best_cost: tuple[float, ...] = ()
+    for endpoint in pool:
+        if not spec.needs.fits(endpoint.free()):
+            continue
+        if spec.label and spec.label not in endpoint.report.labels:
+            continue
+        if spec.most_per_endpoint and _of_step(endpoint, task) >= (
+            spec.most_per_endpoint
+        ):
+            continue
+        cost = _cost(task, ready, endpoint)
+        if best is None or cost < best_cost:
+            best, best_cost = endpoint, cost
+    return best
+
+
+def _of_step(endpoint: Endpoint, task: Task) -> int:
+    return sum(key[:3] == task.key[:3] for key in endpoint.tasks)
+
+
+def _cost(task: Task, ready: ReadyStep, endpoint: Endpoint) -> tuple[float, ...]:
+    """Return the order of preference of an endpoint; lower is better."""
+    spec = task.spec
+    far = bool(spec.rack) and endpoint.rack != spec.rack
+    if spec.one_rack and not far:
+        racks = {t.endpoint for t in ready.step.tasks if t.placed}
+        far = bool(racks) and endpoint.id not in racks
+    avoid = endpoint.id == task.avoid
+    capacity = max(1, endpoint.report.capacity.cpu)
+    return (float(avoid), float(far), endpoint.faults, endpoint.used.cpu / capacity)
+
+
+def _start_gang(state: SchedulerState, room: Room, ready: ReadyStep) -> list[Effect]:
+    """Start all members of a gang under one run number, or none."""
+    spec = ready.step.spec
+    pool, effects = _advised(state, ready, room.pools.get(ready.job.spec.service, []))
+    asks = spec.asks
+    whole = Resources(*(amount * len(ready.tasks) for amount in asks))
+    if not within_limit(state, ready.job.spec.workspace, whole):
+        return effects
+    chosen = _gang_endpoints(ready, pool)
+    if chosen is None:
+        return [*effects, *_check_placeable(state, ready)]
+    run = max(task.run for task in ready.step.tasks)
+    checkpoint = max((task.checkpoint for task in ready.step.tasks), default="")
+    for task, endpoint in zip(ready.tasks, chosen, strict=True):
+        task.run = run
+        task.checkpoint = checkpoint
+        inputs = _inputs(state, endpoint, pool, ready)
+        effects += place(state, task, endpoint, inputs)
+    return effects
+
+
+def _gang_endpoints(ready: ReadyStep, pool: list[Endpoint]) -> list[Endpoint] | None:
+    """Return an endpoint for each member, on one rack where that matters."""
+    spec = ready.step.spec
+    racks: dict[str, list[Endpoint]] = defaultdict(list)
+    for endpoint in pool:
+        if not spec.label or spec.label in endpoint.report.labels:
+            racks[endpoint.rack].append(endpoint)
+    groups = list(racks.values()) if spec.one_rack or spec.rack else []
+    groups.sort(key=lambda group: group[0].rack != spec.rack)
+    for group in [*groups, [e for g in racks.values() for e in g]]:
+        chosen = _fit_all(ready, group)
+        if chosen is not None:
+            return chosen
+    return None
+
+
+def _fit_all(ready: ReadyStep, group: list[Endpoint]) -> list[Endpoint] | None:
+    spec = ready.step.spec
+    left = {endpoint.id: endpoint.free() for endpoint in group}
+    count: dict[str, int] = defaultdict(int)
+    chosen = []
+    for _ in ready.tasks:
+        fitting = [
+            endpoint
+            for endpoint in group
+            if spec.needs.fits(left[endpoint.id])
+            and not 0 < spec.most_per_endpoint <= count[endpoint.id]
+        ]
+        if not fitting:
+            return None
+        best = max(fitting, key=lambda endpoint: left[endpoint.id].cpu)
+        left[best.id] = left[best.id].minus(spec.needs)
+        count[best.id] += 1
+        chosen.append(best)
+    return chosen
+
+
+def _advised(
+    state: SchedulerState, ready: ReadyStep, pool: list[Endpoint]
+) -> tuple[list[Endpoint], list[Effect]]:
+    """Restrict a pool to endpoints with a ticket, and ask for more when too few."""
+    queue = state.cfg.queues.get(ready.job.spec.queue)
+    if queue is None or queue.advice is None:
+        return pool, []
+    first = ready.tasks[0].key
+    step: tuple[JobId, int, int] = first[:3]
+    tickets = state.tickets.get(step, {})
+    limit = state.now + TICKET_MARGIN_S
+    allowed = [
+        endpoint
+        for endpoint in pool
+        if endpoint.id in tickets and tickets[endpoint.id].valid_until > limit
+    ]
+    room = sum(_count_fitting(ready, endpoint) for endpoint in allowed)
+    if room >= len(ready.tasks) or step in state.asking:
+        return allowed, []
+    asked = state.asked.setdefault(step, set())
+    expired = [e for e in pool if e.id in tickets and e not in allowed]
+    fresh = [
+        e for e in pool if e.id not in asked and ready.step.spec.needs.fits(e.free())
+    ]
+    fresh.sort(key=lambda endpoint: _cost(ready.tasks[0], ready, endpoint))
+    ask = [*expired, *fresh][:ADVICE_AT_ONCE]
+    if not ask:
+        return allowed, []
+    state.asking.add(step)
+    ids = tuple(endpoint.id for endpoint in ask)
+    return allowed, [AskAdvice(step, ids, queue.advice.validity_ms / 1000)]
+
+
+def _count_fitting(ready: ReadyStep, endpoint: Endpoint) -> int:
+    needs, free = ready.step.spec.needs, endpoint.free()
+    counts = [have // need for need, have in zip(needs, free, strict=True) if need > 0]
+    most = ready.step.spec.most_per_endpoint or len(ready.tasks)
+    return min([most, *counts])
+
+
+def _check_placeable(state: SchedulerState, ready: ReadyStep) -> list[Effect]:
+    """Say once that a task fits no endpoint of its pool even when that is empty."""
+    job, spec = ready.job, ready.step.spec
+    if job.unplaceable:
+        return []
+    pool = [
+        endpoint
+        for endpoint in state.endpoints.values()
+        if endpoint.report.service == job.spec.service
+    ]
+    if not pool or any(
+        spec.needs.fits(endpoint.report.capacity)
+        and (not spec.label or spec.label in endpoint.report.labels)
+        for endpoint in pool
+    ):
+        return []
+    job.unplaceable = True
+    fields = {"job": job.spec.job, "step": ready.number, "label": spec.label}
+    return [Note(JOB_UNPLACEABLE, {**fields, "needs": list(spec.needs)})]
--- /dev/null
+++ b/primrosepitch/scheduling/reducer.py
@@ -0,0 +1,367 @@
+"""The scheduler's reducer: events change its state and give effects.
+
+It reads no clock, no socket and no random source. Time arrives in events.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from primrosepitch.events import RUN_REFUSED, TERM_TAKEN
+from primrosepitch.jobs.model import JobId, task_name
+from primrosepitch.jobs.records import (
+    Progress,
+    TaskRecord,
+    Term,
+    WaveProgress,
+    drop_keys,
+    encode,
+)
+from primrosepitch.jobs.store import KeyedRecord
+from primrosepitch.scheduling import events as ev
+from primrosepitch.scheduling.availability import may_take
+from primrosepitch.scheduling.effects import Commit, Effect, Note
+from primrosepitch.scheduling.leases import (
+    due_holds,
+    endpoint_gone,
+    endpoint_seen,
+    held,
+    hold_failed,
+    start_order,
+    sweep,
+)
+from primrosepitch.scheduling.placement import start_waiting
+from primrosepitch.scheduling.runs import (
+    add_job,
+    cancel_job,
+    find_task,
+    open_occurrences,
+    restore_job,
+    settle_job,
+    start_answered,
+    stop_task,
+)
+from primrosepitch.scheduling.state import (
+    Endpoint,
+    JobRun,
+    Phase,
+    SchedulerState,
+    Task,
+    Ticket,
+)
+from primrosepitch.scheduling.upkeep import (
+    advance_waves,
+    instances_listed,
+    upkeep_answered,
+    wave_seen,
+)
+
+__all__ = ["step"]
+
+PLAN_GAP_S = 0.03
+"""Least time between two planning passes; what arrives in it shares one append."""
+
+PLAN_IDLE_S = 0.25
+"""Longest time between two passes, for what only time changes."""
+
+RENEW_S = 0.5
+"""Longest time without an append; other nodes watch for it."""
+
+KEEP_FINISHED_S = 60.0
+"""Time beyond the promised one for which the state of an ended job is kept."""
+
+Handler = Callable[[SchedulerState, Any], list[Effect]]
+_HANDLERS: dict[type, Handler] = {}
+
+
+def _handles(kind: type) -> Callable[[Handler], Handler]:
+    def register(handler: Handler) -> Handler:
+        _HANDLERS[kind] = handler
+        return handler
+
+    return register
+
+
+def step(state: SchedulerState, event: ev.Event) -> list[Effect]:
+    """Take one event.
+
+    :returns: what is to be done, in order
+    """
+    if not state.term and not isinstance(event, _ALWAYS):
+        return []
+    return _HANDLERS[type(event)](state, event)
+
+
+_ALWAYS = (ev.TermTaken, ev.ConfigurationSeen, ev.WaveSeen)
+
+
+@_handles(ev.TermTaken)
+def _term_taken(state: SchedulerState, event: ev.TermTaken) -> list[Effect]:
+    state.now = state.took_at = event.now
+    state.committed_at = state.confirmed_at = event.now
+    state.term = event.term
+    state.quiet_until = event.quiet_until
+    for number, begun in event.waves.items():
+        if number in state.waves:
+            state.waves[number].begun.update(begun)
+    for entry in event.jobs.values():
+        job = restore_job(state, entry)
+        if job is not None and job.cancelled:
+            settle_job(state, job)
+    fields = {"term": event.term, "jobs": len(state.jobs)}
+    return [Note(TERM_TAKEN, fields)]
+
+
+@_handles(ev.ConfigurationSeen)
+def _configuration(state: SchedulerState, event: ev.ConfigurationSeen) -> list[Effect]:
+    state.cfg = event.cfg
+    state.replan = True
+    return []
+
+
+@_handles(ev.WaveSeen)
+def _wave(state: SchedulerState, event: ev.WaveSeen) -> list[Effect]:
+    return wave_seen(state, event.wave)
+
+
+@_handles(ev.JobSeen)
+def _job_seen(state: SchedulerState, event: ev.JobSeen) -> list[Effect]:
+    if event.spec.job not in state.jobs and event.spec.job not in state.finished:
+        add_job(state, event.spec)
+    return []
+
+
+@_handles(ev.CancelSeen)
+def _cancel_seen(state: SchedulerState, event: ev.CancelSeen) -> list[Effect]:
+    return cancel_job(state, event.job)
+
+
+@_handles(ev.EndpointSeen)
+def _endpoint_seen(state: SchedulerState, event: ev.EndpointSeen) -> list[Effect]:
+    return endpoint_seen(state, event)
+
+
+@_handles(ev.EndpointGone)
+def _endpoint_gone(state: SchedulerState, event: ev.EndpointGone) -> list[Effect]:
+    return endpoint_gone(state, event)
+
+
+@_handles(ev.Held)
+def _held(state: SchedulerState, event: ev.Held) -> list[Effect]:
+    state.now = max(state.now, event.now)
+    return [*held(state, event), *_advance(state)]
+
+
+@_handles(ev.HoldFailed)
+def _hold_failed(state: SchedulerState, event: ev.HoldFailed) -> list[Effect]:
+    return hold_failed(state, event)
+
+
+@_handles(ev.StartAnswered)
+def _start_answered(state: SchedulerState, event: ev.StartAnswered) -> list[Effect]:
+    task = find_task(state, event.task)
+    endpoint = state.endpoints.get(event.endpoint)
+    if task is None or endpoint is None:
+        return []
+    if task.run != event.run or task.endpoint != event.endpoint:
+        return []
+    effects: list[Effect] = []
+    if event.outcome is not ev.Outcome.DONE:
+        fields = {
+            "job": event.task.job,
+            "task": task_name(event.task),
+            "run": event.run,
+            "endpoint": event.endpoint,
+            "outcome": event.outcome.value,
+        }
+        effects.append(Note(RUN_REFUSED, fields))
+        task.tries = max(1, task.tries + 1)
+        task.since = state.now
+    state.now = max(state.now, event.now)
+    effects += start_answered(state, task, endpoint, event.outcome)
+    if endpoint.hold_at > state.now and endpoint.processed <= endpoint.last_seen:
+        endpoint.hold_at = min(endpoint.hold_at, state.now + HOLD_AFTER_START_S)
+    return effects
+
+
+HOLD_AFTER_START_S = 0.2
+"""Time after a start in which the lease of the endpoint's other runs is extended."""
+
+
+@_handles(ev.StopAnswered)
+def _stop_answered(state: SchedulerState, event: ev.StopAnswered) -> list[Effect]:
+    task = find_task(state, event.task)
+    if event.outcome is not ev.Outcome.DONE or task is None:
+        return []
+    if task.run != event.run or task.phase is not Phase.STOPPING:
+        return []
+    # From here a run that is not listed can't come any more.
+    task.started = event.now
+    endpoint = state.endpoints.get(event.endpoint)
+    if endpoint is not None and endpoint.processed <= endpoint.last_seen:
+        endpoint.hold_at = min(endpoint.hold_at, event.now)
+    return []
+
+
+@_handles(ev.AdviceGiven)
+def _advice_given(state: SchedulerState, event: ev.AdviceGiven) -> list[Effect]:
+    state.asking.discard(event.step)
+    if event.allowed is None:
+        return []
+    state.asked.setdefault(event.step, set()).update(event.asked)
+    tickets = state.tickets.setdefault(event.step, {})
+    for endpoint, text in event.allowed.items():
+        tickets[endpoint] = Ticket(text, event.valid_until)
+    state.replan = True
+    return []
+
+
+@_handles(ev.InstancesListed)
+def _instances(state: SchedulerState, event: ev.InstancesListed) -> list[Effect]:
+    return instances_listed(state, event)
+
+
+@_handles(ev.UpkeepAnswered)
+def _upkeep(state: SchedulerState, event: ev.UpkeepAnswered) -> list[Effect]:
+    return upkeep_answered(state, event)
+
+
+@_handles(ev.Tick)
+def _tick(state: SchedulerState, event: ev.Tick) -> list[Effect]:
+    state.now = max(state.now, event.now)
+    state.wall_ms = event.wall_ms
+    return _advance(state)
+
+
+def _advance(state: SchedulerState) -> list[Effect]:
+    """Do what is due: give up, plan, commit, hold."""
+    effects: list[Effect] = []
+    gap = PLAN_GAP_S if state.replan else PLAN_IDLE_S
+    if state.now - state.planned_at >= gap:
+        state.planned_at = state.now
+        state.replan = False
+        for job in state.jobs.values():
+            if len(job.steps) < job.spec.occurrences:
+                open_occurrences(state, job)
+        effects += sweep(state)
+        effects += _leave_draining(state)
+        effects += start_waiting(state)
+        effects += advance_waves(state)
+    effects += _commit(state)
+    return [*effects, *due_holds(state)]
+
+
+def _leave_draining(state: SchedulerState) -> list[Effect]:
+    """Move tasks off endpoints that leave, before they end with them."""
+    effects: list[Effect] = []
+    for endpoint in state.endpoints.values():
+        if not endpoint.report.draining:
+            continue
+        for task in list(endpoint.tasks.values()):
+            if task.phase is Phase.RUNNING and _leaves_early(state, endpoint, task):
+                effects += stop_task(state, task, "endpoint draining")
+    return effects
+
+
+def _leaves_early(state: SchedulerState, endpoint: Endpoint, task: Task) -> bool:
+    """Return whether a task should leave now rather than run on."""
+    if task.spec.lasting:
+        return task.spec.fills or may_take(state, task)
+    if not task.spec.checkpoints or task.spec.gang:
+        return False
+    left_s = task.spec.estimate_ms / 1000 * (1 - task.progress / 100)
+    return state.now + left_s > endpoint.report.leaves_at
+
+
+def _commit(state: SchedulerState) -> list[Effect]:
+    """Make durable what has changed; one append at a time."""
+    if state.committing:
+        return []
+    renewal = state.now - state.committed_at >= RENEW_S
+    waves = [wave for wave in state.waves.values() if wave.dirty]
+    if not state.dirty and not waves and not renewal:
+        return []
+    records = []
+    state.committing_tasks = []
+    for job_id in state.dirty:
+        job = state.jobs.get(job_id)
+        if job is None:
+            continue
+        records.append(encode(_progress(state, job)))
+        state.committing_tasks += [
+            (task, task.run) for task in job.tasks() if task.phase is Phase.COMMITTING
+        ]
+    state.dirty.clear()
+    for wave in waves:
+        wave.dirty = False
+        records.append(encode(WaveProgress(wave.spec.wave, sorted(wave.begun))))
+    if renewal and not records:
+        records.append(encode(Term(state.term, state.node, state.nonce)))
+    records += _expired(state)
+    state.committing_acks = {
+        endpoint.id: (endpoint.report.born, endpoint.processed)
+        for endpoint in state.endpoints.values()
+        if endpoint.processed > endpoint.last_seen
+    }
+    state.commits += 1
+    state.committing = state.commits
+    state.committed_at = state.now
+    return [Commit(state.commits, [KeyedRecord(k, v) for k, v in records])]
+
+
+def _progress(state: SchedulerState, job: JobRun) -> Progress:
+    tasks = [_record(task) for task in job.tasks() if task.run]
+    finished = state.finished.get(job.spec.job, 0)
+    return Progress(job.spec.job, job.state, tasks, finished)
+
+
+def _record(task: Task) -> TaskRecord:
+    placed = task.endpoint if task.placed else type(task.endpoint)("")
+    return TaskRecord(
+        *task.key[1:],
+        run=task.run,
+        placed=placed,
+        born=task.born if placed else 0,
+        failed=task.failed,
+        done=task.phase is Phase.DONE,
+        checkpoint=task.checkpoint,
+    )
+
+
+def _expired(state: SchedulerState) -> list[tuple[str, bytes]]:
+    """Return the records that drop jobs that ended long ago."""
+    limit = state.wall_ms - int((state.limits.status_s + KEEP_FINISHED_S) * 1000)
+    old = [job for job, ended in state.finished.items() if ended and ended < limit]
+    for job in old:
+        del state.finished[job]
+    return [record for job in old for record in drop_keys(JobId(job))]
+
+
+@_handles(ev.Committed)
+def _committed(state: SchedulerState, event: ev.Committed) -> list[Effect]:
+    if event.number != state.committing:
+        return []
+    state.now = max(state.now, event.now)
+    state.committing = 0
+    state.confirmed_at = state.now
+    effects: list[Effect] = []
+    for task, run in state.committing_tasks:
+        endpoint = state.endpoints.get(task.endpoint)
+        if task.run != run or endpoint is None:
+            continue
+        if task.phase is Phase.COMMITTING:
+            task.phase = Phase.STARTING
+            task.since = state.now
+            effects.append(start_order(state, task, endpoint))
+    state.committing_tasks = []
+    for endpoint_id, (born, number) in state.committing_acks.items():
+        endpoint = state.endpoints.get(endpoint_id)
+        if endpoint is not None and endpoint.report.born == born:
+            endpoint.last_seen = max(endpoint.last_seen, number)
+            endpoint.hold_at = state.now
+    state.committing_acks = {}
+    for job in [j for j in state.jobs.values() if j.state.final]:
+        if job.spec.job not in state.dirty:
+            del state.jobs[job.spec.job]
+    return [*effects, *_advance(state)]
--- /dev/null
+++ b/primrosepitch/scheduling/runs.py
@@ -0,0 +1,384 @@
+"""Transitions of tasks and jobs."""
+
+from __future__ import annotations
+
+from primrosepitch.events import (
+    JOB_ENDED,
+    RUN_ENDED,
+    RUN_LOST,
+    RUN_STARTING,
+    RUN_STOPPING,
+)
+from primrosepitch.jobs.model import JobId, JobSpec, JobState, Resources, TaskKey
+from primrosepitch.jobs.model import task_name as name_of
+from primrosepitch.jobs.records import JobEntry, TaskRecord
+from primrosepitch.scheduling.effects import Effect, Note, Stop
+from primrosepitch.scheduling.events import Ended, EndKind, Outcome
+from primrosepitch.scheduling.state import (
+    Endpoint,
+    JobRun,
+    Phase,
+    SchedulerState,
+    StepRun,
+    Task,
+)
+
+__all__ = [
+    "add_job",
+    "cancel_job",
+    "find_task",
+    "lose_run",
+    "place",
+    "release",
+    "restore_job",
+    "run_ended",
+    "stop_task",
+    "touch",
+]
+
+EJECT_FAULTS = 3.0
+"""Faults in a row, decayed by successes, after which an endpoint is put on probation;
+single failures of tasks are normal (the error share of kinds of jobs is up to 3 %)."""
+
+EJECT_S = 4.0
+"""Probation; about as long as the grey failures that the platform's pages describe."""
+
+
+def touch(state: SchedulerState, job: JobRun) -> None:
+    """Note that a job's durable progress is out of date."""
+    state.dirty.add(job.spec.job)
+
+
+def add_job(state: SchedulerState, spec: JobSpec) -> JobRun:
+    """Take over a job that has just been accepted."""
+    job = JobRun(spec, chain_ms=longest_chain_ms(spec))
+    job.due_by_ms = spec.accepted_ms + spec.stretch * job.chain_ms + spec.goal_ms
+    state.jobs[spec.job] = job
+    open_occurrences(state, job)
+    state.replan = True
+    return job
+
+
+def longest_chain_ms(spec: JobSpec) -> int:
+    """Return the estimated work of the longest chain of steps."""
+    ends: list[int] = []
+    for step in spec.steps:
+        begin = max((ends[i] for i in step.after), default=0)
+        ends.append(begin + (0 if step.lasting else step.estimate_ms))
+    return max(ends, default=0)
+
+
+def open_occurrences(state: SchedulerState, job: JobRun) -> bool:
+    """Create the tasks of occurrences that are due.
+
+    :returns: whether any were created
+    """
+    created = False
+    for occurrence in range(job.spec.occurrences):
+        if occurrence in job.steps:
+            continue
+        due_ms = job.spec.due_ms(occurrence)
+        if due_ms > state.wall_ms:
+            break
+        job.steps[occurrence] = [
+            StepRun(
+                step,
+                [
+                    Task(
+                        TaskKey(job.spec.job, occurrence, number, index),
+                        step,
+                        job.spec.workspace,
+                        since=state.now,
+                    )
+                    for index in range(step.tasks)
+                ],
+            )
+            for number, step in enumerate(job.spec.steps)
+        ]
+        created = True
+    return created
+
+
+def restore_job(state: SchedulerState, entry: JobEntry) -> JobRun | None:
+    """Take over a job from the ledger at the begin of a term.
+
+    :returns: the job, or ``None`` if it has ended
+    """
+    spec, progress = entry.spec, entry.progress
+    if spec is None:
+        return None
+    if progress is not None and progress.state.final:
+        state.finished[spec.job] = progress.finished_ms
+        return None
+    job = add_job(state, spec)
+    if progress is not None:
+        job.state = progress.state
+        for record in progress.tasks:
+            _restore_task(state, job, record)
+    if entry.cancelled is not None:
+        job.cancelled = True
+    return job
+
+
+def _restore_task(state: SchedulerState, job: JobRun, record: TaskRecord) -> None:
+    if record.occurrence not in job.steps:
+        # Its time of day is ahead here: what has run once is due.
+        saved, state.wall_ms = state.wall_ms, job.spec.due_ms(record.occurrence)
+        open_occurrences(state, job)
+        state.wall_ms = saved
+    task = find_task(state, record.key(job.spec.job))
+    if task is None:
+        return
+    task.run = record.run
+    task.failed = record.failed
+    task.checkpoint = record.checkpoint
+    if record.done:
+        task.phase = Phase.DONE
+    elif record.placed:
+        task.phase = Phase.STARTING
+        task.endpoint, task.born = record.placed, record.born
+        # The order may not have been sent; the first look at the endpoint tells.
+        task.tries = -1
+        charge(state, task, 1)
+        endpoint = state.endpoints.get(record.placed)
+        if endpoint is not None and endpoint.report.born == record.born:
+            _take_room(endpoint, task)
+
+
+def find_task(state: SchedulerState, key: TaskKey) -> Task | None:
+    """Return a task of a job that has not ended."""
+    job = state.jobs.get(key.job)
+    steps = job.steps.get(key.occurrence) if job is not None else None
+    if steps is None or key.step >= len(steps):
+        return None
+    tasks = steps[key.step].tasks
+    return tasks[key.number] if 0 <= key.number < len(tasks) else None
+
+
+def charge(state: SchedulerState, task: Task, sign: int) -> None:
+    """Count a task in, or out of, what its workspace has running."""
+    used = state.usage.get(task.workspace, Resources())
+    asks = task.spec.asks
+    state.usage[task.workspace] = used.plus(asks) if sign > 0 else used.minus(asks)
+
+
+def _take_room(endpoint: Endpoint, task: Task) -> None:
+    if task.key not in endpoint.tasks:
+        endpoint.tasks[task.key] = task
+        endpoint.used = endpoint.used.plus(task.spec.needs)
+
+
+def place(
+    state: SchedulerState, task: Task, endpoint: Endpoint, why: dict[str, object]
+) -> list[Effect]:
+    """Decide where a task runs next; the order follows when that is durable."""
+    task.run += 1
+    task.phase = Phase.COMMITTING
+    task.endpoint, task.born = endpoint.id, endpoint.report.born
+    task.since = state.now
+    task.working = False
+    task.progress = 0
+    task.pace = 100
+    task.tries = 0
+    task.evict = False
+    charge(state, task, 1)
+    _take_room(endpoint, task)
+    job = state.jobs[task.key.job]
+    if job.state is JobState.QUEUED:
+        job.state = JobState.RUNNING
+    touch(state, job)
+    fields = {
+        "job": task.key.job,
+        "task": name_of(task.key),
+        "run": task.run,
+        "endpoint": endpoint.id,
+        **why,
+    }
+    return [Note(RUN_STARTING, fields)]
+
+
+def release(state: SchedulerState, task: Task, phase: Phase) -> None:
+    """Take a task off its endpoint."""
+    endpoint = state.endpoints.get(task.endpoint)
+    if endpoint is not None and endpoint.tasks.get(task.key) is task:
+        del endpoint.tasks[task.key]
+        endpoint.used = endpoint.used.minus(task.spec.needs)
+        if not endpoint.tasks:
+            endpoint.idle_since = state.now
+    if task.placed:
+        charge(state, task, -1)
+    if task.working or not task.away_at:
+        task.away_at = state.now
+    task.working = False
+    task.phase = phase
+    task.endpoint = type(task.endpoint)("")
+    task.since = state.now
+    task.evict = False
+    state.replan = True
+
+
+def stop_task(state: SchedulerState, task: Task, why: str) -> list[Effect]:
+    """Stop a task's run; its room is free when the end is listed."""
+    if task.phase is Phase.COMMITTING:
+        release(state, task, Phase.WAITING)
+        return []
+    endpoint = state.endpoints.get(task.endpoint)
+    if task.phase is Phase.STOPPING or endpoint is None:
+        return []
+    task.phase = Phase.STOPPING
+    task.since = state.now
+    fields = {"job": task.key.job, "task": name_of(task.key), "run": task.run}
+    note = Note(RUN_STOPPING, {**fields, "endpoint": endpoint.id, "why": why})
+    return [note, stop_order(state, task, endpoint)]
+
+
+def stop_order(state: SchedulerState, task: Task, endpoint: Endpoint) -> Stop:
+    """Return the order that stops a task's run."""
+    address = endpoint.report.address
+    return Stop(endpoint.id, address, task.key, task.run, state.term)
+
+
+def run_ended(state: SchedulerState, endpoint: Endpoint, ended: Ended) -> list[Effect]:
+    """Take an end that an endpoint lists."""
+    task = find_task(state, ended.task)
+    current = (
+        task is not None
+        and task.run == ended.run
+        and task.endpoint == endpoint.id
+        and task.placed
+    )
+    _judge(state, endpoint, ended.kind)
+    fields = {
+        "job": ended.task.job,
+        "task": name_of(ended.task),
+        "run": ended.run,
+        "endpoint": endpoint.id,
+        "how": ended.kind.value,
+        "number": ended.number,
+        "current": current,
+    }
+    notes: list[Effect] = [Note(RUN_ENDED, fields)]
+    if task is None or not current:
+        return notes
+    job = state.jobs[ended.task.job]
+    touch(state, job)
+    if ended.checkpoint:
+        task.checkpoint = ended.checkpoint
+    done = ended.kind is EndKind.DONE
+    release(state, task, Phase.DONE if done else Phase.WAITING)
+    if ended.kind is EndKind.FAILED:
+        task.failed += 1
+        task.avoid = endpoint.id
+    if done and task.spec.gang:
+        notes += _gang_done(state, job, task)
+    if (
+        not task.spec.lasting
+        and task.phase is Phase.WAITING
+        and task.failed >= job.spec.max_attempts
+    ):
+        job.failing = True
+    return notes + settle_job(state, job)
+
+
+def _gang_done(state: SchedulerState, job: JobRun, task: Task) -> list[Effect]:
+    """End the other members: one end represents all."""
+    step = job.steps[task.key.occurrence][task.key.step]
+    for other in step.tasks:
+        if other is not task and other.run == task.run:
+            release(state, other, Phase.DONE)
+    return []
+
+
+def _judge(state: SchedulerState, endpoint: Endpoint, kind: EndKind) -> None:
+    """Count failures of an endpoint, so that one that fails all gets no more work."""
+    if kind is EndKind.DONE:
+        endpoint.faults = max(0.0, endpoint.faults - 1.0)
+    elif kind is EndKind.FAILED:
+        endpoint.faults += 1.0
+        if endpoint.faults >= EJECT_FAULTS:
+            endpoint.eject_until = state.now + EJECT_S
+
+
+def settle_job(state: SchedulerState, job: JobRun) -> list[Effect]:
+    """End a job that is cancelled, failed or complete."""
+    if job.cancelled or job.failing:
+        reason = "cancelled" if job.cancelled else "failed"
+        effects: list[Effect] = []
+        running = False
+        for task in job.tasks():
+            effects += stop_task(state, task, reason)
+            running = running or task.placed
+        if not running:
+            final = JobState.CANCELLED if job.cancelled else JobState.FAILED
+            effects += _finish(state, job, final)
+        return effects
+    everything = len(job.steps) == job.spec.occurrences and all(
+        step.done for steps in job.steps.values() for step in steps
+    )
+    return _finish(state, job, JobState.COMPLETED) if everything else []
+
+
+def _finish(state: SchedulerState, job: JobRun, final: JobState) -> list[Effect]:
+    if job.state is final:
+        return []
+    job.state = final
+    state.finished[job.spec.job] = state.wall_ms
+    touch(state, job)
+    fields = {
+        "job": job.spec.job,
+        "state": final.value,
+        "took_ms": state.wall_ms - job.spec.accepted_ms,
+        "objective_ms": round(job.due_by_ms - job.spec.accepted_ms),
+    }
+    return [Note(JOB_ENDED, fields)]
+
+
+def cancel_job(state: SchedulerState, job_id: JobId) -> list[Effect]:
+    """Stop a job at a caller's word."""
+    job = state.jobs.get(job_id)
+    if job is None or job.cancelled or job.state.final:
+        return []
+    job.cancelled = True
+    state.replan = True
+    return settle_job(state, job)
+
+
+def lose_run(state: SchedulerState, task: Task, why: str) -> list[Effect]:
+    """Note that a task's run can't be going on any more."""
+    fields = {
+        "job": task.key.job,
+        "task": name_of(task.key),
+        "run": task.run,
+        "endpoint": task.endpoint,
+        "why": why,
+    }
+    release(state, task, Phase.WAITING)
+    job = state.jobs[task.key.job]
+    touch(state, job)
+    return [Note(RUN_LOST, fields), *settle_job(state, job)]
+
+
+def start_answered(
+    state: SchedulerState, task: Task, endpoint: Endpoint, outcome: Outcome
+) -> list[Effect]:
+    """Take the answer to an order to start."""
+    if outcome is Outcome.DONE:
+        task.started = state.now
+        if task.phase is Phase.STARTING:
+            task.phase = Phase.RUNNING
+            task.since = state.now
+        return []
+    if task.phase is Phase.STOPPING:
+        return []
+    if outcome in (Outcome.UNKNOWN, Outcome.NOT_SENT):
+        return []
+    if outcome is Outcome.UNHEALTHY:
+        endpoint.faults += 1.0
+    if outcome in (Outcome.UNHEALTHY, Outcome.NO_ROOM, Outcome.REFUSED):
+        endpoint.eject_until = state.now + RETRY_S
+        task.avoid = endpoint.id
+    return lose_run(state, task, f"start refused: {outcome.value}")
+
+
+RETRY_S = 0.4
+"""Pause after a refused start; an end that frees room takes at most ``stop_ms``."""
--- /dev/null
+++ b/primrosepitch/scheduling/state.py
@@ -0,0 +1,282 @@
+"""State of the scheduler."""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+import msgspec
+
+from primrosepitch.jobs.model import (
+    EndpointId,
+    JobId,
+    JobSpec,
+    JobState,
+    Resources,
+    ServiceName,
+    StepSpec,
+    TaskKey,
+    WorkspaceName,
+)
+from primrosepitch.scheduling.configuration import Configuration, WaveSpec
+from primrosepitch.scheduling.events import EndpointReport, InstanceView
+
+__all__ = [
+    "Endpoint",
+    "JobRun",
+    "Limits",
+    "Phase",
+    "SchedulerState",
+    "StepRun",
+    "Task",
+    "Ticket",
+    "WaveRun",
+]
+
+
+class Phase(enum.Enum):
+    """Where a task stands.
+
+    ``COMMITTING`` tasks wait for their placement to be durable, ``STARTING`` ones for
+    the answer to the order. ``STOPPING`` ones still take their room.
+    """
+
+    WAITING = "waiting"
+    COMMITTING = "committing"
+    STARTING = "starting"
+    RUNNING = "running"
+    STOPPING = "stopping"
+    DONE = "done"
+
+
+class Task(msgspec.Struct, eq=False):
+    """One task of a job.
+
+    :param run: number of its newest start
+    :param endpoint: where that run is; empty when nothing can be running
+    :param working: whether it was listed at its full pace
+    :param since: boot-time clock of the phase's begin
+    :param avoid: endpoint on which it failed last
+    :param away_at: boot-time clock since which it hasn't been at work
+    """
+
+    key: TaskKey
+    spec: StepSpec
+    workspace: WorkspaceName
+    run: int = 0
+    phase: Phase = Phase.WAITING
+    endpoint: EndpointId = EndpointId("")
+    born: int = 0
+    failed: int = 0
+    checkpoint: str = ""
+    working: bool = False
+    progress: int = 0
+    pace: int = 100
+    load: float = 0.0
+    since: float = 0.0
+    started: float = 0.0
+    away_at: float = 0.0
+    avoid: EndpointId = EndpointId("")
+    tries: int = 0
+    evict: bool = False
+    over_since: float = 0.0
+    paced_at: float = 0.0
+
+    @property
+    def placed(self) -> bool:
+        """Return whether the task takes room on an endpoint."""
+        return self.phase not in (Phase.WAITING, Phase.DONE)
+
+
+class StepRun(msgspec.Struct, eq=False):
+    """One step of one occurrence."""
+
+    spec: StepSpec
+    tasks: list[Task]
+
+    @property
+    def done(self) -> bool:
+        """Return whether all tasks have ended successfully."""
+        return all(task.phase is Phase.DONE for task in self.tasks)
+
+
+class JobRun(msgspec.Struct, eq=False):
+    """A job that has not ended.
+
+    :param steps: by occurrence, for those that are due
+    :param chain_ms: estimated work of the longest chain of steps
+    :param due_by_ms: Unix time of the latency objective
+    """
+
+    spec: JobSpec
+    steps: dict[int, list[StepRun]] = msgspec.field(default_factory=dict)
+    state: JobState = JobState.QUEUED
+    cancelled: bool = False
+    failing: bool = False
+    chain_ms: int = 0
+    due_by_ms: float = 0.0
+    dirty: bool = False
+    unplaceable: bool = False
+
+    def tasks(self) -> list[Task]:
+        """Return all tasks that exist."""
+        return [
+            task
+            for steps in self.steps.values()
+            for step in steps
+            for task in step.tasks
+        ]
+
+
+class Endpoint(msgspec.Struct, eq=False):
+    """What the scheduler knows of an endpoint.
+
+    :param listed: whether the store has its report
+    :param contacted: whether it answered a hold in this term
+    :param reachable: whether its newest hold was answered
+    :param clock_ms: its clock when it was last read
+    :param clock_at: boot-time clock of that reading
+    :param lapse_at: boot-time clock by which every lease has lapsed
+    :param processed: newest end that has been taken into the state
+    :param last_seen: newest end whose effect is durable
+    :param holding: whether a hold is under way
+    :param hold_at: boot-time clock of the next hold
+    :param evacuating: reason why it gets no new tasks and gives up those it has
+    :param faults: recent failures, decayed by successes
+    :param eject_until: boot-time clock until which it gets at most one task
+    """
+
+    report: EndpointReport
+    listed: bool = True
+    contacted: bool = False
+    reachable: bool = False
+    clock_ms: int = 0
+    clock_at: float = 0.0
+    lapse_at: float = 0.0
+    processed: int = 0
+    last_seen: int = 0
+    ack_commit: int = 0
+    holding: bool = False
+    hold_at: float = 0.0
+    failed_holds: int = 0
+    used: Resources = Resources()
+    tasks: dict[TaskKey, Task] = msgspec.field(default_factory=dict)
+    evacuating: str = ""
+    faults: float = 0.0
+    eject_until: float = 0.0
+    gone_at: float = 0.0
+    idle_since: float = 0.0
+
+    @property
+    def id(self) -> EndpointId:
+        """Return the endpoint's id."""
+        return self.report.endpoint
+
+    @property
+    def rack(self) -> str:
+        """Return the rack's label."""
+        return self.report.labels[1] if len(self.report.labels) > 1 else ""
+
+    def free(self) -> Resources:
+        """Return the capacity that no task takes."""
+        return self.report.capacity.minus(self.used)
+
+
+class Ticket(NamedTuple):
+    """Permission to run a step on an endpoint."""
+
+    text: str
+    valid_until: float
+
+
+class WaveRun(msgspec.Struct, eq=False):
+    """Progress of a maintenance wave.
+
+    :param begun: instances whose maintenance has begun
+    :param down_until: boot-time clock until which an instance counts as down
+    :param asked: instances with an order under way
+    """
+
+    spec: WaveSpec
+    begun: set[str] = msgspec.field(default_factory=set)
+    down_until: dict[str, float] = msgspec.field(default_factory=dict)
+    asked: set[str] = msgspec.field(default_factory=set)
+    chosen: set[str] = msgspec.field(default_factory=set)
+    status: str = ""
+    dirty: bool = False
+
+
+class Limits(msgspec.Struct, frozen=True):
+    """Figures of the deployment that bind the scheduler.
+
+    :param lease_s: time for which a hold keeps tasks alive
+    :param clock_error: largest part by which an endpoint's clock may be slow
+    """
+
+    lease_s: float = 4.5
+    clock_error: float = 0.02
+    notice_s: float = 4.5
+    migration_s: float = 1.5
+    maintenance_s: float = 2.0
+    duty_lease_s: float = 3.0
+    early_s: float = 0.25
+    status_s: float = 120.0
+    remote_factor: float = 1.5
+    restore_s: float = 0.25
+    harm_s: float = 4.0
+    gang_s: float = 3.0
+
+
+class SchedulerState(msgspec.Struct, eq=False):
+    """All that the scheduler's decisions depend on.
+
+    :param term: fencing token; 0 while another node schedules
+    :param quiet_until: boot-time clock until which runs of an earlier term may go on
+        at endpoints that have not answered
+    :param committing: number of the commit under way; 0 if none
+    :param confirmed_at: boot-time clock when the store last answered a commit
+    """
+
+    node: str = ""
+    limits: Limits = msgspec.field(default_factory=Limits)
+    now: float = 0.0
+    wall_ms: int = 0
+    term: int = 0
+    nonce: int = 0
+    took_at: float = 0.0
+    quiet_until: float = 0.0
+    cfg: Configuration = msgspec.field(default_factory=Configuration)
+    jobs: dict[JobId, JobRun] = msgspec.field(default_factory=dict)
+    finished: dict[JobId, int] = msgspec.field(default_factory=dict)
+    endpoints: dict[EndpointId, Endpoint] = msgspec.field(default_factory=dict)
+    usage: dict[WorkspaceName, Resources] = msgspec.field(default_factory=dict)
+    dirty: set[JobId] = msgspec.field(default_factory=set)
+    committing: int = 0
+    commits: int = 0
+    committed_at: float = 0.0
+    confirmed_at: float = 0.0
+    committing_tasks: list[tuple[Task, int]] = msgspec.field(default_factory=list)
+    committing_acks: dict[EndpointId, tuple[int, int]] = msgspec.field(
+        default_factory=dict
+    )
+    planned_at: float = 0.0
+    replan: bool = False
+    waves: dict[int, WaveRun] = msgspec.field(default_factory=dict)
+    instances: dict[str, InstanceView] = msgspec.field(default_factory=dict)
+    listing: bool = False
+    listed_at: float = 0.0
+    list_at: float = 0.0
+    moving: dict[str, ServiceName] = msgspec.field(default_factory=dict)
+    moves_asked: set[str] = msgspec.field(default_factory=set)
+    demand: dict[ServiceName, float] = msgspec.field(default_factory=dict)
+    tickets: dict[tuple[JobId, int, int], dict[EndpointId, Ticket]] = msgspec.field(
+        default_factory=dict
+    )
+    asked: dict[tuple[JobId, int, int], set[EndpointId]] = msgspec.field(
+        default_factory=dict
+    )
+    asking: set[tuple[JobId, int, int]] = msgspec.field(default_factory=set)
+
+    def spread(self) -> list[Endpoint]:
+        """Return the endpoints in a stable order."""
+        return list(self.endpoints.values())
--- /dev/null
+++ b/primrosepitch/scheduling/upkeep.py
@@ -0,0 +1,223 @@
+"""Maintenance waves: which instance is emptied, and maintained, next."""
+
+from __future__ import annotations
+
+from primrosepitch.events import EVACUATING, UPKEEP_BEGUN, WAVE_COMPLETED, WAVE_SEEN
+from primrosepitch.scheduling.availability import may_take
+from primrosepitch.scheduling.configuration import WaveSpec
+from primrosepitch.scheduling.effects import (
+    Effect,
+    ListInstances,
+    Note,
+    Upkeep,
+    WaveStatus,
+)
+from primrosepitch.scheduling.events import (
+    InstancesListed,
+    InstanceState,
+    InstanceView,
+    Outcome,
+    UpkeepAnswered,
+)
+from primrosepitch.scheduling.runs import stop_task
+from primrosepitch.scheduling.state import (
+    Endpoint,
+    Phase,
+    SchedulerState,
+    Task,
+    WaveRun,
+)
+
+__all__ = [
+    "advance_waves",
+    "evacuate",
+    "instances_listed",
+    "upkeep_answered",
+    "wave_seen",
+]
+
+DOWN_SLACK_S = 1.0
+"""Added to the time that maintenance takes, for its late begin and the answer."""
+
+LIST_S = 1.5
+"""Interval of readings of the list while a wave goes on."""
+
+WAVE_REASON = "maintenance"
+
+
+def wave_seen(state: SchedulerState, spec: WaveSpec) -> list[Effect]:
+    """Take a wave that an operator asks for."""
+    if spec.wave in state.waves:
+        return []
+    state.waves[spec.wave] = WaveRun(spec)
+    fields = {
+        "wave": spec.wave,
+        "instances": len(spec.instances),
+        "most_at_once": spec.most_at_once,
+        "due_in_s": round(spec.due - state.now, 1),
+    }
+    return [Note(WAVE_SEEN, fields)]
+
+
+def instances_listed(state: SchedulerState, event: InstancesListed) -> list[Effect]:
+    """Take the platform's list of instances."""
+    state.listing = False
+    if event.instances is None:
+        state.list_at = event.now + LIST_S
+        return []
+    state.instances = {view.instance: view for view in event.instances}
+    state.listed_at = event.now
+    state.list_at = event.now + LIST_S
+    return []
+
+
+def advance_waves(state: SchedulerState) -> list[Effect]:
+    """Bring every wave a step further."""
+    effects: list[Effect] = []
+    open_waves = [w for w in state.waves.values() if w.status != "completed"]
+    if not open_waves or state.now < state.took_at + state.limits.duty_lease_s:
+        return effects
+    if not state.listing and state.now >= state.list_at:
+        state.listing = True
+        effects.append(ListInstances())
+    if state.listed_at < state.took_at:
+        return effects
+    for wave in sorted(open_waves, key=lambda w: w.spec.due):
+        effects += _advance(state, wave)
+    return effects
+
+
+def _advance(state: SchedulerState, wave: WaveRun) -> list[Effect]:
+    effects: list[Effect] = []
+    if not wave.status:
+        wave.status = "running"
+        effects.append(WaveStatus(wave.spec.wave, completed=False))
+    left = [i for i in wave.spec.instances if i not in wave.begun]
+    # An instance that has left the platform needs no maintenance.
+    left = [i for i in left if i in state.instances]
+    if not left:
+        wave.status = "completed"
+        effects.append(Note(WAVE_COMPLETED, {"wave": wave.spec.wave}))
+        return [*effects, WaveStatus(wave.spec.wave, completed=True)]
+    wave.chosen &= set(left)
+    effects += _order_empty(state, wave)
+    effects += _choose_next(state, wave, left)
+    for instance in sorted(wave.chosen - wave.asked):
+        endpoint = _endpoint_on(state, state.instances[instance])
+        if endpoint is not None:
+            endpoint.evacuating = WAVE_REASON
+            effects += evacuate(state, endpoint)
+    return effects
+
+
+def _down(state: SchedulerState, wave: WaveRun) -> int:
+    """Return how many instances may be down for the wave."""
+    down = {i for i, at in wave.down_until.items() if state.now < at}
+    down |= {
+        view.instance
+        for view in state.instances.values()
+        if view.state is InstanceState.UPKEEP and view.instance in wave.spec.instances
+    }
+    return len(down | wave.asked)
+
+
+def _order_empty(state: SchedulerState, wave: WaveRun) -> list[Effect]:
+    """Order the maintenance of chosen instances that run nothing."""
+    effects: list[Effect] = []
+    for instance in sorted(wave.chosen - wave.asked):
+        if _down(state, wave) >= wave.spec.most_at_once:
+            break
+        view = state.instances[instance]
+        endpoint = _endpoint_on(state, view)
+        if view.state is not InstanceState.UP:
+            continue
+        if endpoint is not None and (endpoint.tasks or not endpoint.contacted):
+            continue
+        wave.asked.add(instance)
+        effects.append(Upkeep(instance, wave.spec.wave, state.term))
+    return effects
+
+
+def _choose_next(state: SchedulerState, wave: WaveRun, left: list[str]) -> list[Effect]:
+    """Choose the instances to empty next: those that lose least by it."""
+    ahead = 2 * wave.spec.most_at_once - len(wave.chosen)
+    candidates = [i for i in left if i not in wave.chosen]
+    candidates.sort(key=lambda i: _loss(state, state.instances[i]))
+    effects: list[Effect] = []
+    for instance in candidates[: max(0, ahead)]:
+        wave.chosen.add(instance)
+        fields = {"instance": instance, "wave": wave.spec.wave}
+        effects.append(Note(EVACUATING, fields))
+    return effects
+
+
+def _loss(state: SchedulerState, view: InstanceView) -> tuple[float, ...]:
+    endpoint = _endpoint_on(state, view)
+    if endpoint is None:
+        return (0.0, 0.0, 0.0)
+    lasting = sum(task.spec.lasting for task in endpoint.tasks.values())
+    return (1.0, float(lasting), float(endpoint.used.cpu))
+
+
+def _endpoint_on(state: SchedulerState, view: InstanceView) -> Endpoint | None:
+    """Return the endpoint that runs on an instance."""
+    return state.endpoints.get(view.endpoint)
+
+
+def evacuate(state: SchedulerState, endpoint: Endpoint) -> list[Effect]:
+    """Take away what an endpoint runs, as far as availability budgets allow.
+
+    Tasks that neither last nor save their progress run to their end.
+    """
+    effects: list[Effect] = []
+    for task in list(endpoint.tasks.values()):
+        if task.phase is Phase.RUNNING and _movable(state, task):
+            effects += stop_task(state, task, endpoint.evacuating)
+    return effects
+
+
+def _movable(state: SchedulerState, task: Task) -> bool:
+    if task.spec.lasting:
+        return task.spec.fills or may_take(state, task)
+    return task.spec.checkpoints and not task.spec.gang
+
+
+def upkeep_answered(state: SchedulerState, event: UpkeepAnswered) -> list[Effect]:
+    """Take the answer to an order of maintenance."""
+    wave = state.waves.get(event.wave)
+    if wave is None:
+        return []
+    fields = {
+        "instance": event.instance,
+        "wave": event.wave,
+        "outcome": event.outcome.value,
+    }
+    effects: list[Effect] = [Note(UPKEEP_BEGUN, fields)]
+    down_s = state.limits.maintenance_s + DOWN_SLACK_S
+    wave.down_until[event.instance] = event.now + down_s
+    if event.outcome is Outcome.UNKNOWN:
+        # It may have begun, or may begin later: the order is repeated until answered.
+        return [*effects, Upkeep(event.instance, event.wave, state.term)]
+    wave.asked.discard(event.instance)
+    if event.outcome is Outcome.DONE:
+        wave.begun.add(event.instance)
+        wave.chosen.discard(event.instance)
+        wave.dirty = True
+    elif event.outcome is Outcome.REFUSED:
+        wave.begun.add(event.instance)
+        wave.chosen.discard(event.instance)
+        wave.down_until.pop(event.instance)
+    else:
+        wave.down_until.pop(event.instance)
+        wave.chosen.discard(event.instance)
+        _keep(state, event.instance)
+    return effects
+
+
+def _keep(state: SchedulerState, instance: str) -> None:
+    """Let an endpoint get work again when its instance was not taken."""
+    view = state.instances.get(instance)
+    endpoint = _endpoint_on(state, view) if view is not None else None
+    if endpoint is not None and endpoint.evacuating == WAVE_REASON:
+        endpoint.evacuating = ""
+        state.replan = True
