Lend instances between pools and switch idle ones off

Change: scheduling/lending.py compares each pool's demand (running, waiting, arriving) with its supply; idle endpoints fill up last and move.

--- a/primrosepitch/events.py
+++ b/primrosepitch/events.py
@@ -253,6 +253,9 @@
 EVACUATING = event(
     5304, "evacuating", logging.INFO, "An endpoint is emptied for a planned stop."
 )
+INSTANCE_MOVING = event(
+    5306, "instance_moving", logging.INFO, "An instance is to serve another pool."
+)
 MOVE_ANSWERED = event(
     5305, "move_answered", logging.INFO, "A move of an instance was ordered."
 )
--- a/primrosepitch/jobs/records.py
+++ b/primrosepitch/jobs/records.py
@@ -44,7 +44,7 @@
     :param run: number of the newest start
     :param placed: endpoint of a run that may be going on; empty when none is
     :param born: incarnation of that endpoint
-    :param failed: runs that ended by a failure
+    :param failed: numbers of the runs that ended by a failure
     :param done: whether a run has ended successfully
     """
 
@@ -54,7 +54,7 @@
     run: int = 0
     placed: EndpointId = EndpointId("")
     born: int = 0
-    failed: int = 0
+    failed: tuple[int, ...] = ()
     done: bool = False
     checkpoint: str = ""
 
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -47,6 +47,9 @@
 JITTER_S = 0.4
 """Largest difference between nodes in how long they wait before they claim."""
 
+CLAIM_PAUSE_S = 0.3
+"""Pause after a lost claim, in which the winner's record is read."""
+
 COMMIT_TRY_S = 1.0
 """Time for one try of a commit; it is repeated under the same sequence number."""
 
@@ -179,6 +182,7 @@
             await self._follower.catch_up(outcome.offset + 1)
         except (StoreUnavailableError, StoreUnknownError, StoreFencedError) as exc:
             emit(TERM_LOST, term=number, reason=str(exc))
+            await asyncio.sleep(CLAIM_PAUSE_S)
             return
         if self._follower.ledger.term != term:
             emit(TERM_LOST, term=number, reason="another claim came first")
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -187,16 +187,16 @@
 
 def _hold(state: SchedulerState, endpoint: Endpoint) -> Hold:
     endpoint.holding = True
-    working = endpoint.contacted and bool(endpoint.tasks)
+    # A silent endpoint's leases are left to lapse, so that its tasks can run elsewhere.
+    working = endpoint.contacted and endpoint.reachable and bool(endpoint.tasks)
     if state.now - state.confirmed_at > GRANT_S:
         working = False
-    until_ms = until(state, endpoint) if working else 0
     return Hold(
         endpoint.id,
         endpoint.report.address,
-        until_ms,
+        until(state, endpoint) if working else 0,
         endpoint.last_seen,
-        HOLD_WAIT_MS if working and endpoint.reachable else 0,
+        HOLD_WAIT_MS if working else 0,
         state.term,
     )
 
@@ -241,7 +241,7 @@
         if endpoint.failed_holds:
             effects.append(Note(ENDPOINT_BACK, {"endpoint": endpoint.id}))
         state.replan = True
-    first = not endpoint.contacted
+    first = not endpoint.reachable
     endpoint.contacted = endpoint.reachable = True
     endpoint.failed_holds = 0
     endpoint.clock_ms, endpoint.clock_at = event.clock_ms, event.now
--- /dev/null
+++ b/primrosepitch/scheduling/lending.py
@@ -0,0 +1,288 @@
+"""Moves instances between pools, and into the pool whose instances are off.
+
+The pattern it answers: the queues' demand rises by turns. Each asks several times its
+mean, more than its pool holds, for some seconds, and almost nothing in between. What
+one pool leaves idle then serves another, and what none needs is switched off.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict
+
+import msgspec
+
+from primrosepitch.events import INSTANCE_MOVING, MOVE_ANSWERED
+from primrosepitch.jobs.model import JobSpec, ServiceName
+from primrosepitch.scheduling.effects import Effect, ListInstances, MoveInstance, Note
+from primrosepitch.scheduling.events import (
+    InstanceState,
+    InstanceView,
+    MoveAnswered,
+    Outcome,
+)
+from primrosepitch.scheduling.leases import usable
+from primrosepitch.scheduling.ordering import ready_steps
+from primrosepitch.scheduling.state import Endpoint, SchedulerState
+
+__all__ = ["lend", "move_answered", "note_arrival"]
+
+LEND_S = 0.2
+"""Interval of decisions; a move takes seven times as long."""
+
+LIST_S = 3.0
+"""Interval of readings of the platform's list; own moves are known without it."""
+
+RATE_S = 1.0
+"""Time constant of the arrival rate; a queue's turn lasts several times that."""
+
+IDLE_RELEASE_S = 1.5
+"""Time for which an unneeded instance stays: moving it there and back costs as much as
+keeping it for about 2 s."""
+
+HEADROOM = 1.15
+"""Factor on the demand, for tasks that do not fill an endpoint exactly."""
+
+WAITING_SHARE = 0.7
+"""Part of the waiting work that counts: the rest starts when running work ends."""
+
+JOIN_SLACK_S = 3.0
+"""Time beyond a move's duration after which the new endpoint is not awaited."""
+
+REASON = "lending"
+
+
+class Pool(msgspec.Struct):
+    """Need and supply of one pool, in endpoints."""
+
+    service: ServiceName
+    need: int
+    coming: int
+    endpoints: list[Endpoint]
+
+    @property
+    def missing(self) -> int:
+        """Return how many endpoints are missing; negative if there are too many."""
+        return self.need - self.coming - len(self.endpoints)
+
+
+def note_arrival(state: SchedulerState, spec: JobSpec) -> None:
+    """Count the work of an accepted job in its pool's arrival rate."""
+    work = sum(
+        step.tasks * step.cpu * step.estimate_ms / 1000
+        for step in spec.steps
+        if not step.lasting
+    )
+    rate = arrival_rate(state, spec.service) + work / RATE_S
+    state.arrivals[spec.service] = (rate, state.now)
+
+
+def arrival_rate(state: SchedulerState, service: ServiceName) -> float:
+    """Return the work that arrives for a pool, in thousandths of a core."""
+    rate, at = state.arrivals.get(service, (0.0, state.now))
+    return rate * math.exp(-(state.now - at) / RATE_S)
+
+
+def lend(state: SchedulerState) -> list[Effect]:
+    """Move instances to where they are needed."""
+    spare = state.cfg.spare_pool()
+    settled = state.now >= state.took_at + state.limits.duty_lease_s
+    if spare is None or not settled or state.now - state.lent_at < LEND_S:
+        return []
+    state.lent_at = state.now
+    effects: list[Effect] = []
+    if not state.listing and state.now - state.listed_at >= LIST_S:
+        state.listing = True
+        effects.append(ListInstances())
+    if state.listed_at < state.took_at:
+        return effects
+    _forget_arrived(state)
+    pools = _pools(state)
+    idle = _idle(state, pools)
+    off = _switched_off(state, spare)
+    for pool in sorted(pools.values(), key=lambda p: -p.missing):
+        effects += _fill(state, pool, pools, idle, off)
+    return [*effects, *_release(state, pools, idle, spare)]
+
+
+def _forget_arrived(state: SchedulerState) -> None:
+    joined = {
+        e.report.instance: e.report.service
+        for e in state.endpoints.values()
+        if e.listed and not e.evacuating
+    }
+    for instance, (pool, by) in list(state.moving.items()):
+        if joined.get(instance) == pool or state.now > by:
+            del state.moving[instance]
+
+
+def _pools(state: SchedulerState) -> dict[ServiceName, Pool]:
+    demand = _demand(state)
+    pools = {}
+    for service in state.cfg.services.values():
+        if service.spare:
+            continue
+        endpoints = [
+            endpoint
+            for endpoint in state.endpoints.values()
+            if endpoint.report.service == service.name and usable(state, endpoint)
+        ]
+        size = max((e.report.capacity.cpu for e in endpoints), default=0)
+        cores = demand.get(service.name, 0.0) * HEADROOM
+        need = math.ceil(cores / size) if size else 1
+        need = max(need, _least(state, service.name))
+        coming = sum(pool == service.name for pool, _ in state.moving.values())
+        pools[service.name] = Pool(service.name, need, coming, endpoints)
+    return pools
+
+
+def _demand(state: SchedulerState) -> dict[ServiceName, float]:
+    """Return what each pool could use at once, in thousandths of a core."""
+    demand: dict[ServiceName, float] = defaultdict(float)
+    for endpoint in state.endpoints.values():
+        demand[endpoint.report.service] += endpoint.used.cpu
+    for ready in ready_steps(state):
+        waiting = len(ready.tasks) * ready.step.spec.needs.cpu
+        demand[ready.job.spec.service] += waiting * WAITING_SHARE
+    for service in state.arrivals:
+        demand[service] = max(demand[service], arrival_rate(state, service))
+    return demand
+
+
+def _least(state: SchedulerState, service: ServiceName) -> int:
+    """Return the endpoints that the pool's lasting steps need to be apart."""
+    least = 1
+    for job in state.jobs.values():
+        if job.spec.service != service or job.cancelled or not job.spec.lasting:
+            continue
+        for step in job.spec.steps:
+            if step.most_per_endpoint:
+                least = max(least, math.ceil(step.tasks / step.most_per_endpoint))
+    return least
+
+
+def _idle(
+    state: SchedulerState, pools: dict[ServiceName, Pool]
+) -> dict[ServiceName, list[Endpoint]]:
+    """Return the endpoints without tasks that their pools don't need."""
+    idle = {}
+    for pool in pools.values():
+        free = [e for e in pool.endpoints if not e.tasks and _instance(state, e)]
+        free.sort(key=lambda endpoint: endpoint.idle_since)
+        idle[pool.service] = free[: max(0, -pool.missing)]
+    return idle
+
+
+def _switched_off(state: SchedulerState, spare: ServiceName) -> list[InstanceView]:
+    chosen = set().union(*(w.chosen | w.asked for w in state.waves.values()), ())
+    return [
+        view
+        for view in state.instances.values()
+        if view.pool == spare
+        and view.state is InstanceState.UP
+        and view.instance not in state.moving
+        and view.instance not in chosen
+    ]
+
+
+def _instance(state: SchedulerState, endpoint: Endpoint) -> str:
+    """Return the instance of an endpoint, if a move of it can be ordered."""
+    instance = endpoint.report.instance
+    view = state.instances.get(instance)
+    if view is None or instance in state.moving:
+        return ""
+    wanted = any(
+        instance in w.spec.instances and instance in (w.chosen | w.asked)
+        for w in state.waves.values()
+    )
+    return "" if wanted else instance
+
+
+def _fill(
+    state: SchedulerState,
+    pool: Pool,
+    pools: dict[ServiceName, Pool],
+    idle: dict[ServiceName, list[Endpoint]],
+    off: list[InstanceView],
+) -> list[Effect]:
+    effects: list[Effect] = []
+    for _ in range(max(0, pool.missing)):
+        lender = max(idle, key=lambda service: len(idle[service]))
+        if idle[lender]:
+            endpoint = idle[lender].pop(0)
+            pools[lender].endpoints.remove(endpoint)
+            effects += _move(state, endpoint.report.instance, pool, endpoint)
+        elif off:
+            effects += _move(state, off.pop().instance, pool, None)
+        else:
+            break
+    return effects
+
+
+def _move(
+    state: SchedulerState, instance: str, pool: Pool, endpoint: Endpoint | None
+) -> list[Effect]:
+    if (instance, pool.service) in state.immovable:
+        return []
+    if endpoint is not None:
+        endpoint.evacuating = REASON
+    pool.coming += 1
+    by = state.now + state.limits.migration_s + JOIN_SLACK_S
+    state.moving[instance] = (pool.service, by)
+    fields = {
+        "instance": instance,
+        "pool": pool.service,
+        "need": pool.need,
+        "have": len(pool.endpoints),
+        "coming": pool.coming,
+        "from": endpoint.report.service if endpoint is not None else "",
+    }
+    order = MoveInstance(instance, pool.service, state.term)
+    return [Note(INSTANCE_MOVING, fields), order]
+
+
+def _release(
+    state: SchedulerState,
+    pools: dict[ServiceName, Pool],
+    idle: dict[ServiceName, list[Endpoint]],
+    spare: ServiceName,
+) -> list[Effect]:
+    """Switch off what has been idle for long enough."""
+    effects: list[Effect] = []
+    target = Pool(spare, 0, 0, [])
+    for service, endpoints in idle.items():
+        for endpoint in endpoints:
+            if state.now - endpoint.idle_since < IDLE_RELEASE_S:
+                continue
+            pools[service].endpoints.remove(endpoint)
+            effects += _move(state, endpoint.report.instance, target, endpoint)
+    return effects
+
+
+def move_answered(state: SchedulerState, event: MoveAnswered) -> list[Effect]:
+    """Take the answer to an order to move an instance."""
+    fields = {
+        "instance": event.instance,
+        "pool": event.pool,
+        "outcome": event.outcome.value,
+    }
+    effects: list[Effect] = [Note(MOVE_ANSWERED, fields)]
+    if event.outcome is Outcome.UNKNOWN:
+        # It may have begun, or may begin later: the order is repeated until answered.
+        return [*effects, MoveInstance(event.instance, event.pool, state.term)]
+    if event.outcome is Outcome.DONE:
+        view = state.instances.get(event.instance)
+        if view is not None:
+            moved = view._replace(pool=event.pool, state=InstanceState.MOVING)
+            state.instances[event.instance] = moved
+        return effects
+    state.moving.pop(event.instance, None)
+    if event.outcome is Outcome.REFUSED:
+        state.immovable.add((event.instance, event.pool))
+    for endpoint in state.endpoints.values():
+        if endpoint.report.instance == event.instance and (
+            endpoint.evacuating == REASON
+        ):
+            endpoint.evacuating = ""
+            state.replan = True
+    return effects
--- a/primrosepitch/scheduling/placement.py
+++ b/primrosepitch/scheduling/placement.py
@@ -115,7 +115,8 @@
         far = bool(racks) and endpoint.id not in racks
     avoid = endpoint.id == task.avoid
     capacity = max(1, endpoint.report.capacity.cpu)
-    return (float(avoid), float(far), endpoint.faults, endpoint.used.cpu / capacity)
+    # Full endpoints first: what stays empty can serve another pool.
+    return (float(avoid), float(far), endpoint.faults, -endpoint.used.cpu / capacity)
 
 
 def _start_gang(state: SchedulerState, room: Room, ready: ReadyStep) -> list[Effect]:
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -31,6 +31,7 @@
     start_order,
     sweep,
 )
+from primrosepitch.scheduling.lending import lend, move_answered, note_arrival
 from primrosepitch.scheduling.placement import start_waiting
 from primrosepitch.scheduling.runs import (
     add_job,
@@ -106,9 +107,7 @@
         if number in state.waves:
             state.waves[number].begun.update(begun)
     for entry in event.jobs.values():
-        job = restore_job(state, entry)
-        if job is not None and job.cancelled:
-            settle_job(state, job)
+        restore_job(state, entry)
     fields = {"term": event.term, "jobs": len(state.jobs)}
     return [Note(TERM_TAKEN, fields)]
 
@@ -129,6 +128,7 @@
 def _job_seen(state: SchedulerState, event: ev.JobSeen) -> list[Effect]:
     if event.spec.job not in state.jobs and event.spec.job not in state.finished:
         add_job(state, event.spec)
+        note_arrival(state, event.spec)
     return []
 
 
@@ -227,6 +227,11 @@
     return upkeep_answered(state, event)
 
 
+@_handles(ev.MoveAnswered)
+def _moved(state: SchedulerState, event: ev.MoveAnswered) -> list[Effect]:
+    return move_answered(state, event)
+
+
 @_handles(ev.Tick)
 def _tick(state: SchedulerState, event: ev.Tick) -> list[Effect]:
     state.now = max(state.now, event.now)
@@ -245,9 +250,14 @@
             if len(job.steps) < job.spec.occurrences:
                 open_occurrences(state, job)
         effects += sweep(state)
+        for job in state.jobs.values():
+            if job.cancelled or job.failing:
+                # Its endpoints may have been unknown when that was learned.
+                effects += settle_job(state, job)
         effects += _leave_draining(state)
         effects += start_waiting(state)
         effects += advance_waves(state)
+        effects += lend(state)
     effects += _commit(state)
     return [*effects, *due_holds(state)]
 
--- a/primrosepitch/scheduling/runs.py
+++ b/primrosepitch/scheduling/runs.py
@@ -254,29 +254,29 @@
         "run": ended.run,
         "endpoint": endpoint.id,
         "how": ended.kind.value,
-        "number": ended.number,
+        "end": ended.number,
         "current": current,
     }
     notes: list[Effect] = [Note(RUN_ENDED, fields)]
-    if task is None or not current:
+    if task is None:
         return notes
     job = state.jobs[ended.task.job]
+    if ended.kind is EndKind.FAILED and ended.run not in task.failed:
+        # Counts also when the run had been given up.
+        task.failed = (*task.failed, ended.run)
+        task.avoid = endpoint.id
+        touch(state, job)
+        if not task.spec.lasting and len(task.failed) >= job.spec.max_attempts:
+            job.failing = task.phase is not Phase.DONE
+    if not current:
+        return notes + settle_job(state, job)
     touch(state, job)
     if ended.checkpoint:
         task.checkpoint = ended.checkpoint
     done = ended.kind is EndKind.DONE
     release(state, task, Phase.DONE if done else Phase.WAITING)
-    if ended.kind is EndKind.FAILED:
-        task.failed += 1
-        task.avoid = endpoint.id
     if done and task.spec.gang:
         notes += _gang_done(state, job, task)
-    if (
-        not task.spec.lasting
-        and task.phase is Phase.WAITING
-        and task.failed >= job.spec.max_attempts
-    ):
-        job.failing = True
     return notes + settle_job(state, job)
 
 
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -54,6 +54,7 @@
 
     :param run: number of its newest start
     :param endpoint: where that run is; empty when nothing can be running
+    :param failed: numbers of the runs that ended by a failure
     :param working: whether it was listed at its full pace
     :param since: boot-time clock of the phase's begin
     :param avoid: endpoint on which it failed last
@@ -67,7 +68,7 @@
     phase: Phase = Phase.WAITING
     endpoint: EndpointId = EndpointId("")
     born: int = 0
-    failed: int = 0
+    failed: tuple[int, ...] = ()
     checkpoint: str = ""
     working: bool = False
     progress: int = 0
@@ -233,6 +234,8 @@
     :param term: fencing token; 0 while another node schedules
     :param quiet_until: boot-time clock until which runs of an earlier term may go on
         at endpoints that have not answered
+    :param moving: where instances are on their way to, and until when that is awaited
+    :param arrivals: rate of arriving work by pool, and when that was computed
     :param committing: number of the commit under way; 0 if none
     :param confirmed_at: boot-time clock when the store last answered a commit
     """
@@ -266,9 +269,12 @@
     listing: bool = False
     listed_at: float = 0.0
     list_at: float = 0.0
-    moving: dict[str, ServiceName] = msgspec.field(default_factory=dict)
-    moves_asked: set[str] = msgspec.field(default_factory=set)
-    demand: dict[ServiceName, float] = msgspec.field(default_factory=dict)
+    moving: dict[str, tuple[ServiceName, float]] = msgspec.field(default_factory=dict)
+    immovable: set[tuple[str, ServiceName]] = msgspec.field(default_factory=set)
+    arrivals: dict[ServiceName, tuple[float, float]] = msgspec.field(
+        default_factory=dict
+    )
+    lent_at: float = 0.0
     tickets: dict[tuple[JobId, int, int], dict[EndpointId, Ticket]] = msgspec.field(
         default_factory=dict
     )
