Order starts by what can still be in time, and by share

Cause: in a queue's turn all jobs became late together: the least slack went first, even when it no longer sufficed; a hot workspace's excess took the room of others. Change: begun jobs first, then jobs that can be in time with a margin, then late ones, then what lies beyond a workspace's share. A restarted holder of the term claims the next one at once.

--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -154,6 +154,7 @@
                 continue
             await asyncio.sleep(WATCH_S)
             watch = TermWatch(
+                self._node,
                 self._follower.ledger.term,
                 self._sign_at,
                 self._follower.connected_at,
--- a/primrosepitch/node/term.py
+++ b/primrosepitch/node/term.py
@@ -19,12 +19,14 @@
 class TermWatch(NamedTuple):
     """What a node has seen of the scheduler.
 
+    :param node: name of the node
     :param sign_at: boot-time clock of its newest record seen
     :param connected_at: boot-time clock since which the ledger can be read
     :param read_at: boot-time clock of the newest reading
     :param jitter_s: differs between nodes, so that they rarely claim together
     """
 
+    node: str
     term: Term
     sign_at: float
     connected_at: float
@@ -36,6 +38,9 @@
         if now - self.read_at > FRESH_S:
             return False
         silent_s = now - max(self.sign_at, self.connected_at)
+        if self.term.holder == self.node:
+            # The holder was an earlier process of this node, which has ended.
+            return True
         if not self.term.number or not self.term.holder:
             # Nobody schedules: none ever did, or the last one gave up its term.
             return silent_s > self.jitter_s
--- a/primrosepitch/scheduling/lending.py
+++ b/primrosepitch/scheduling/lending.py
@@ -118,6 +118,7 @@
 
 def _pools(state: SchedulerState) -> dict[ServiceName, Pool]:
     demand = _demand(state)
+    largest = max((v.capacity.cpu for v in state.instances.values()), default=0)
     pools = {}
     for service in state.cfg.services.values():
         if service.spare:
@@ -127,7 +128,7 @@
             for endpoint in state.endpoints.values()
             if endpoint.report.service == service.name and usable(state, endpoint)
         ]
-        size = max((e.report.capacity.cpu for e in endpoints), default=0)
+        size = max((e.report.capacity.cpu for e in endpoints), default=largest)
         cores = demand.get(service.name, 0.0) * HEADROOM
         need = math.ceil(cores / size) if size else 1
         need = max(need, _least(state, service.name))
--- a/primrosepitch/scheduling/ordering.py
+++ b/primrosepitch/scheduling/ordering.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import enum
 from typing import NamedTuple
 
 from primrosepitch.scheduling.state import (
@@ -24,6 +25,26 @@
 caller any more, but still has to be done."""
 
 
+MARGIN_MS = 150.0
+"""Time that a start, and the news of an end, take besides the work."""
+
+MARGIN_SHARE = 0.1
+"""Part of the remaining work that must be left as slack when a job begins: later
+steps may have to wait a little for room."""
+
+
+class Group(enum.IntEnum):
+    """Order of groups; within one, the least slack goes first."""
+
+    LASTING = 0
+    BEGUN = 1
+    IN_TIME = 2
+    LATE = 3
+    BEYOND_SHARE = 4
+    TOO_LATE = 5
+    FILLS = 6
+
+
 class ReadyStep(NamedTuple):
     """Tasks of one step that may start.
 
@@ -65,20 +86,26 @@
     state: SchedulerState, job: JobRun, occurrence: int, number: int, step: StepRun
 ) -> tuple[float, ...]:
     if step.spec.fills:
-        return (9.0, 0.0, float(job.spec.accepted_ms))
+        return (float(Group.FILLS), 0.0, 0.0, float(job.spec.accepted_ms))
     if step.spec.lasting:
-        return (0.0, float(job.spec.priority), float(job.spec.accepted_ms))
+        priority = float(job.spec.priority)
+        return (float(Group.LASTING), priority, 0.0, float(job.spec.accepted_ms))
     begun_ms = job.spec.due_ms(occurrence) or job.spec.accepted_ms
     span_ms = max(1.0, job.due_by_ms - job.spec.accepted_ms)
     left_ms = remaining_chain_ms(job, number)
     slack_ms = begun_ms + span_ms - state.wall_ms - left_ms
-    if slack_ms >= 0:
-        group = 1.0
-    elif slack_ms + (LATE_FACTOR - 1) * span_ms >= 0:
-        group = 2.0
+    begun = any(step.done for step in job.steps[occurrence])
+    margin_ms = 0.0 if begun else MARGIN_MS + MARGIN_SHARE * left_ms
+    if slack_ms >= margin_ms:
+        group = Group.BEGUN if begun else Group.IN_TIME
+    elif slack_ms + (LATE_FACTOR - 1) * span_ms >= margin_ms:
+        group = Group.LATE
     else:
-        group = 3.0
-    return (float(job.spec.priority) if group < 2 else 5.0 + group, group, slack_ms)
+        group = Group.TOO_LATE
+    if job.beyond_share:
+        group = Group.BEYOND_SHARE
+    priority = float(job.spec.priority) if group <= Group.IN_TIME else 0.0
+    return (float(max(group, Group.IN_TIME)), priority, float(group), slack_ms)
 
 
 def remaining_chain_ms(job: JobRun, number: int) -> int:
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -11,6 +11,7 @@
 from primrosepitch.events import RUN_REFUSED, TERM_TAKEN
 from primrosepitch.jobs.model import JobId, task_name
 from primrosepitch.jobs.records import (
+    JobEntry,
     Progress,
     TaskRecord,
     Term,
@@ -106,12 +107,16 @@
     for number, begun in event.waves.items():
         if number in state.waves:
             state.waves[number].begun.update(begun)
-    for entry in event.jobs.values():
+    for entry in sorted(event.jobs.values(), key=_accepted_ms):
         restore_job(state, entry)
     fields = {"term": event.term, "jobs": len(state.jobs)}
     return [Note(TERM_TAKEN, fields)]
 
 
+def _accepted_ms(entry: JobEntry) -> int:
+    return entry.spec.accepted_ms if entry.spec is not None else 0
+
+
 @_handles(ev.ConfigurationSeen)
 def _configuration(state: SchedulerState, event: ev.ConfigurationSeen) -> list[Effect]:
     state.cfg = event.cfg
--- a/primrosepitch/scheduling/runs.py
+++ b/primrosepitch/scheduling/runs.py
@@ -14,6 +14,7 @@
 from primrosepitch.jobs.records import JobEntry, TaskRecord
 from primrosepitch.scheduling.effects import Effect, Note, Stop
 from primrosepitch.scheduling.events import Ended, EndKind, Outcome
+from primrosepitch.scheduling.shares import beyond_share
 from primrosepitch.scheduling.state import (
     Endpoint,
     JobRun,
@@ -53,6 +54,7 @@
     """Take over a job that has just been accepted."""
     job = JobRun(spec, chain_ms=longest_chain_ms(spec))
     job.due_by_ms = spec.accepted_ms + spec.stretch * job.chain_ms + spec.goal_ms
+    job.beyond_share = beyond_share(state, spec)
     state.jobs[spec.job] = job
     open_occurrences(state, job)
     state.replan = True
@@ -132,6 +134,8 @@
     task.run = record.run
     task.failed = record.failed
     task.checkpoint = record.checkpoint
+    if _exhausted(job, task) and not record.done:
+        job.failing = True
     if record.done:
         task.phase = Phase.DONE
     elif record.placed:
@@ -145,6 +149,11 @@
             _take_room(endpoint, task)
 
 
+def _exhausted(job: JobRun, task: Task) -> bool:
+    """Return whether a task has failed as often as it may; lasting ones never have."""
+    return not task.spec.lasting and len(task.failed) >= job.spec.max_attempts
+
+
 def find_task(state: SchedulerState, key: TaskKey) -> Task | None:
     """Return a task of a job that has not ended."""
     job = state.jobs.get(key.job)
@@ -266,8 +275,8 @@
         task.failed = (*task.failed, ended.run)
         task.avoid = endpoint.id
         touch(state, job)
-        if not task.spec.lasting and len(task.failed) >= job.spec.max_attempts:
-            job.failing = task.phase is not Phase.DONE
+        if _exhausted(job, task) and task.phase is not Phase.DONE:
+            job.failing = True
     if not current:
         return notes + settle_job(state, job)
     touch(state, job)
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -118,6 +118,7 @@
     due_by_ms: float = 0.0
     dirty: bool = False
     unplaceable: bool = False
+    beyond_share: bool = False
 
     def tasks(self) -> list[Task]:
         """Return all tasks that exist."""
@@ -236,6 +237,8 @@
         at endpoints that have not answered
     :param moving: where instances are on their way to, and until when that is awaited
     :param arrivals: rate of arriving work by pool, and when that was computed
+    :param share_tokens: jobs that each workspace may still send within its share, and
+        the Unix time in ms of that count
     :param committing: number of the commit under way; 0 if none
     :param confirmed_at: boot-time clock when the store last answered a commit
     """
@@ -275,6 +278,9 @@
         default_factory=dict
     )
     lent_at: float = 0.0
+    share_tokens: dict[WorkspaceName, tuple[float, int]] = msgspec.field(
+        default_factory=dict
+    )
     tickets: dict[tuple[JobId, int, int], dict[EndpointId, Ticket]] = msgspec.field(
         default_factory=dict
     )
