--- a/primrosepitch/scheduling/placement.py
+++ b/primrosepitch/scheduling/placement.py
@@ -10,7 +10,7 @@
 from primrosepitch.scheduling.leases import usable
 from primrosepitch.scheduling.limits import within_limit
 from primrosepitch.scheduling.ordering import ReadyStep, ready_steps
-from primrosepitch.scheduling.runs import place
+from primrosepitch.scheduling.runs import EJECT_FAULTS, place
 from primrosepitch.scheduling.state import Endpoint, SchedulerState, Task
 
 __all__ = ["start_waiting"]
@@ -90,6 +90,9 @@
     for endpoint in pool:
         if not spec.needs.fits(endpoint.free()):
             continue
+        if endpoint.faults >= EJECT_FAULTS and endpoint.tasks:
+            # On probation after its ejection: one task at a time.
+            continue
         if spec.label and spec.label not in endpoint.report.labels:
             continue
         if spec.most_per_endpoint and _of_step(endpoint, task) >= (
--- a/primrosepitch/scheduling/runs.py
+++ b/primrosepitch/scheduling/runs.py
@@ -25,6 +25,7 @@
 )
 
 __all__ = [
+    "EJECT_FAULTS",
     "add_job",
     "cancel_job",
     "find_task",
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -145,7 +145,7 @@
     :param hold_at: boot-time clock of the next hold
     :param evacuating: reason why it gets no new tasks and gives up those it has
     :param faults: recent failures, decayed by successes
-    :param eject_until: boot-time clock until which it gets at most one task
+    :param eject_until: boot-time clock until which it gets no tasks
     """
 
     report: EndpointReport
