--- a/primrosepitch/node/node.py
+++ b/primrosepitch/node/node.py
@@ -19,8 +19,9 @@
 
 __all__ = ["Node"]
 
-OPERATORS_WAIT_S = 5.0
-"""Time for which a reading of the configuration waits for a change."""
+OPERATORS_WAIT_S = 0.8
+"""Time for which a reading of the configuration waits for a change. A waiting read
+may miss a change, or its connection may be silent; the next one finds it."""
 
 RETRY_S = 0.2
 """Pause after a failed reading."""
--- a/primrosepitch/scheduling/upkeep.py
+++ b/primrosepitch/scheduling/upkeep.py
@@ -54,7 +54,6 @@
         "wave": spec.wave,
         "instances": len(spec.instances),
         "most_at_once": spec.most_at_once,
-        "due_in_s": round(spec.due - state.now, 1),
     }
     return [Note(WAVE_SEEN, fields)]
 
