Lend by measured demand, avoid cut-off zones, maintain what is idle first

Change: waves take idle and switched-off instances and empty busy ones only when time runs short; zones that mostly do not answer lend nothing; the arrival rate counts by the jobs behind it.

--- a/primrosepitch/events.py
+++ b/primrosepitch/events.py
@@ -256,6 +256,13 @@
 INSTANCE_MOVING = event(
     5306, "instance_moving", logging.INFO, "An instance is to serve another pool."
 )
+POOLS_SEEN = event(
+    5307,
+    "pools",
+    logging.INFO,
+    "Need and supply of all pools, every second: of each the endpoints needed, usable, "
+    "on their way, known, idle and being emptied; and what is switched off.",
+)
 MOVE_ANSWERED = event(
     5305, "move_answered", logging.INFO, "A move of an instance was ordered."
 )
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -56,7 +56,7 @@
 COMMIT_RETRY_S = 0.1
 """Pause before a commit is repeated."""
 
-REPORTS_GAP_S = 0.25
+REPORTS_GAP_S = 0.1
 """Pause between readings of the endpoints' reports."""
 
 ORDERS_AT_ONCE = 3
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 import msgspec
 
 from primrosepitch.events import (
@@ -33,6 +35,7 @@
 
 __all__ = [
     "GRANT_S",
+    "dark_zones",
     "due_holds",
     "endpoint_gone",
     "endpoint_seen",
@@ -150,6 +153,15 @@
     return [Note(ENDPOINT_GONE, {"endpoint": endpoint.id})]
 
 
+def dark_zones(state: SchedulerState) -> set[str]:
+    """Return the zones that this node mostly can't reach."""
+    count: Counter[str] = Counter()
+    for endpoint in state.endpoints.values():
+        if endpoint.listed and (endpoint.contacted or endpoint.failed_holds):
+            count[endpoint.report.zone] += 1 if endpoint.reachable else -1
+    return {zone for zone, balance in count.items() if balance < 0}
+
+
 def usable(state: SchedulerState, endpoint: Endpoint) -> bool:
     """Return whether an endpoint may get new tasks."""
     listed = endpoint.listed or state.now - endpoint.gone_at < RELIST_S
@@ -215,6 +227,10 @@
         return []
     endpoint.reachable = False
     state.replan = True
+    for other in state.endpoints.values():
+        if other.report.zone == endpoint.report.zone and not other.tasks:
+            # What cut this one off may concern its neighbours.
+            other.hold_at = min(other.hold_at, event.now)
     fields = {
         "endpoint": endpoint.id,
         "outcome": event.outcome.value,
--- a/primrosepitch/scheduling/lending.py
+++ b/primrosepitch/scheduling/lending.py
@@ -8,12 +8,12 @@
 from __future__ import annotations
 
 import math
-from collections import defaultdict
+from collections import Counter, defaultdict
 
 import msgspec
 
-from primrosepitch.events import INSTANCE_MOVING, MOVE_ANSWERED
-from primrosepitch.jobs.model import JobSpec, ServiceName
+from primrosepitch.events import INSTANCE_MOVING, MOVE_ANSWERED, POOLS_SEEN
+from primrosepitch.jobs.model import ServiceName
 from primrosepitch.scheduling.effects import Effect, ListInstances, MoveInstance, Note
 from primrosepitch.scheduling.events import (
     InstanceState,
@@ -21,31 +21,42 @@
     MoveAnswered,
     Outcome,
 )
-from primrosepitch.scheduling.leases import usable
-from primrosepitch.scheduling.ordering import ready_steps
+from primrosepitch.scheduling.forecast import expected_cpu
+from primrosepitch.scheduling.leases import dark_zones, usable
+from primrosepitch.scheduling.ordering import Group, ready_steps
 from primrosepitch.scheduling.state import Endpoint, SchedulerState
 
-__all__ = ["lend", "move_answered", "note_arrival"]
+__all__ = ["lend", "move_answered"]
 
 LEND_S = 0.2
 """Interval of decisions; a move takes seven times as long."""
 
+SETTLE_S = 0.5
+"""Time after a takeover in which the earlier scheduler's last orders arrive."""
+
+NOTE_S = 1.0
+"""Interval of log lines about all pools."""
+
 LIST_S = 3.0
 """Interval of readings of the platform's list; own moves are known without it."""
 
-RATE_S = 1.0
-"""Time constant of the arrival rate; a queue's turn lasts several times that."""
-
 IDLE_RELEASE_S = 1.5
 """Time for which an unneeded instance stays: moving it there and back costs as much as
 keeping it for about 2 s."""
 
+STANDING = 2
+"""Endpoints that a pool keeps: one may be lost, and the first jobs of a turn can't wait
+for a move."""
+
 HEADROOM = 1.15
 """Factor on the demand, for tasks that do not fill an endpoint exactly."""
 
 WAITING_SHARE = 0.7
 """Part of the waiting work that counts: the rest starts when running work ends."""
 
+LATE_SHARE = 0.25
+"""The same for work that is late already, and so worth little more than its room."""
+
 JOIN_SLACK_S = 3.0
 """Time beyond a move's duration after which the new endpoint is not awaited."""
 
@@ -66,27 +77,10 @@
         return self.need - self.coming - len(self.endpoints)
 
 
-def note_arrival(state: SchedulerState, spec: JobSpec) -> None:
-    """Count the work of an accepted job in its pool's arrival rate."""
-    work = sum(
-        step.tasks * step.cpu * step.estimate_ms / 1000
-        for step in spec.steps
-        if not step.lasting
-    )
-    rate = arrival_rate(state, spec.service) + work / RATE_S
-    state.arrivals[spec.service] = (rate, state.now)
-
-
-def arrival_rate(state: SchedulerState, service: ServiceName) -> float:
-    """Return the work that arrives for a pool, in thousandths of a core."""
-    rate, at = state.arrivals.get(service, (0.0, state.now))
-    return rate * math.exp(-(state.now - at) / RATE_S)
-
-
 def lend(state: SchedulerState) -> list[Effect]:
     """Move instances to where they are needed."""
     spare = state.cfg.spare_pool()
-    settled = state.now >= state.took_at + state.limits.duty_lease_s
+    settled = state.now >= state.took_at + SETTLE_S
     if spare is None or not settled or state.now - state.lent_at < LEND_S:
         return []
     state.lent_at = state.now
@@ -100,11 +94,38 @@
     pools = _pools(state)
     idle = _idle(state, pools)
     off = _switched_off(state, spare)
+    effects += _note_pools(state, pools, idle, off)
     for pool in sorted(pools.values(), key=lambda p: -p.missing):
         effects += _fill(state, pool, pools, idle, off)
     return [*effects, *_release(state, pools, idle, spare)]
 
 
+def _note_pools(
+    state: SchedulerState,
+    pools: dict[ServiceName, Pool],
+    idle: dict[ServiceName, list[Endpoint]],
+    off: list[InstanceView],
+) -> list[Effect]:
+    if state.now - state.pools_noted_at < NOTE_S:
+        return []
+    state.pools_noted_at = state.now
+    rows = {}
+    for name, pool in pools.items():
+        known = [e for e in state.endpoints.values() if e.report.service == name]
+        rows[name] = {
+            "need": pool.need,
+            "usable": len(pool.endpoints),
+            "coming": pool.coming,
+            "known": len(known),
+            "idle": len(idle[name]),
+            "emptied": sum(bool(e.evacuating) for e in known),
+        }
+    states = Counter(view.state.value for view in state.instances.values())
+    fields = {"pools": rows, "off": len(off), "instances": dict(states)}
+    age_s = round(state.now - state.listed_at, 1)
+    return [Note(POOLS_SEEN, {**fields, "list_age_s": age_s})]
+
+
 def _forget_arrived(state: SchedulerState) -> None:
     joined = {
         e.report.instance: e.report.service
@@ -131,7 +152,7 @@
         size = max((e.report.capacity.cpu for e in endpoints), default=largest)
         cores = demand.get(service.name, 0.0) * HEADROOM
         need = math.ceil(cores / size) if size else 1
-        need = max(need, _least(state, service.name))
+        need = max(need, _least(state, service.name), STANDING)
         coming = sum(pool == service.name for pool, _ in state.moving.values())
         pools[service.name] = Pool(service.name, need, coming, endpoints)
     return pools
@@ -144,9 +165,11 @@
         demand[endpoint.report.service] += endpoint.used.cpu
     for ready in ready_steps(state):
         waiting = len(ready.tasks) * ready.step.spec.needs.cpu
-        demand[ready.job.spec.service] += waiting * WAITING_SHARE
-    for service in state.arrivals:
-        demand[service] = max(demand[service], arrival_rate(state, service))
+        in_time = ready.rank[0] <= Group.IN_TIME
+        share = WAITING_SHARE if in_time else LATE_SHARE
+        demand[ready.job.spec.service] += waiting * share
+    for service in state.demand:
+        demand[service] = max(demand[service], expected_cpu(state, service))
     return demand
 
 
@@ -176,6 +199,7 @@
 
 def _switched_off(state: SchedulerState, spare: ServiceName) -> list[InstanceView]:
     chosen = set().union(*(w.chosen | w.asked for w in state.waves.values()), ())
+    dark = dark_zones(state)
     return [
         view
         for view in state.instances.values()
@@ -183,6 +207,7 @@
         and view.state is InstanceState.UP
         and view.instance not in state.moving
         and view.instance not in chosen
+        and view.zone not in dark
     ]
 
 
--- a/primrosepitch/scheduling/ordering.py
+++ b/primrosepitch/scheduling/ordering.py
@@ -18,7 +18,7 @@
     Task,
 )
 
-__all__ = ["ReadyStep", "ready_steps"]
+__all__ = ["Group", "ReadyStep", "ready_steps"]
 
 LATE_FACTOR = 3.0
 """A job that takes longer than this times its objective is worth nothing to its
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -23,6 +23,7 @@
 from primrosepitch.scheduling import events as ev
 from primrosepitch.scheduling.availability import may_take
 from primrosepitch.scheduling.effects import Commit, Effect, Note
+from primrosepitch.scheduling.forecast import note_arrival
 from primrosepitch.scheduling.leases import (
     due_holds,
     endpoint_gone,
@@ -32,7 +33,7 @@
     start_order,
     sweep,
 )
-from primrosepitch.scheduling.lending import lend, move_answered, note_arrival
+from primrosepitch.scheduling.lending import lend, move_answered
 from primrosepitch.scheduling.placement import start_waiting
 from primrosepitch.scheduling.runs import (
     add_job,
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -22,6 +22,7 @@
 from primrosepitch.scheduling.events import EndpointReport, InstanceView
 
 __all__ = [
+    "Demand",
     "Endpoint",
     "JobRun",
     "Limits",
@@ -208,6 +209,18 @@
     dirty: bool = False
 
 
+class Demand(msgspec.Struct, eq=False):
+    """Work that arrives for a pool.
+
+    :param at: boot-time clock to which the figures have decayed
+    :param rate: thousandths of a core; ``jobs`` counts the jobs behind it
+    """
+
+    at: float
+    rate: float = 0.0
+    jobs: float = 0.0
+
+
 class Limits(msgspec.Struct, frozen=True):
     """Figures of the deployment that bind the scheduler.
 
@@ -236,7 +249,6 @@
     :param quiet_until: boot-time clock until which runs of an earlier term may go on
         at endpoints that have not answered
     :param moving: where instances are on their way to, and until when that is awaited
-    :param arrivals: rate of arriving work by pool, and when that was computed
     :param share_tokens: jobs that each workspace may still send within its share, and
         the Unix time in ms of that count
     :param committing: number of the commit under way; 0 if none
@@ -274,10 +286,9 @@
     list_at: float = 0.0
     moving: dict[str, tuple[ServiceName, float]] = msgspec.field(default_factory=dict)
     immovable: set[tuple[str, ServiceName]] = msgspec.field(default_factory=set)
-    arrivals: dict[ServiceName, tuple[float, float]] = msgspec.field(
-        default_factory=dict
-    )
+    demand: dict[ServiceName, Demand] = msgspec.field(default_factory=dict)
     lent_at: float = 0.0
+    pools_noted_at: float = 0.0
     share_tokens: dict[WorkspaceName, tuple[float, int]] = msgspec.field(
         default_factory=dict
     )
--- a/primrosepitch/scheduling/upkeep.py
+++ b/primrosepitch/scheduling/upkeep.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from primrosepitch.events import EVACUATING, UPKEEP_BEGUN, WAVE_COMPLETED, WAVE_SEEN
 from primrosepitch.scheduling.availability import may_take
 from primrosepitch.scheduling.configuration import WaveSpec
@@ -39,6 +41,15 @@
 DOWN_SLACK_S = 1.0
 """Added to the time that maintenance takes, for its late begin and the answer."""
 
+PATIENCE = 0.7
+"""Part of the cap below which the wave waits for instances that run nothing."""
+
+EMPTY_S = 3.0
+"""Time in which an endpoint's tasks end or move; the longest usual ones last 4 s."""
+
+SPARE_TIME_S = 5.0
+"""Time by which a wave should be done before it is due."""
+
 LIST_S = 1.5
 """Interval of readings of the list while a wave goes on."""
 
@@ -138,18 +149,38 @@
 
 
 def _choose_next(state: SchedulerState, wave: WaveRun, left: list[str]) -> list[Effect]:
-    """Choose the instances to empty next: those that lose least by it."""
-    ahead = 2 * wave.spec.most_at_once - len(wave.chosen)
+    """Choose the instances to maintain next.
+
+    Those that run nothing come first, and as many as may be down. Others are emptied
+    only when the time that is left asks for it.
+    """
     candidates = [i for i in left if i not in wave.chosen]
     candidates.sort(key=lambda i: _loss(state, state.instances[i]))
+    free = [i for i in candidates if not any(_loss(state, state.instances[i]))]
+    most = wave.spec.most_at_once - len(wave.chosen)
+    chosen = free[: max(0, most)]
+    busy = [i for i in candidates if i not in free]
+    urgent = _busy_at_once(state, wave, len(left)) - len(wave.chosen) - len(chosen)
     effects: list[Effect] = []
-    for instance in candidates[: max(0, ahead)]:
+    for instance in chosen + busy[: max(0, urgent)]:
         wave.chosen.add(instance)
         fields = {"instance": instance, "wave": wave.spec.wave}
         effects.append(Note(EVACUATING, fields))
     return effects
 
 
+def _busy_at_once(state: SchedulerState, wave: WaveRun, left: int) -> int:
+    """Return how many instances must be emptied at once to be done in time."""
+    time_s = wave.spec.due - SPARE_TIME_S - state.now
+    each_s = EMPTY_S + state.limits.maintenance_s
+    if time_s <= 0:
+        return 2 * wave.spec.most_at_once
+    at_once = left * each_s / time_s
+    if at_once < PATIENCE * wave.spec.most_at_once:
+        return 0
+    return min(math.ceil(at_once), 2 * wave.spec.most_at_once)
+
+
 def _loss(state: SchedulerState, view: InstanceView) -> tuple[float, ...]:
     endpoint = _endpoint_on(state, view)
     if endpoint is None:
