Count the quiet time of a new term from the earlier one's last append

Change: leases are extended for 3.5 s after the newest durable append was sent; a successor counts from when it last read one.

--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -133,7 +133,9 @@
     def record_seen(self, record: Record) -> None:
         """Take a record that the follower has folded."""
         if isinstance(record, Progress | Term | WaveProgress):
-            self._sign_at = clock.monotonic()
+            own_claim = isinstance(record, Term) and record.holder == self._node
+            if not own_claim:
+                self._sign_at = clock.monotonic()
             if isinstance(record, Term) and record.number > self.state.term > 0:
                 self._step_down(ef.StepDown("a newer term is in the ledger"))
         elif isinstance(record, JobSpec):
@@ -204,7 +206,10 @@
             self._feed(ev.WaveSeen(wave))
         self._follower.leading = True
         ledger = self._follower.ledger
-        quiet_until = now + quiet_s(self._limits) if earlier else now
+        # The earlier scheduler's newest append came before this node read it, or
+        # before this node could read at all.
+        sign_at = max(self._sign_at, self._follower.connected_at)
+        quiet_until = sign_at + quiet_s(self._limits) if earlier else now
         waves = {number: w.begun for number, w in ledger.waves.items()}
         taken = ev.TermTaken(now, term.number, ledger.jobs, quiet_until, waves)
         self._feed(taken)
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -65,10 +65,10 @@
 RETRY_ORDER_S = 0.3
 """Pause before an unanswered order is repeated; the same run is never started twice."""
 
-GRANT_S = 6.0
-"""Time without an answer of the store after which no lease is extended any more: a
-newer term restarts what an endpoint out of its reach ran only when this, and the
-lease, have passed."""
+GRANT_S = 3.5
+"""Time after the newest durable append was sent for which leases are extended. What
+runs survives an outage of the store of this and a lease; a newer term, which has seen
+that append, waits as long before it restarts what it can't reach."""
 
 LAPSE_SLACK_S = 0.1
 """Added to the computed lapse of a lease for the endpoint's own timers."""
@@ -389,5 +389,5 @@
 
 
 def quiet_s(limits: Limits) -> float:
-    """Return how long runs ordered under an earlier term may go on unseen."""
+    """Return how long an earlier term's runs may outlast its last append unseen."""
     return GRANT_S + limits.lease_s / (1 - limits.clock_error) + LAPSE_SLACK_S
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -360,7 +360,7 @@
         return []
     state.now = max(state.now, event.now)
     state.committing = 0
-    state.confirmed_at = state.now
+    state.confirmed_at = state.committed_at
     effects: list[Effect] = []
     for task, run in state.committing_tasks:
         endpoint = state.endpoints.get(task.endpoint)
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -252,7 +252,7 @@
     :param share_tokens: jobs that each workspace may still send within its share, and
         the Unix time in ms of that count
     :param committing: number of the commit under way; 0 if none
-    :param confirmed_at: boot-time clock when the store last answered a commit
+    :param confirmed_at: boot-time clock when the newest durable commit was sent
     """
 
     node: str = ""
