Empty busy instances of a wave early, and lend on a shorter window

Change: as many busy instances are emptied at once as the time left asks for; idle ones count after 1 s; two windows for the arrival rate.

--- a/primrosepitch/scheduling/forecast.py
+++ b/primrosepitch/scheduling/forecast.py
@@ -14,12 +14,13 @@
 
 __all__ = ["expected_cpu", "note_arrival"]
 
-RATE_S = 0.8
-"""Time constant of the arrival rate; a turn lasts several times that."""
+WINDOWS_S = (0.4, 1.5)
+"""Time constants of the arrival rate: one tells of a turn's begin, the other bridges
+the pauses between jobs. A turn lasts several times that."""
 
-DOUBT_JOBS = 3.0
-"""Jobs within the rate's time constant that count half: a single large job is no sign
-of a turn."""
+DOUBT_JOBS = 2.0
+"""Jobs within a time constant that count half: a single large job is no sign of a
+turn."""
 
 
 def note_arrival(state: SchedulerState, spec: JobSpec) -> None:
@@ -29,18 +30,27 @@
         for step in spec.steps
         if not step.lasting
     )
-    demand = state.demand.setdefault(spec.service, Demand(at=state.now))
-    fade = math.exp(-max(0.0, state.now - demand.at) / RATE_S)
-    demand.rate = demand.rate * fade + work / RATE_S
-    demand.jobs = demand.jobs * fade + 1.0
-    demand.at = state.now
+    windows = state.demand.setdefault(
+        spec.service, [Demand(at=state.now) for _ in WINDOWS_S]
+    )
+    for demand, window_s in zip(windows, WINDOWS_S, strict=True):
+        fade = _fade(state, demand, window_s)
+        demand.rate = demand.rate * fade + work / window_s
+        demand.jobs = demand.jobs * fade + 1.0
+        demand.at = state.now
+
+
+def _fade(state: SchedulerState, demand: Demand, window_s: float) -> float:
+    return math.exp(-max(0.0, state.now - demand.at) / window_s)
 
 
 def expected_cpu(state: SchedulerState, service: ServiceName) -> float:
     """Return the work that arrives for a pool, in thousandths of a core."""
-    demand = state.demand.get(service)
-    if demand is None:
-        return 0.0
-    fade = math.exp(-max(0.0, state.now - demand.at) / RATE_S)
-    jobs = demand.jobs * fade
-    return demand.rate * fade * jobs / (jobs + DOUBT_JOBS)
+    expected = 0.0
+    windows = state.demand.get(service, [])
+    for demand, window_s in zip(windows, WINDOWS_S, strict=False):
+        fade = _fade(state, demand, window_s)
+        jobs = demand.jobs * fade
+        rate = demand.rate * fade * jobs / (jobs + DOUBT_JOBS)
+        expected = max(expected, rate)
+    return expected
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -50,7 +50,7 @@
 HOLD_WAIT_MS = 1000
 """Time for which an endpoint may keep a hold open; a lease of 4.5 s survives two."""
 
-HOLD_GAP_S = 0.05
+HOLD_GAP_S = 0.03
 """Pause between two holds of an endpoint, in which ends gather for one answer."""
 
 RETRY_HOLD_S = 0.15
--- a/primrosepitch/scheduling/lending.py
+++ b/primrosepitch/scheduling/lending.py
@@ -28,8 +28,8 @@
 
 __all__ = ["lend", "move_answered"]
 
-LEND_S = 0.2
-"""Interval of decisions; a move takes seven times as long."""
+LEND_S = 0.1
+"""Interval of decisions; a move takes fifteen times as long."""
 
 SETTLE_S = 0.5
 """Time after a takeover in which the earlier scheduler's last orders arrive."""
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -62,7 +62,7 @@
 
 __all__ = ["step"]
 
-PLAN_GAP_S = 0.03
+PLAN_GAP_S = 0.02
 """Least time between two planning passes; what arrives in it shares one append."""
 
 PLAN_IDLE_S = 0.25
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -210,7 +210,7 @@
 
 
 class Demand(msgspec.Struct, eq=False):
-    """Work that arrives for a pool.
+    """Work that arrives for a pool, over one time constant.
 
     :param at: boot-time clock to which the figures have decayed
     :param rate: thousandths of a core; ``jobs`` counts the jobs behind it
@@ -286,7 +286,7 @@
     list_at: float = 0.0
     moving: dict[str, tuple[ServiceName, float]] = msgspec.field(default_factory=dict)
     immovable: set[tuple[str, ServiceName]] = msgspec.field(default_factory=set)
-    demand: dict[ServiceName, Demand] = msgspec.field(default_factory=dict)
+    demand: dict[ServiceName, list[Demand]] = msgspec.field(default_factory=dict)
     lent_at: float = 0.0
     pools_noted_at: float = 0.0
     share_tokens: dict[WorkspaceName, tuple[float, int]] = msgspec.field(
--- a/primrosepitch/scheduling/upkeep.py
+++ b/primrosepitch/scheduling/upkeep.py
@@ -41,11 +41,12 @@
 DOWN_SLACK_S = 1.0
 """Added to the time that maintenance takes, for its late begin and the answer."""
 
-PATIENCE = 0.7
-"""Part of the cap below which the wave waits for instances that run nothing."""
+UNUSED_S = 1.0
+"""Time without tasks after which an endpoint counts as unused."""
 
-EMPTY_S = 3.0
-"""Time in which an endpoint's tasks end or move; the longest usual ones last 4 s."""
+EMPTY_S = 6.0
+"""Time in which an endpoint's tasks end or move: the longest usual ones last 4 s, and
+of a lasting step often only one task may be away at a time."""
 
 SPARE_TIME_S = 5.0
 """Time by which a wave should be done before it is due."""
@@ -151,34 +152,40 @@
 def _choose_next(state: SchedulerState, wave: WaveRun, left: list[str]) -> list[Effect]:
     """Choose the instances to maintain next.
 
-    Those that run nothing come first, and as many as may be down. Others are emptied
-    only when the time that is left asks for it.
+    Those that run nothing come first, and as many as may be down. Of the others no
+    more are emptied at once than the time that is left asks for.
     """
     candidates = [i for i in left if i not in wave.chosen]
     candidates.sort(key=lambda i: _loss(state, state.instances[i]))
-    free = [i for i in candidates if not any(_loss(state, state.instances[i]))]
+    free = [i for i in candidates if _unused(state, state.instances[i])]
     most = wave.spec.most_at_once - len(wave.chosen)
-    chosen = free[: max(0, most)]
     busy = [i for i in candidates if i not in free]
-    urgent = _busy_at_once(state, wave, len(left)) - len(wave.chosen) - len(chosen)
+    emptying = [i for i in wave.chosen if not _unused(state, state.instances[i])]
+    more = _busy_at_once(state, wave, len(busy) + len(emptying)) - len(emptying)
     effects: list[Effect] = []
-    for instance in chosen + busy[: max(0, urgent)]:
+    for instance in free[: max(0, most)] + busy[: max(0, more)]:
         wave.chosen.add(instance)
         fields = {"instance": instance, "wave": wave.spec.wave}
         effects.append(Note(EVACUATING, fields))
     return effects
 
 
-def _busy_at_once(state: SchedulerState, wave: WaveRun, left: int) -> int:
-    """Return how many instances must be emptied at once to be done in time."""
-    time_s = wave.spec.due - SPARE_TIME_S - state.now
+def _busy_at_once(state: SchedulerState, wave: WaveRun, busy: int) -> int:
+    """Return how many busy instances must be emptied at once to be done in time."""
+    time_s = max(0.1, wave.spec.due - SPARE_TIME_S - state.now)
     each_s = EMPTY_S + state.limits.maintenance_s
-    if time_s <= 0:
-        return 2 * wave.spec.most_at_once
-    at_once = left * each_s / time_s
-    if at_once < PATIENCE * wave.spec.most_at_once:
-        return 0
-    return min(math.ceil(at_once), 2 * wave.spec.most_at_once)
+    return min(math.ceil(busy * each_s / time_s), 2 * wave.spec.most_at_once)
+
+
+def _unused(state: SchedulerState, view: InstanceView) -> bool:
+    """Return whether an instance is switched off, or has been idle for a while.
+
+    One that has just come to a pool is about to get work.
+    """
+    endpoint = _endpoint_on(state, view)
+    if endpoint is None:
+        return True
+    return not endpoint.tasks and state.now - endpoint.idle_since > UNUSED_S
 
 
 def _loss(state: SchedulerState, view: InstanceView) -> tuple[float, ...]:
