Bound the log, give metrics as text and tell a job's story

Cause: log lines went to standard error and blocked when nobody read them; the platform collects no metrics from the node; nobody could follow one job through the lines of eight nodes. Change: primrosepitch/logs.py writes to standard output without waiting, at most 600 lines a second at level info, and sums up what it drops; /metrics in the text format; primrosectl explain ID FILES.

--- a/features/steps/catalogues.py
+++ b/features/steps/catalogues.py
@@ -7,7 +7,15 @@
 from behave import then, when
 
 ROOT = Path(__file__).resolve().parent.parent.parent
-PURE = ("config", "fleet", "request", "teams", "planning")
+PURE = (
+    "config",
+    "fleet",
+    "jobs",
+    "planning",
+    "request",
+    "scheduling",
+    "teams",
+)
 FORBIDDEN = ("asyncio", "socket", "selectors", "threading", "primrosepitch.net")
 
 
--- /dev/null
+++ b/features/steps/explaining.py
@@ -0,0 +1,160 @@
+"""Steps about log lines, stories and metrics."""
+
+import json
+import logging
+import os
+from unittest import mock
+
+from behave import given, then, when
+
+from primrosepitch import clock
+from primrosepitch.events import JsonFormatter
+from primrosepitch.logs import LINES_PER_S, BoundedHandler
+from primrosepitch.metrics import Metrics
+from primrosepitch.operators.story import Line, read_lines, story
+
+
+def make_handler(context):
+    context.reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    os.set_blocking(context.reader, False)
+    context.handler = BoundedHandler(writer)
+    context.handler.setFormatter(JsonFormatter())
+    context.read_always = False
+    context.received = b""
+
+
+def drain(context):
+    while True:
+        try:
+            data = os.read(context.reader, 1 << 16)
+        except BlockingIOError:
+            return
+        if not data:
+            return
+        context.received += data
+
+
+def write(context, message, level, second):
+    record = logging.LogRecord("t", level, "f", 1, message, None, None)
+    with mock.patch.object(clock, "monotonic", return_value=float(second)):
+        context.handler.emit(record)
+    if context.read_always:
+        drain(context)
+
+
+@given("a log handler on a pipe that nobody reads")
+def step_unread(context):
+    make_handler(context)
+
+
+@given("a log handler on a pipe that is read")
+def step_read(context):
+    make_handler(context)
+    context.read_always = True
+
+
+@when(
+    "{lines:d} lines at level info and {warnings:d} warnings are written within one "
+    "second"
+)
+def step_write(context, lines, warnings):
+    context.written = 0
+    for _ in range(lines):
+        write(context, "run_starting", logging.INFO, 7)
+        context.written += 1
+    for _ in range(warnings):
+        write(context, "endpoint_silent", logging.WARNING, 7)
+        context.written += 1
+
+
+@then("every write returned")
+def step_returned(context):
+    assert context.written == 20005
+
+
+@then("lines beyond the rate were counted by event")
+def step_counted(context):
+    assert context.handler.dropped == {"run_starting": 20000 - LINES_PER_S}
+
+
+@when("the reader reads on in the next second")
+def step_read_on(context):
+    context.read_always = True
+    for _ in range(3):
+        write(context, "job_ended", logging.INFO, 8)
+
+
+@then("one line sums up what was dropped")
+def step_summed(context):
+    rows = [json.loads(line) for line in context.received.splitlines()]
+    summed = [row for row in rows if row["event"] == "log_lines_dropped"]
+    assert len(summed) == 1
+    assert summed[0]["counts"] == {"run_starting": 20000 - LINES_PER_S}
+
+
+@then("{count:d} whole lines were read")
+def step_whole(context, count):
+    rows = [json.loads(line) for line in context.received.splitlines()]
+    assert len(rows) == count, len(rows)
+
+
+@given("log lines of two nodes, one torn, about job j1 and others")
+def step_lines(context):
+    def line(time, event, **fields):
+        return json.dumps({"time": time, "event": event, **fields})
+
+    context.lines = [
+        "a " + line(3.0, "run_ended", job="j1", endpoint="e1"),
+        "b " + line(1.0, "job_accepted", job="j1"),
+        "a " + line(2.0, "run_starting", job="j1", endpoint="e1"),
+        "a " + line(2.5, "endpoint_silent", endpoint="e1"),
+        "a " + line(2.6, "endpoint_silent", endpoint="e2"),
+        "a " + line(2.0, "run_starting", job="j2", endpoint="e1"),
+        'a {"time": 2.1, "event": "run_st',
+    ]
+
+
+@when("the story of j1 is told")
+def step_tell(context):
+    rows = list(read_lines(context.lines))
+    context.torn = [row for row in rows if isinstance(row, str)]
+    context.told = story("j1", [row for row in rows if isinstance(row, Line)])
+
+
+@then("it has {count:d} lines in the order of time")
+def step_told(context, count):
+    events = [line.split("ms")[1].split()[0] for line in context.told]
+    assert events == ["job_accepted", "run_starting", "endpoint_silent", "run_ended"]
+    assert len(events) == count
+
+
+@then("the torn line was noticed")
+def step_torn(context):
+    assert len(context.torn) == 1
+
+
+@given("metrics with a counter, a gauge and a duration")
+def step_metrics(context):
+    context.metrics = Metrics()
+    context.metrics.count("primrose.jobs", 3, queue="q")
+    context.metrics.observe("primrose.term", "1", lambda: 7)
+    context.metrics.time("primrose.order.duration", 0.02, call="start")
+
+
+@when("they are read as text")
+def step_as_text(context):
+    context.rendered = context.metrics.as_text().decode().splitlines()
+
+
+@then("each has a line with its value, and the duration its buckets")
+def step_lines_of_text(context):
+    assert 'primrose_jobs{queue="q"} 3' in context.rendered, context.rendered
+    assert "primrose_term 7" in context.rendered
+    assert (
+        'primrose_order_duration_bucket{call="start",le="0.025"} 1' in context.rendered
+    )
+    assert (
+        'primrose_order_duration_bucket{call="start",le="0.01"} 0' in context.rendered
+    )
+    assert 'primrose_order_duration_count{call="start"} 1' in context.rendered
--- a/features/steps/scheduler_rules.py
+++ b/features/steps/scheduler_rules.py
@@ -163,7 +163,7 @@
 
 @when("job {name} of lasting tasks {count:d} that may miss {missed:d} is accepted")
 def step_accept_budget(context, name, count, missed):
-    step = StepSpec(count, CPU, 512, lasting=True, may_miss=missed)
+    step = StepSpec(count, CPU, 512, lasting=True, max_unavailable=missed)
     accept(context, name, [step])
 
 
--- a/primrosepitch/bin/ctl.py
+++ b/primrosepitch/bin/ctl.py
@@ -39,6 +39,7 @@
 from primrosepitch.operators import commands as cmd
 from primrosepitch.operators.client import OperatorClient
 from primrosepitch.operators.messages import ConfigView, FleetView
+from primrosepitch.operators.story import Line, read_lines, story
 from primrosepitch.planning import waves
 from primrosepitch.teams.keys import new_key
 
@@ -155,6 +156,33 @@
 # Configuration
 
 
+@app.command()
+@reports
+def explain(
+    job: Annotated[str, typer.Argument(help="id of the job")],
+    files: Annotated[
+        list[Path] | None, typer.Argument(help="log files; standard input if none")
+    ] = None,
+) -> None:
+    """Print each decision about a job from the nodes' log lines."""
+    texts: list[str] = []
+    for file in files or []:
+        texts += file.read_text(encoding="utf-8", errors="replace").splitlines()
+    rows = list(read_lines(texts if files else sys.stdin))
+    torn = [row for row in rows if isinstance(row, str)]
+    told = story(job, (row for row in rows if isinstance(row, Line)))
+    for line in told:
+        typer.echo(line)
+    if torn:
+        typer.echo(f"{len(torn)} torn lines were left out", err=True)
+    if not told:
+        _fail(
+            f"no line names job {job}: give the logs of all nodes, from before the "
+            "job was sent",
+            1,
+        )
+
+
 @app.command()
 @reports
 def validate(folder: Folder) -> None:
--- a/primrosepitch/events.py
+++ b/primrosepitch/events.py
@@ -155,6 +155,20 @@
     "A part of the process failed in a way that the program does not expect.",
     "report it with the log lines around it",
 )
+RELOADED = event(
+    1114,
+    "settings_read_again",
+    logging.INFO,
+    "The platform has said that the settings changed.",
+    "restart the process if the line says changed and the new values are needed",
+)
+LINES_DROPPED = event(
+    1113,
+    "log_lines_dropped",
+    logging.WARNING,
+    "Lines beyond the rate, or for a reader that is too slow, counted by event.",
+    "read standard output faster; decisions of that second are not in the log",
+)
 PEER_FRAME_BAD = event(
     4101,
     "peer_frame_malformed",
--- a/primrosepitch/jobs/model.py
+++ b/primrosepitch/jobs/model.py
@@ -91,7 +91,7 @@
     :param lasting: whether tasks run until the job is cancelled
     :param target_ms: bound for the tail latency of a serving task; 0 for none
     :param fills: whether tasks take only the processor time that others leave
-    :param may_miss: tasks of a lasting step that may be away at once
+    :param max_unavailable: tasks of a lasting step that may be away at once
     """
 
     tasks: int
@@ -111,7 +111,7 @@
     image: str = ""
     target_ms: int = 0
     fills: bool = False
-    may_miss: int = 0
+    max_unavailable: int = 0
 
     @property
     def needs(self) -> Resources:
--- a/primrosepitch/metrics.py
+++ b/primrosepitch/metrics.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.metrics import CallbackOptions, Counter, Histogram, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import InMemoryMetricReader
 from opentelemetry.sdk.metrics.view import (
@@ -44,9 +44,11 @@
         """Create the instruments; the process-wide provider is left alone."""
         self._reader = InMemoryMetricReader()
         buckets = ExplicitBucketHistogramAggregation(DURATION_BOUNDARIES_S)
-        views = [View(instrument_name="http.*.request.duration", aggregation=buckets)]
+        views = [View(instrument_name="*.duration", aggregation=buckets)]
         provider = MeterProvider(metric_readers=[self._reader], views=views)
         self._meter = provider.get_meter("primrosepitch")
+        self._counters: dict[str, Counter] = {}
+        self._histograms: dict[str, Histogram] = {}
         self._server = self._meter.create_histogram(
             "http.server.request.duration", "s", "Time from request to response."
         )
@@ -83,8 +85,62 @@
         """
         self._client.record(seconds, {"primrose.result": result})
 
+    def count(self, name: str, amount: int = 1, **attributes: str) -> None:
+        """Add to a counter, which is created on first use."""
+        counter = self._counters.get(name)
+        if counter is None:
+            counter = self._counters[name] = self._meter.create_counter(name)
+        counter.add(amount, attributes)
+
+    def time(self, name: str, seconds: float, **attributes: str) -> None:
+        """Record a duration in a histogram, which is created on first use."""
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            histogram = self._meter.create_histogram(name, "s")
+            self._histograms[name] = histogram
+        histogram.record(seconds, attributes)
+
+    def as_text(self) -> bytes:
+        """Return all metrics in the text format of Prometheus."""
+        data = self._reader.get_metrics_data()
+        if data is None:
+            return b""
+        lines: list[str] = []
+        for resource in data.resource_metrics:
+            for scope in resource.scope_metrics:
+                for metric in scope.metrics:
+                    lines += _text_lines(metric)
+        return ("\n".join(lines) + "\n").encode()
+
     def as_json(self) -> bytes:
         """Return all metrics in the JSON form of the OpenTelemetry SDK."""
         data = self._reader.get_metrics_data()
         text = data.to_json(indent=0) if data is not None else "{}"
         return text.encode()
+
+
+def _text_lines(metric: Any) -> list[str]:
+    """Return the lines of one metric in the text format of Prometheus."""
+    name = metric.name.replace(".", "_")
+    lines = []
+    for point in metric.data.data_points:
+        labels = [
+            f'{key.replace(".", "_")}="{value}"'
+            for key, value in sorted(dict(point.attributes or {}).items())
+        ]
+        if not hasattr(point, "bucket_counts"):
+            lines.append(f"{name}{_braces(labels)} {point.value}")
+            continue
+        total = 0
+        bounds = [*point.explicit_bounds, "+Inf"]
+        for bound, count in zip(bounds, point.bucket_counts, strict=True):
+            total += count
+            le = f'le="{bound}"'
+            lines.append(f"{name}_bucket{_braces([*labels, le])} {total}")
+        lines.append(f"{name}_sum{_braces(labels)} {point.sum}")
+        lines.append(f"{name}_count{_braces(labels)} {point.count}")
+    return lines
+
+
+def _braces(labels: list[str]) -> str:
+    return "{" + ",".join(labels) + "}" if labels else ""
--- a/primrosepitch/node/node.py
+++ b/primrosepitch/node/node.py
@@ -10,6 +10,7 @@
 from primrosepitch.jobs.model import JobSpec
 from primrosepitch.jobs.records import Record
 from primrosepitch.jobs.store import StoreUnavailableError
+from primrosepitch.metrics import Metrics
 from primrosepitch.node.desk import JobDesk
 from primrosepitch.node.follower import Appender, Follower
 from primrosepitch.node.ports import Platform
@@ -37,7 +38,12 @@
     """
 
     def __init__(
-        self, name: str, platform: Platform, limits: Limits, rng: random.Random
+        self,
+        name: str,
+        platform: Platform,
+        limits: Limits,
+        rng: random.Random,
+        metrics: Metrics,
     ) -> None:
         """Do nothing yet."""
         self.cfg: Configuration | None = None
@@ -47,6 +53,22 @@
         self._appender = Appender(platform.ledger)
         self.desk = JobDesk(self._follower, self._appender)
         self.scheduler = SchedulerRunner(name, platform, self._follower, limits, rng)
+        self._observe(metrics)
+
+    def _observe(self, metrics: Metrics) -> None:
+        """Register the gauges of what this node believes."""
+        scheduler, follower = self.scheduler, self._follower
+        metrics.observe("primrose.term", "1", lambda: scheduler.state.term)
+        metrics.observe("primrose.ledger.age", "s", follower.age_s)
+        metrics.observe("primrose.ledger.jobs", "1", lambda: len(follower.ledger.jobs))
+        metrics.observe("primrose.scheduler.jobs", "1", scheduler.open_jobs)
+        metrics.observe("primrose.scheduler.waiting", "1", scheduler.waiting_tasks)
+        metrics.observe("primrose.endpoints.silent", "1", scheduler.silent_endpoints)
+        metrics.observe(
+            "primrose.configuration.version",
+            "1",
+            lambda: self.cfg.version if self.cfg is not None else 0,
+        )
 
     @property
     def ready(self) -> bool:
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -33,6 +33,7 @@
 from primrosepitch.scheduling import events as ev
 from primrosepitch.scheduling.configuration import Configuration, WaveSpec
 from primrosepitch.scheduling.leases import quiet_s
+from primrosepitch.scheduling.ordering import ready_steps
 from primrosepitch.scheduling.reducer import step
 from primrosepitch.scheduling.state import Limits, SchedulerState
 
@@ -117,6 +118,19 @@
         """Return whether this node schedules."""
         return self.state.term > 0
 
+    def open_jobs(self) -> int:
+        """Return how many jobs have not ended, as far as this node schedules them."""
+        return len(self.state.jobs)
+
+    def waiting_tasks(self) -> int:
+        """Return how many tasks could start now if they had room."""
+        return sum(len(ready.tasks) for ready in ready_steps(self.state))
+
+    def silent_endpoints(self) -> int:
+        """Return how many endpoints do not answer."""
+        endpoints = self.state.endpoints.values()
+        return sum(e.contacted and not e.reachable for e in endpoints)
+
     # What happens
 
     def configure(self, cfg: Configuration) -> None:
--- a/primrosepitch/scheduling/availability.py
+++ b/primrosepitch/scheduling/availability.py
@@ -23,7 +23,7 @@
     Steps without an allowance have no availability budget, and a task that is not at
     work costs none.
     """
-    if task.spec.may_miss <= 0 or away(task):
+    if task.spec.max_unavailable <= 0 or away(task):
         return True
     others = sum(away(other) for other in step_of(state, task).tasks)
-    return others < task.spec.may_miss
+    return others < task.spec.max_unavailable
--- a/standins/scheduler_world.py
+++ b/standins/scheduler_world.py
@@ -521,14 +521,14 @@
         """Check that a run may be taken away."""
         spec = run.spec
         job = run.task.job
-        if spec.may_miss <= 0 or job in self.cancelled_at or worker.draining:
+        if spec.max_unavailable <= 0 or job in self.cancelled_at or worker.draining:
             return
         away = 0
         for number in range(spec.tasks):
             key = TaskKey(job, run.task.occurrence, run.task.step, number)
             if key != run.task and not self._at_work(key):
                 away += 1
-        if self._at_work(run.task, ignore_stop=True) and away >= spec.may_miss:
+        if self._at_work(run.task, ignore_stop=True) and away >= spec.max_unavailable:
             self._break("avail", f"{run.task} stopped while {away} are away")
 
     def _at_work(self, key: TaskKey, ignore_stop: bool = False) -> bool:
