--- /dev/null
+++ b/features/intake.feature
@@ -0,0 +1,53 @@
+Feature: Callers are told the truth about their jobs
+  A node with a store that fails on demand.
+
+  # Guards against a job that is told accepted and is not stored.
+  Scenario: A job is accepted when the store has answered
+    Given a desk and a store
+    When job j1 is submitted with 2 seconds of time
+    Then the reply is accepted
+    And the store has job j1
+
+  # Guards against "not run" while the store may still hold the append.
+  Scenario: An append without an answer is never told as not accepted
+    Given a desk and a store
+    And the store does appends without answering, then refuses
+    When job j1 is submitted with 1 seconds of time
+    Then the reply is unknown
+
+  # Guards against a lost answer that makes a caller try for nothing.
+  Scenario: An append without an answer is repeated
+    Given a desk and a store
+    And the store answers only the second append
+    When job j1 is submitted with 5 seconds of time
+    Then the reply is accepted
+
+  # Guards against holding callers when nothing can be accepted.
+  Scenario: A store that refuses is told at once
+    Given a desk and a store
+    And the store refuses
+    When job j1 is submitted with 5 seconds of time
+    Then the reply is not_accepted
+
+  # Guards against two jobs when the same id comes twice at the same time.
+  Scenario: A repeat joins the first
+    Given a desk and a store
+    When job j1 is submitted twice at once
+    Then both replies are accepted
+    And the store was asked once
+
+  # Guards against 410 from a node that lags behind.
+  Scenario: A job that another node accepted is found
+    Given a desk and a store
+    And another node has stored job j2
+    When job j2 is looked for
+    Then it is found
+    When job j3 is looked for
+    Then the answer is no_such_job
+
+  # Guards against 410 from a node that can't read the store.
+  Scenario: Nothing is denied while the store can't be read
+    Given a desk and a store
+    And the store refuses
+    When job j3 is looked for
+    Then the answer is unavailable
--- a/features/steps/explaining.py
+++ b/features/steps/explaining.py
@@ -22,6 +22,10 @@
     context.handler.setFormatter(JsonFormatter())
     context.read_always = False
     context.received = b""
+    context.second = 0
+    patch = mock.patch.object(clock, "monotonic", lambda: float(context.second))
+    patch.start()
+    context.add_cleanup(patch.stop)
 
 
 def drain(context):
@@ -37,8 +41,8 @@
 
 def write(context, message, level, second):
     record = logging.LogRecord("t", level, "f", 1, message, None, None)
-    with mock.patch.object(clock, "monotonic", return_value=float(second)):
-        context.handler.emit(record)
+    context.second = second
+    context.handler.emit(record)
     if context.read_always:
         drain(context)
 
--- /dev/null
+++ b/features/steps/intake.py
@@ -0,0 +1,165 @@
+"""Steps about the intake of jobs."""
+
+import asyncio
+import random
+
+from behave import given, then, when
+
+from primrosepitch import clock
+from primrosepitch.jobs.model import (
+    JobId,
+    JobSpec,
+    QueueName,
+    ServiceName,
+    StepSpec,
+    WorkspaceName,
+)
+from primrosepitch.jobs.records import JobEntry, encode
+from primrosepitch.jobs.store import (
+    AppendOutcome,
+    Batch,
+    KeyedRecord,
+    StoreUnavailableError,
+    StoreUnknownError,
+)
+from primrosepitch.node.desk import JobDesk, Reply
+from primrosepitch.node.follower import Appender, Follower
+
+
+class FailingStore:
+    """Keyed partition in memory whose appends fail as a script says."""
+
+    def __init__(self):
+        self.records = []
+        self.script = []
+        self.refuses = False
+        self.appends = 0
+
+    async def append(self, records, deadline, fence=None):
+        self.appends += 1
+        await asyncio.sleep(0)
+        if self.refuses:
+            raise StoreUnavailableError("refused")
+        answer = self.script.pop(0) if self.script else "answer"
+        if answer == "lost":
+            self.records += records
+            raise StoreUnknownError("no answer")
+        if answer == "refuse":
+            self.script.append("refuse")
+            raise StoreUnavailableError("refused")
+        self.records += records
+        return AppendOutcome(len(self.records) - len(records), len(self.records))
+
+    async def read(self, offset, wait_s, deadline):
+        if self.refuses:
+            raise StoreUnavailableError("refused")
+        end = len(self.records)
+        return Batch(self.records[offset:], end, end)
+
+    async def newest(self, deadline):
+        return Batch(list(self.records), len(self.records), len(self.records))
+
+
+def spec(job):
+    return JobSpec(
+        job=JobId(job),
+        queue=QueueName("q"),
+        service=ServiceName("s"),
+        workspace=WorkspaceName("w"),
+        payload="",
+        steps=(StepSpec(1),),
+        accepted_ms=0,
+    )
+
+
+def play(context, work):
+    async def session():
+        appending = asyncio.ensure_future(context.appender.run())
+        try:
+            return await work()
+        finally:
+            appending.cancel()
+
+    return asyncio.run(session())
+
+
+@given("a desk and a store")
+def step_desk(context):
+    context.store = FailingStore()
+    follower = Follower(context.store, lambda record: None, random.Random(1))
+    follower.loaded = True
+    context.appender = Appender(context.store)
+    context.desk = JobDesk(follower, context.appender)
+
+
+@given("the store does appends without answering, then refuses")
+def step_lost_then_refused(context):
+    context.store.script = ["lost", "refuse"]
+
+
+@given("the store answers only the second append")
+def step_second(context):
+    context.store.script = ["lost"]
+
+
+@given("the store refuses")
+def step_refuses(context):
+    context.store.refuses = True
+
+
+@given("another node has stored job {job}")
+def step_stored(context, job):
+    context.store.records.append(KeyedRecord(*encode(spec(job))))
+
+
+@when("job {job} is submitted with {seconds:d} seconds of time")
+def step_submit(context, job, seconds):
+    deadline = clock.monotonic() + seconds
+    context.reply = play(context, lambda: context.desk.submit(spec(job), deadline))
+
+
+@when("job {job} is submitted twice at once")
+def step_submit_twice(context, job):
+    deadline = clock.monotonic() + 5
+
+    async def both():
+        submit = context.desk.submit
+        first, second = submit(spec(job), deadline), submit(spec(job), deadline)
+        return await asyncio.gather(first, second)
+
+    context.replies = play(context, both)
+
+
+@when("job {job} is looked for")
+def step_find(context, job):
+    context.found = play(context, lambda: context.desk.find(JobId(job)))
+
+
+@then("the reply is {reply}")
+def step_reply(context, reply):
+    assert context.reply is Reply(reply), context.reply
+
+
+@then("both replies are accepted")
+def step_replies(context):
+    assert context.replies == [Reply.ACCEPTED, Reply.ACCEPTED], context.replies
+
+
+@then("the store was asked once")
+def step_once(context):
+    assert context.store.appends == 1
+
+
+@then("the store has job {job}")
+def step_has(context, job):
+    assert [record.key for record in context.store.records] == [f"j/{job}"]
+
+
+@then("it is found")
+def step_found(context):
+    assert isinstance(context.found, JobEntry)
+
+
+@then("the answer is {reply}")
+def step_answer(context, reply):
+    assert context.found is Reply(reply), context.found
