Find an instance's endpoint by its report, not by the list

Change: the newest report from an instance counts before the list. Result: the new scenario is red before and green after.

--- a/features/scheduler_rules.feature
+++ b/features/scheduler_rules.feature
@@ -235,6 +235,18 @@
       | 2    | 2    |
       | 3    | 3    |
 
+  # Guards against maintenance of an instance whose newest endpoint the list lacks.
+  Scenario: A list that is older than an endpoint takes no work away
+    Given a scheduler with 2 endpoints
+    And the list of instances does not name their endpoints
+    When job j1 of lasting tasks 4 that may miss 1 is accepted
+    And 2 seconds pass
+    And a wave of all instances, 2 at once, is asked for
+    And 40 seconds pass
+    Then the wave is completed
+    And 4 lasting tasks of j1 are running
+    And no rule was broken
+
   # Guards against a successor that maintains an instance again, or forgets one.
   Scenario: A wave goes on under another node
     Given a scheduler with 6 endpoints
--- a/features/steps/scheduler_rules.py
+++ b/features/steps/scheduler_rules.py
@@ -121,6 +121,11 @@
     context.world.cfg.workspaces[workspace] = spec
 
 
+@given("the list of instances does not name their endpoints")
+def step_old_list(context):
+    context.world.list_names_endpoints = False
+
+
 @given("queue q has advice")
 def step_advice(context):
     queue = context.world.cfg.queues[QueueName("q")]
--- a/primrosepitch/scheduling/lending.py
+++ b/primrosepitch/scheduling/lending.py
@@ -208,9 +208,16 @@
         and view.instance not in state.moving
         and view.instance not in chosen
         and view.zone not in dark
+        and not _in_use(state, view.instance)
     ]
 
 
+def _in_use(state: SchedulerState, instance: str) -> bool:
+    """Return whether an instance has an endpoint with tasks, whatever the list says."""
+    endpoint = state.endpoint_on(instance)
+    return endpoint is not None and bool(endpoint.tasks)
+
+
 def _instance(state: SchedulerState, endpoint: Endpoint) -> str:
     """Return the instance of an endpoint, if a move of it can be ordered."""
     instance = endpoint.report.instance
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -300,6 +300,7 @@
     )
     asking: set[tuple[JobId, int, int]] = msgspec.field(default_factory=set)
 
-    def spread(self) -> list[Endpoint]:
-        """Return the endpoints in a stable order."""
-        return list(self.endpoints.values())
+    def endpoint_on(self, instance: str) -> Endpoint | None:
+        """Return the newest endpoint that has reported from an instance."""
+        found = [e for e in self.endpoints.values() if e.report.instance == instance]
+        return max(found, key=lambda e: e.report.born, default=None)
--- a/primrosepitch/scheduling/upkeep.py
+++ b/primrosepitch/scheduling/upkeep.py
@@ -197,8 +197,11 @@
 
 
 def _endpoint_on(state: SchedulerState, view: InstanceView) -> Endpoint | None:
-    """Return the endpoint that runs on an instance."""
-    return state.endpoints.get(view.endpoint)
+    """Return the endpoint that runs on an instance.
+
+    Reports count before the list, which may be older than the newest endpoint.
+    """
+    return state.endpoint_on(view.instance) or state.endpoints.get(view.endpoint)
 
 
 def evacuate(state: SchedulerState, endpoint: Endpoint) -> list[Effect]:
--- a/standins/scheduler_world.py
+++ b/standins/scheduler_world.py
@@ -312,6 +312,7 @@
         self.accepted_at: dict[JobId, float] = {}
         self.completed_at: dict[JobId, float] = {}
         self.failing_tasks: set[TaskKey] = set()
+        self.list_names_endpoints = True
         self._ending_gang = False
         self.broken: list[str] = []
         self.counts: Counter[str] = Counter()
@@ -735,7 +736,9 @@
                     "a",
                     ("k", "r1"),
                     Resources(16000, 32768, 0),
-                    worker.id if worker is not None else EndpointId(""),
+                    worker.id
+                    if worker is not None and self.list_names_endpoints
+                    else EndpointId(""),
                 )
             )
         return views
@@ -769,6 +772,7 @@
             if worker.instance == instance and worker.up:
                 rack = worker.rack
                 for run in worker.runs.values():
+                    run.stop_at = run.stop_at or self.now
                     self.stopping(worker, run)
                     self.counts["killed by a planned stop"] += 1
                 worker.crash()
