Pace filling tasks down where they disturb serving ones

Change: scheduling/filling.py halves the pace of filling tasks of an endpoint while a target is missed and raises it step by step when it is kept. Result: the scenario is red without the pass.

--- a/features/scheduler_rules.feature
+++ b/features/scheduler_rules.feature
@@ -298,3 +298,16 @@
     And 10 seconds pass
     Then all jobs are completed
     And only advised endpoints ran something
+
+  # Guards against filling tasks that keep serving ones over their target.
+  Scenario: Filling tasks are paced down where they disturb serving ones, and up again
+    Given a scheduler with 1 endpoints
+    When job j1 of lasting tasks 2 with a target of 100 ms is accepted
+    And job j2 of filling tasks 3 is accepted
+    And 3 seconds pass
+    And filling tasks begin to disturb serving ones by 0.5 each
+    And 4 seconds pass
+    Then no serving task is over its target
+    When filling tasks begin to disturb serving ones by 0.01 each
+    And 15 seconds pass
+    Then all filling tasks work at 100 percent
--- a/features/steps/scheduler_rules.py
+++ b/features/steps/scheduler_rules.py
@@ -166,6 +166,43 @@
     accept(context, name, [StepSpec(count, CPU, 512, lasting=True)])
 
 
+@when(
+    "job {name} of lasting tasks {count:d} with a target of {target:d} ms is accepted"
+)
+def step_accept_serving(context, name, count, target):
+    accept(context, name, [StepSpec(count, CPU, 512, lasting=True, target_ms=target)])
+
+
+@when("job {name} of filling tasks {count:d} is accepted")
+def step_accept_filling(context, name, count):
+    accept(context, name, [StepSpec(count, CPU, 512, lasting=True, fills=True)])
+
+
+@when("filling tasks begin to disturb serving ones by {part:g} each")
+def step_disturb(context, part):
+    context.world.disturbance = part
+
+
+def runs(context):
+    for worker in context.world.workers.values():
+        for run in worker.runs.values():
+            yield worker, run
+
+
+@then("no serving task is over its target")
+def step_under_target(context):
+    for worker, run in runs(context):
+        if run.spec.target_ms:
+            assert context.world.tail_ms(worker, run) <= run.spec.target_ms
+    assert context.world.counts["paced"]
+
+
+@then("all filling tasks work at {percent:d} percent")
+def step_full_pace(context, percent):
+    paces = [run.pace for _, run in runs(context) if run.spec.fills]
+    assert paces == [percent] * 3, paces
+
+
 @when("job {name} of lasting tasks {count:d} that may miss {missed:d} is accepted")
 def step_accept_budget(context, name, count, missed):
     step = StepSpec(count, CPU, 512, lasting=True, max_unavailable=missed)
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -23,6 +23,7 @@
 from primrosepitch.scheduling import events as ev
 from primrosepitch.scheduling.availability import may_take
 from primrosepitch.scheduling.effects import Commit, Effect, Note
+from primrosepitch.scheduling.filling import pace_filling
 from primrosepitch.scheduling.forecast import note_arrival
 from primrosepitch.scheduling.leases import (
     due_holds,
@@ -264,6 +265,7 @@
         effects += start_waiting(state)
         effects += advance_waves(state)
         effects += lend(state)
+        effects += pace_filling(state)
     effects += _commit(state)
     return [*effects, *due_holds(state)]
 
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -59,6 +59,8 @@
     :param working: whether it was listed at its full pace
     :param since: boot-time clock of the phase's begin
     :param avoid: endpoint on which it failed last
+    :param pace: percent of its pace at which a filling task may work
+    :param load: tail latency in ms of a serving task, else the cpu in use
     :param away_at: boot-time clock since which it hasn't been at work
     """
 
--- a/standins/scheduler_world.py
+++ b/standins/scheduler_world.py
@@ -71,7 +71,7 @@
     fails: bool
     resumed_s: float
     stop_at: float = 0.0
-    seen_done: bool = False
+    pace: int = 100
 
 
 class Worker:
@@ -223,7 +223,8 @@
         for run in self.runs.values():
             at_work = self.world.now - run.began >= STARTUP_S
             percent = 100 if run.spec.lasting and at_work else 40
-            running.append(ev.Running(run.task, run.run, "", percent, 0.0))
+            load = self.world.tail_ms(self, run) if run.spec.target_ms else 0.0
+            running.append(ev.Running(run.task, run.run, "", percent, load))
         return ev.Held(
             self.id,
             self.born,
@@ -313,6 +314,7 @@
         self.completed_at: dict[JobId, float] = {}
         self.failing_tasks: set[TaskKey] = set()
         self.list_names_endpoints = True
+        self.disturbance = 0.0
         self._ending_gang = False
         self.broken: list[str] = []
         self.counts: Counter[str] = Counter()
@@ -541,6 +543,11 @@
             if worker.up
         )
 
+    def tail_ms(self, worker: Worker, run: Run) -> float:
+        """Return a serving run's tail latency: filling runs add to it by their pace."""
+        filling = sum(r.pace for r in worker.runs.values() if r.spec.fills) / 100
+        return run.spec.target_ms * (0.4 + self.disturbance * filling)
+
     def ended(self, worker: Worker, run: Run, kind: ev.EndKind) -> None:
         """Count an end; the members of a gang end together."""
         self.counts[kind.value] += 1
@@ -628,6 +635,10 @@
 
     def _do_pace(self, node: Node, order: ef.Pace) -> None:
         self.counts["paced"] += 1
+        worker = self.workers[order.endpoint]
+        run = worker.runs.get(order.task)
+        if run is not None and run.run == order.run and worker.up and not worker.cut:
+            run.pace = order.percent
 
     def _order(
         self, node: Node, order: Any, take: Callable[..., ev.Outcome], kind: Any
