--- a/primrosepitch/node/term.py
+++ b/primrosepitch/node/term.py
@@ -12,6 +12,10 @@
 """Time without a sign of the scheduler; it appends at least every 0.5 s, and nodes
 read every 0.4 s."""
 
+CLAIM_RECONNECTED_S = 0.8
+"""The same when nothing was heard since the store came back: a scheduler that reaches
+it repeats its append every 0.1 s."""
+
 FRESH_S = 1.2
 """Greatest age of a reading of the ledger from which silence may be concluded."""
 
@@ -44,4 +48,6 @@
         if not self.term.number or not self.term.holder:
             # Nobody schedules: none ever did, or the last one gave up its term.
             return silent_s > self.jitter_s
-        return silent_s > CLAIM_AFTER_S + self.jitter_s
+        heard = self.sign_at >= self.connected_at
+        wait_s = CLAIM_AFTER_S if heard else CLAIM_RECONNECTED_S
+        return silent_s > wait_s + self.jitter_s
