Plan less often when many jobs wait, and index tasks without an endpoint

Tasks of endpoints without a report were searched among all tasks in every pass. Change: 0.5 ms more between passes for each open job; the ledger's tasks of unseen endpoints are kept by endpoint.

--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -99,8 +99,8 @@
 def _adopt(state: SchedulerState, endpoint: Endpoint) -> list[Effect]:
     """Attach the tasks that the ledger places on an endpoint."""
     effects: list[Effect] = []
-    for task in _unattached(state):
-        if task.endpoint != endpoint.id:
+    for task in state.unseen.pop(endpoint.id, []):
+        if task.endpoint != endpoint.id or not task.placed:
             continue
         if task.born < endpoint.report.born:
             effects += lose_run(state, task, "endpoint restarted")
@@ -111,21 +111,6 @@
     return effects
 
 
-def _unattached(state: SchedulerState) -> list[Task]:
-    """Return the tasks whose endpoint has not reported in this term."""
-    return [
-        task
-        for job in state.jobs.values()
-        for task in job.tasks()
-        if task.placed and not _attached(state, task)
-    ]
-
-
-def _attached(state: SchedulerState, task: Task) -> bool:
-    endpoint = state.endpoints.get(task.endpoint)
-    return endpoint is not None and task.key in endpoint.tasks
-
-
 def _new_life(state: SchedulerState, endpoint: Endpoint, born: int) -> list[Effect]:
     """Start anew with an endpoint that has restarted: it runs nothing of before."""
     effects: list[Effect] = [
@@ -369,8 +354,10 @@
         if unused and state.now - endpoint.gone_at > RELIST_S:
             del state.endpoints[endpoint.id]
     if state.now > state.quiet_until:
-        for task in _unattached(state):
-            effects += lose_run(state, task, "its endpoint has not come back")
+        for endpoint_id in list(state.unseen):
+            for task in state.unseen.pop(endpoint_id):
+                if task.endpoint == endpoint_id and task.placed:
+                    effects += lose_run(state, task, "its endpoint has not come back")
     return effects
 
 
--- a/primrosepitch/scheduling/lending.py
+++ b/primrosepitch/scheduling/lending.py
@@ -34,6 +34,9 @@
 SETTLE_S = 0.5
 """Time after a takeover in which the earlier scheduler's last orders arrive."""
 
+LEND_PER_JOB_S = 0.0005
+"""Added for each open job, whose waiting work is counted each time."""
+
 NOTE_S = 1.0
 """Interval of log lines about all pools."""
 
@@ -81,7 +84,8 @@
     """Move instances to where they are needed."""
     spare = state.cfg.spare_pool()
     settled = state.now >= state.took_at + SETTLE_S
-    if spare is None or not settled or state.now - state.lent_at < LEND_S:
+    gap = LEND_S + len(state.jobs) * LEND_PER_JOB_S
+    if spare is None or not settled or state.now - state.lent_at < gap:
         return []
     state.lent_at = state.now
     effects: list[Effect] = []
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -66,6 +66,10 @@
 PLAN_GAP_S = 0.02
 """Least time between two planning passes; what arrives in it shares one append."""
 
+PLAN_GAP_PER_JOB_S = 0.0005
+"""Added for each open job: a pass takes up to 0.1 ms for each on a small instance, and
+the scheduler must keep up with renewals when a thousand jobs wait."""
+
 PLAN_IDLE_S = 0.25
 """Longest time between two passes, for what only time changes."""
 
@@ -249,7 +253,9 @@
 def _advance(state: SchedulerState) -> list[Effect]:
     """Do what is due: give up, plan, commit, hold."""
     effects: list[Effect] = []
-    gap = PLAN_GAP_S if state.replan else PLAN_IDLE_S
+    gap = PLAN_GAP_S + len(state.jobs) * PLAN_GAP_PER_JOB_S
+    if not state.replan:
+        gap = max(gap, PLAN_IDLE_S)
     if state.now - state.planned_at >= gap:
         state.planned_at = state.now
         state.replan = False
--- a/primrosepitch/scheduling/runs.py
+++ b/primrosepitch/scheduling/runs.py
@@ -148,6 +148,8 @@
         endpoint = state.endpoints.get(record.placed)
         if endpoint is not None and endpoint.report.born == record.born:
             _take_room(endpoint, task)
+        else:
+            state.unseen.setdefault(record.placed, []).append(task)
 
 
 def _exhausted(job: JobRun, task: Task) -> bool:
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -248,6 +248,7 @@
     """All that the scheduler's decisions depend on.
 
     :param term: fencing token; 0 while another node schedules
+    :param unseen: tasks that the ledger places on endpoints without a report yet
     :param quiet_until: boot-time clock until which runs of an earlier term may go on
         at endpoints that have not answered
     :param moving: where instances are on their way to, and until when that is awaited
@@ -270,6 +271,7 @@
     finished: dict[JobId, int] = msgspec.field(default_factory=dict)
     endpoints: dict[EndpointId, Endpoint] = msgspec.field(default_factory=dict)
     usage: dict[WorkspaceName, Resources] = msgspec.field(default_factory=dict)
+    unseen: dict[EndpointId, list[Task]] = msgspec.field(default_factory=dict)
     dirty: set[JobId] = msgspec.field(default_factory=set)
     committing: int = 0
     commits: int = 0
