--- a/primrosepitch/scheduling/lending.py
+++ b/primrosepitch/scheduling/lending.py
@@ -34,8 +34,11 @@
 SETTLE_S = 0.5
 """Time after a takeover in which the earlier scheduler's last orders arrive."""
 
+FEW_JOBS = 100
+"""Open jobs whose waiting work is counted within a few milliseconds."""
+
 LEND_PER_JOB_S = 0.0005
-"""Added for each open job, whose waiting work is counted each time."""
+"""Added for each open job beyond those, whose waiting work is counted each time."""
 
 NOTE_S = 1.0
 """Interval of log lines about all pools."""
@@ -84,7 +87,7 @@
     """Move instances to where they are needed."""
     spare = state.cfg.spare_pool()
     settled = state.now >= state.took_at + SETTLE_S
-    gap = LEND_S + len(state.jobs) * LEND_PER_JOB_S
+    gap = LEND_S + max(0, len(state.jobs) - FEW_JOBS) * LEND_PER_JOB_S
     if spare is None or not settled or state.now - state.lent_at < gap:
         return []
     state.lent_at = state.now
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -66,8 +66,11 @@
 PLAN_GAP_S = 0.02
 """Least time between two planning passes; what arrives in it shares one append."""
 
+FEW_JOBS = 100
+"""Open jobs that a pass takes in a few milliseconds."""
+
 PLAN_GAP_PER_JOB_S = 0.0005
-"""Added for each open job: a pass takes up to 0.1 ms for each on a small instance, and
+"""Added for each open job beyond those: a pass takes up to 0.1 ms for each on a small instance, and
 the scheduler must keep up with renewals when a thousand jobs wait."""
 
 PLAN_IDLE_S = 0.25
@@ -253,7 +256,7 @@
 def _advance(state: SchedulerState) -> list[Effect]:
     """Do what is due: give up, plan, commit, hold."""
     effects: list[Effect] = []
-    gap = PLAN_GAP_S + len(state.jobs) * PLAN_GAP_PER_JOB_S
+    gap = PLAN_GAP_S + max(0, len(state.jobs) - FEW_JOBS) * PLAN_GAP_PER_JOB_S
     if not state.replan:
         gap = max(gap, PLAN_IDLE_S)
     if state.now - state.planned_at >= gap:
