Define the bound of few open jobs once

Cause: the constant stood in two modules, and two lines were too long for the linter. Change: it stands in scheduling/state.py.

--- a/primrosepitch/scheduling/lending.py
+++ b/primrosepitch/scheduling/lending.py
@@ -24,7 +24,7 @@
 from primrosepitch.scheduling.forecast import expected_cpu
 from primrosepitch.scheduling.leases import dark_zones, usable
 from primrosepitch.scheduling.ordering import Group, ready_steps
-from primrosepitch.scheduling.state import Endpoint, SchedulerState
+from primrosepitch.scheduling.state import FEW_JOBS, Endpoint, SchedulerState
 
 __all__ = ["lend", "move_answered"]
 
@@ -34,11 +34,8 @@
 SETTLE_S = 0.5
 """Time after a takeover in which the earlier scheduler's last orders arrive."""
 
-FEW_JOBS = 100
-"""Open jobs whose waiting work is counted within a few milliseconds."""
-
 LEND_PER_JOB_S = 0.0005
-"""Added for each open job beyond those, whose waiting work is counted each time."""
+"""Added for each open job beyond ``FEW_JOBS``: their waiting work is counted."""
 
 NOTE_S = 1.0
 """Interval of log lines about all pools."""
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -47,6 +47,7 @@
     stop_task,
 )
 from primrosepitch.scheduling.state import (
+    FEW_JOBS,
     Endpoint,
     JobRun,
     Phase,
@@ -66,12 +67,9 @@
 PLAN_GAP_S = 0.02
 """Least time between two planning passes; what arrives in it shares one append."""
 
-FEW_JOBS = 100
-"""Open jobs that a pass takes in a few milliseconds."""
-
 PLAN_GAP_PER_JOB_S = 0.0005
-"""Added for each open job beyond those: a pass takes up to 0.1 ms for each on a small instance, and
-the scheduler must keep up with renewals when a thousand jobs wait."""
+"""Added for each open job beyond ``FEW_JOBS``: a pass takes up to 0.1 ms for each on a
+small instance, and renewals must not wait when a thousand jobs are open."""
 
 PLAN_IDLE_S = 0.25
 """Longest time between two passes, for what only time changes."""
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -22,6 +22,7 @@
 from primrosepitch.scheduling.events import EndpointReport, InstanceView
 
 __all__ = [
+    "FEW_JOBS",
     "Demand",
     "Endpoint",
     "JobRun",
@@ -35,6 +36,10 @@
 ]
 
 
+FEW_JOBS = 100
+"""Open jobs that a planning pass takes in a few milliseconds."""
+
+
 class Phase(enum.Enum):
     """Where a task stands.
 
