Count tasks on silent endpoints as away

Change: scheduling/availability.py asks whether the endpoint answers. Result: the new scenario is red before and green after.

--- a/features/scheduler_rules.feature
+++ b/features/scheduler_rules.feature
@@ -235,6 +235,18 @@
       | 2    | 2    |
       | 3    | 3    |
 
+  # Guards against a budget spent while another task's endpoint does not answer.
+  Scenario: Tasks on a silent endpoint count as away
+    Given a scheduler with 5 endpoints
+    When job j1 of lasting tasks 4 apart that may miss 1 is accepted
+    And 2 seconds pass
+    And the endpoint of task 3 of j1 goes dark
+    And 2.5 seconds pass
+    And a wave of all instances, 2 at once, is asked for
+    And 40 seconds pass
+    Then 4 lasting tasks of j1 are running
+    And no rule was broken
+
   # Guards against maintenance of an instance whose newest endpoint the list lacks.
   Scenario: A list that is older than an endpoint takes no work away
     Given a scheduler with 2 endpoints
--- a/features/steps/scheduler_rules.py
+++ b/features/steps/scheduler_rules.py
@@ -203,6 +203,16 @@
     assert paces == [percent] * 3, paces
 
 
+@when(
+    "job {name} of lasting tasks {count:d} apart that may miss {missed:d} is accepted"
+)
+def step_accept_apart(context, name, count, missed):
+    step = StepSpec(
+        count, CPU, 512, lasting=True, max_unavailable=missed, most_per_endpoint=1
+    )
+    accept(context, name, [step])
+
+
 @when("job {name} of lasting tasks {count:d} that may miss {missed:d} is accepted")
 def step_accept_budget(context, name, count, missed):
     step = StepSpec(count, CPU, 512, lasting=True, max_unavailable=missed)
--- a/primrosepitch/scheduling/availability.py
+++ b/primrosepitch/scheduling/availability.py
@@ -12,9 +12,14 @@
     return state.jobs[task.key.job].steps[task.key.occurrence][task.key.step]
 
 
-def away(task: Task) -> bool:
-    """Return whether a task must be counted as not at work."""
-    return task.phase is not Phase.RUNNING or not task.working
+def away(state: SchedulerState, task: Task) -> bool:
+    """Return whether a task must be counted as not at work.
+
+    Nobody knows what runs on an endpoint that does not answer.
+    """
+    endpoint = state.endpoints.get(task.endpoint)
+    silent = endpoint is None or not endpoint.reachable
+    return task.phase is not Phase.RUNNING or not task.working or silent
 
 
 def may_take(state: SchedulerState, task: Task) -> bool:
@@ -23,7 +28,7 @@
     Steps without an allowance have no availability budget, and a task that is not at
     work costs none.
     """
-    if task.spec.max_unavailable <= 0 or away(task):
+    if task.spec.max_unavailable <= 0 or away(state, task):
         return True
-    others = sum(away(other) for other in step_of(state, task).tasks)
+    others = sum(away(state, other) for other in step_of(state, task).tasks)
     return others < task.spec.max_unavailable
