Remove settings and fields that nothing reads

Cause: bounds and state of steps that were not built were left behind. Change: they are gone; what the platform sends besides is ignored.

--- a/primrosepitch/scheduling/runs.py
+++ b/primrosepitch/scheduling/runs.py
@@ -192,7 +192,6 @@
     task.progress = 0
     task.pace = 100
     task.tries = 0
-    task.evict = False
     charge(state, task, 1)
     _take_room(endpoint, task)
     job = state.jobs[task.key.job]
@@ -225,7 +224,6 @@
     task.phase = phase
     task.endpoint = type(task.endpoint)("")
     task.since = state.now
-    task.evict = False
     state.replan = True
 
 
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -87,7 +87,6 @@
     away_at: float = 0.0
     avoid: EndpointId = EndpointId("")
     tries: int = 0
-    evict: bool = False
     over_since: float = 0.0
     paced_at: float = 0.0
 
@@ -124,7 +123,6 @@
     failing: bool = False
     chain_ms: int = 0
     due_by_ms: float = 0.0
-    dirty: bool = False
     unplaceable: bool = False
     beyond_share: bool = False
 
@@ -165,7 +163,6 @@
     lapse_at: float = 0.0
     processed: int = 0
     last_seen: int = 0
-    ack_commit: int = 0
     holding: bool = False
     hold_at: float = 0.0
     failed_holds: int = 0
@@ -237,16 +234,10 @@
 
     lease_s: float = 4.5
     clock_error: float = 0.02
-    notice_s: float = 4.5
     migration_s: float = 1.5
     maintenance_s: float = 2.0
     duty_lease_s: float = 3.0
-    early_s: float = 0.25
     status_s: float = 120.0
-    remote_factor: float = 1.5
-    restore_s: float = 0.25
-    harm_s: float = 4.0
-    gang_s: float = 3.0
 
 
 class SchedulerState(msgspec.Struct, eq=False):
