--- a/features/steps/intake.py
+++ b/features/steps/intake.py
@@ -1,7 +1,6 @@
 """Steps about the intake of jobs."""
 
 import asyncio
-import random
 
 from behave import given, then, when
 
@@ -86,7 +85,7 @@
 @given("a desk and a store")
 def step_desk(context):
     context.store = FailingStore()
-    follower = Follower(context.store, lambda record: None, random.Random(1))
+    follower = Follower(context.store, lambda record: None)
     follower.loaded = True
     context.appender = Appender(context.store)
     context.desk = JobDesk(follower, context.appender)
--- a/primrosepitch/node/follower.py
+++ b/primrosepitch/node/follower.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from collections.abc import Callable
 
 import msgspec
@@ -57,7 +56,6 @@
         self,
         store: LedgerStore,
         on_record: Callable[[Record], None],
-        rng: random.Random,
     ) -> None:
         """Read nothing yet."""
         self.ledger = Ledger()
@@ -68,7 +66,6 @@
         self.connected_at = 0.0
         self._store = store
         self._on_record = on_record
-        self._rng = rng
         self._lock = asyncio.Lock()
         self._down = False
 
--- a/primrosepitch/node/node.py
+++ b/primrosepitch/node/node.py
@@ -49,7 +49,7 @@
         self.cfg: Configuration | None = None
         self.stopping = False
         self._platform = platform
-        self._follower = Follower(platform.ledger, self._record_seen, rng)
+        self._follower = Follower(platform.ledger, self._record_seen)
         self._appender = Appender(platform.ledger)
         self.desk = JobDesk(self._follower, self._appender)
         self.scheduler = SchedulerRunner(name, platform, self._follower, limits, rng)
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from primrosepitch.events import RUN_REFUSED, TERM_TAKEN
-from primrosepitch.jobs.model import JobId, task_name
+from primrosepitch.jobs.model import EndpointId, JobId, task_name
 from primrosepitch.jobs.records import (
     JobEntry,
     Progress,
@@ -92,6 +92,14 @@
     return register
 
 
+_handles(ev.EndpointSeen)(endpoint_seen)
+_handles(ev.EndpointGone)(endpoint_gone)
+_handles(ev.HoldFailed)(hold_failed)
+_handles(ev.InstancesListed)(instances_listed)
+_handles(ev.UpkeepAnswered)(upkeep_answered)
+_handles(ev.MoveAnswered)(move_answered)
+
+
 def step(state: SchedulerState, event: ev.Event) -> list[Effect]:
     """Take one event.
 
@@ -149,27 +157,12 @@
     return cancel_job(state, event.job)
 
 
-@_handles(ev.EndpointSeen)
-def _endpoint_seen(state: SchedulerState, event: ev.EndpointSeen) -> list[Effect]:
-    return endpoint_seen(state, event)
-
-
-@_handles(ev.EndpointGone)
-def _endpoint_gone(state: SchedulerState, event: ev.EndpointGone) -> list[Effect]:
-    return endpoint_gone(state, event)
-
-
 @_handles(ev.Held)
 def _held(state: SchedulerState, event: ev.Held) -> list[Effect]:
     state.now = max(state.now, event.now)
     return [*held(state, event), *_advance(state)]
 
 
-@_handles(ev.HoldFailed)
-def _hold_failed(state: SchedulerState, event: ev.HoldFailed) -> list[Effect]:
-    return hold_failed(state, event)
-
-
 @_handles(ev.StartAnswered)
 def _start_answered(state: SchedulerState, event: ev.StartAnswered) -> list[Effect]:
     task = find_task(state, event.task)
@@ -229,21 +222,6 @@
     return []
 
 
-@_handles(ev.InstancesListed)
-def _instances(state: SchedulerState, event: ev.InstancesListed) -> list[Effect]:
-    return instances_listed(state, event)
-
-
-@_handles(ev.UpkeepAnswered)
-def _upkeep(state: SchedulerState, event: ev.UpkeepAnswered) -> list[Effect]:
-    return upkeep_answered(state, event)
-
-
-@_handles(ev.MoveAnswered)
-def _moved(state: SchedulerState, event: ev.MoveAnswered) -> list[Effect]:
-    return move_answered(state, event)
-
-
 @_handles(ev.Tick)
 def _tick(state: SchedulerState, event: ev.Tick) -> list[Effect]:
     state.now = max(state.now, event.now)
@@ -342,7 +320,7 @@
 
 
 def _record(task: Task) -> TaskRecord:
-    placed = task.endpoint if task.placed else type(task.endpoint)("")
+    placed = task.endpoint if task.placed else EndpointId("")
     return TaskRecord(
         *task.key[1:],
         run=task.run,
--- a/primrosepitch/scheduling/runs.py
+++ b/primrosepitch/scheduling/runs.py
@@ -3,13 +3,21 @@
 from __future__ import annotations
 
 from primrosepitch.events import (
+    ENDPOINT_EJECTED,
     JOB_ENDED,
     RUN_ENDED,
     RUN_LOST,
     RUN_STARTING,
     RUN_STOPPING,
 )
-from primrosepitch.jobs.model import JobId, JobSpec, JobState, Resources, TaskKey
+from primrosepitch.jobs.model import (
+    EndpointId,
+    JobId,
+    JobSpec,
+    JobState,
+    Resources,
+    TaskKey,
+)
 from primrosepitch.jobs.model import task_name as name_of
 from primrosepitch.jobs.records import JobEntry, TaskRecord
 from primrosepitch.scheduling.effects import Effect, Note, Stop
@@ -46,6 +54,10 @@
 """Probation; about as long as the grey failures that the platform's pages describe."""
 
 
+RETRY_S = 0.4
+"""Pause after a refused start; an end that frees room takes at most ``stop_ms``."""
+
+
 def touch(state: SchedulerState, job: JobRun) -> None:
     """Note that a job's durable progress is out of date."""
     state.dirty.add(job.spec.job)
@@ -222,7 +234,7 @@
         task.away_at = state.now
     task.working = False
     task.phase = phase
-    task.endpoint = type(task.endpoint)("")
+    task.endpoint = EndpointId("")
     task.since = state.now
     state.replan = True
 
@@ -257,7 +269,6 @@
         and task.endpoint == endpoint.id
         and task.placed
     )
-    _judge(state, endpoint, ended.kind)
     fields = {
         "job": ended.task.job,
         "task": name_of(ended.task),
@@ -268,6 +279,7 @@
         "current": current,
     }
     notes: list[Effect] = [Note(RUN_ENDED, fields)]
+    notes += _judge(state, endpoint, ended.kind)
     if task is None:
         return notes
     job = state.jobs[ended.task.job]
@@ -286,27 +298,30 @@
     done = ended.kind is EndKind.DONE
     release(state, task, Phase.DONE if done else Phase.WAITING)
     if done and task.spec.gang:
-        notes += _gang_done(state, job, task)
+        _gang_done(state, job, task)
     return notes + settle_job(state, job)
 
 
-def _gang_done(state: SchedulerState, job: JobRun, task: Task) -> list[Effect]:
+def _gang_done(state: SchedulerState, job: JobRun, task: Task) -> None:
     """End the other members: one end represents all."""
     step = job.steps[task.key.occurrence][task.key.step]
     for other in step.tasks:
         if other is not task and other.run == task.run:
             release(state, other, Phase.DONE)
-    return []
 
 
-def _judge(state: SchedulerState, endpoint: Endpoint, kind: EndKind) -> None:
+def _judge(state: SchedulerState, endpoint: Endpoint, kind: EndKind) -> list[Effect]:
     """Count failures of an endpoint, so that one that fails all gets no more work."""
     if kind is EndKind.DONE:
         endpoint.faults = max(0.0, endpoint.faults - 1.0)
-    elif kind is EndKind.FAILED:
-        endpoint.faults += 1.0
-        if endpoint.faults >= EJECT_FAULTS:
-            endpoint.eject_until = state.now + EJECT_S
+    if kind is not EndKind.FAILED:
+        return []
+    endpoint.faults += 1.0
+    if endpoint.faults < EJECT_FAULTS:
+        return []
+    endpoint.eject_until = state.now + EJECT_S
+    fields = {"endpoint": endpoint.id, "faults": endpoint.faults, "for_s": EJECT_S}
+    return [Note(ENDPOINT_EJECTED, fields)]
 
 
 def settle_job(state: SchedulerState, job: JobRun) -> list[Effect]:
@@ -388,7 +403,3 @@
         endpoint.eject_until = state.now + RETRY_S
         task.avoid = endpoint.id
     return lose_run(state, task, f"start refused: {outcome.value}")
-
-
-RETRY_S = 0.4
-"""Pause after a refused start; an end that frees room takes at most ``stop_ms``."""
