Log what a reading of the operators' records costs, and why help fails

New lines: operators_read (bytes, time, records passed, directly or not), relay_call_failed and relay_probe_failed with their reason and time. Metrics: primrose_operators_age, histograms of readings and of calls through other nodes, bytes read. No decision changes.

--- a/features/steps/store_relay.py
+++ b/features/steps/store_relay.py
@@ -14,6 +14,7 @@
     StoreUnavailableError,
     StoreUnknownError,
 )
+from primrosepitch.metrics import Metrics
 from primrosepitch.node.relay import StoreRelay
 
 
@@ -62,7 +63,7 @@
         self.stores = {}
         self.addresses = addresses = {}
         for name in "ab":
-            relay = StoreRelay(name, random.Random(1))
+            relay = StoreRelay(name, random.Random(1), Metrics())
             relay.know(lambda: addresses)
             self.stores[name] = relay.wrap("jobs", self.views[name])
             port = self.run(relay.listen("127.0.0.1", 0))
--- a/primrosepitch/events.py
+++ b/primrosepitch/events.py
@@ -329,6 +329,27 @@
     "can't be read by this node; what it knew goes on to hold.",
     "check that service of the platform and the path to it",
 )
+OPERATORS_READ = event(
+    5410,
+    "operators_read",
+    logging.INFO,
+    "A reading of the operators' records brought some: their bytes, the time it took, "
+    "the records passed since the reading before, and whether the store was used "
+    "directly.",
+)
+RELAY_FAILED = event(
+    5411,
+    "relay_call_failed",
+    logging.INFO,
+    "Another node could not make a call to the store for this one; the next is asked.",
+    "check the links between both nodes if one of them is named often",
+)
+PROBE_FAILED = event(
+    5412,
+    "relay_probe_failed",
+    logging.INFO,
+    "The store still does not serve this node.",
+)
 DEPENDENCY_BACK = event(
     5409, "dependency_back", logging.INFO, "It can be read again by this node."
 )
--- a/primrosepitch/node/node.py
+++ b/primrosepitch/node/node.py
@@ -7,7 +7,12 @@
 import random
 
 from primrosepitch import clock
-from primrosepitch.events import MANIFEST_IN_FORCE, TASK_FAILED, emit
+from primrosepitch.events import (
+    MANIFEST_IN_FORCE,
+    OPERATORS_READ,
+    TASK_FAILED,
+    emit,
+)
 from primrosepitch.jobs.model import JobSpec
 from primrosepitch.jobs.records import NodeAddress, Record, encode
 from primrosepitch.jobs.store import (
@@ -19,7 +24,7 @@
 from primrosepitch.node.dependency import Dependency
 from primrosepitch.node.desk import JobDesk
 from primrosepitch.node.follower import Appender, Follower
-from primrosepitch.node.ports import Platform
+from primrosepitch.node.ports import Platform, Reading
 from primrosepitch.node.relay import StoreRelay
 from primrosepitch.node.scheduler import SchedulerRunner
 from primrosepitch.scheduling.configuration import Configuration, WaveSpec
@@ -62,6 +67,9 @@
         self.cfg: Configuration | None = None
         self.stopping = False
         self._itself = itself
+        self._relay = relay
+        self._metrics = metrics
+        self._operators_at = clock.monotonic()
         self._platform = platform
         self._follower = Follower(platform.ledger, self._record_seen)
         self._appender = Appender(platform.ledger)
@@ -92,6 +100,11 @@
             "1",
             lambda: self.cfg.version if self.cfg is not None else 0,
         )
+        metrics.observe(
+            "primrose.operators.age",
+            "s",
+            lambda: round(clock.monotonic() - self._operators_at, 2),
+        )
 
     @property
     def ready(self) -> bool:
@@ -152,6 +165,9 @@
                 await asyncio.sleep(RETRY_S)
                 continue
             records.back()
+            self._operators_at = clock.monotonic()
+            if changes:
+                self._note_reading(directory.reading)
             for change in changes:
                 if isinstance(change, Configuration):
                     self._configure(change)
@@ -160,6 +176,14 @@
             if not changes and self.cfg is None:
                 await asyncio.sleep(RETRY_S)
 
+    def _note_reading(self, reading: Reading) -> None:
+        source = "store" if self._relay.direct else "another node"
+        emit(OPERATORS_READ, **reading._asdict(), source=source)
+        self._metrics.time(
+            "primrose.operators.read.duration", reading.took_s, source=source
+        )
+        self._metrics.count("primrose.operators.read.bytes", reading.size)
+
     def _configure(self, cfg: Configuration) -> None:
         if self.cfg is not None and cfg.version <= self.cfg.version:
             return
--- a/primrosepitch/node/ports.py
+++ b/primrosepitch/node/ports.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from primrosepitch.jobs.model import EndpointId
 from primrosepitch.jobs.store import LedgerStore
@@ -24,12 +24,31 @@
     Outcome,
 )
 
-__all__ = ["Directory", "Platform"]
+__all__ = ["Directory", "Platform", "Reading"]
+
+
+class Reading(NamedTuple):
+    """What the newest reading of a directory cost.
+
+    :param size: bytes of the records' values
+    :param offset: where the next one starts
+    :param passed: records of the partition since the reading before
+    :param newest: whether only the newest record of each key was read
+    """
+
+    records: int = 0
+    size: int = 0
+    offset: int = 0
+    passed: int = 0
+    newest: bool = False
+    took_s: float = 0.0
 
 
 class Directory(Protocol):
     """A keyed partition that others write; only read here."""
 
+    reading: Reading
+
     async def changes(
         self, wait_s: float
     ) -> list[Configuration | WaveSpec | EndpointReport | EndpointId]:
--- a/primrosepitch/node/relay.py
+++ b/primrosepitch/node/relay.py
@@ -14,7 +14,13 @@
 
 from primrosepitch import clock
 from primrosepitch.errors import PeerUnavailableError
-from primrosepitch.events import RELAY_OFF, RELAY_ON, emit
+from primrosepitch.events import (
+    PROBE_FAILED,
+    RELAY_FAILED,
+    RELAY_OFF,
+    RELAY_ON,
+    emit,
+)
 from primrosepitch.gen.primrose.ttypes import (
     StoreAppend,
     StoreAppended,
@@ -34,6 +40,7 @@
     StoreUnavailableError,
     StoreUnknownError,
 )
+from primrosepitch.metrics import Metrics
 from primrosepitch.net.peers import PeerClient, PeerServer, Question
 
 __all__ = ["RelayedStore", "StoreRelay"]
@@ -68,8 +75,9 @@
     :param rng: chooses whom to ask
     """
 
-    def __init__(self, node: str, rng: random.Random) -> None:
+    def __init__(self, node: str, rng: random.Random, metrics: Metrics) -> None:
         """Believe at first that the store serves this node."""
+        self._metrics = metrics
         self.direct = True
         self._node = node
         self._addresses: Callable[[], dict[str, str]] = dict
@@ -125,9 +133,12 @@
         store = self._stores[partition]
         while not self.direct:
             await asyncio.sleep(PROBE_S)
+            began = clock.monotonic()
             try:
-                await store.read(offset, 0.0, clock.monotonic() + DIRECT_S)
-            except StoreUnavailableError:
+                await store.read(offset, 0.0, began + DIRECT_S)
+            except StoreUnavailableError as exc:
+                took_s = round(clock.monotonic() - began, 2)
+                emit(PROBE_FAILED, reason=str(exc), took_s=took_s)
                 continue
             except StoreTruncatedError:
                 pass
@@ -163,14 +174,32 @@
                 break
             peer = self._peer(address)
             opened, connected = peer.connections, peer.ready()
+            began = clock.monotonic()
+            reason = "turned away too"
             try:
                 answer = await peer.ask(question, wait_s + PEER_S)
-            except PeerUnavailableError:
+            except PeerUnavailableError as exc:
+                reason = str(exc)
                 # Without a connection nothing was sent.
                 unknown = unknown or connected or peer.connections > opened
                 answer = None
-            if answer is not None and answer.outcome not in _NOT_HELPED:
+            took_s = clock.monotonic() - began
+            helped = answer is not None and answer.outcome not in _NOT_HELPED
+            kind = type(question).__name__
+            outcome = "helped" if helped else "failed"
+            self._metrics.time(
+                "primrose.relay.call.duration", took_s, call=kind, outcome=outcome
+            )
+            if helped:
                 return answer
+            emit(
+                RELAY_FAILED,
+                node=name,
+                call=kind,
+                partition=question.partition,
+                reason=reason,
+                took_s=round(took_s, 2),
+            )
             unknown = unknown or (
                 answer is not None and answer.outcome == StoreOutcome.UNKNOWN
             )
