--- a/features/manifest_rollout.feature
+++ b/features/manifest_rollout.feature
@@ -33,7 +33,7 @@
   # Guards against an answer of 512 KB that is asked for again and again, since it takes
   # longer on a harmed link than a call through another node may.
   Scenario: A node that is turned away catches up with a long ledger
-    Given 3 nodes with large links, 5 with small ones and 50 queues
+    Given 1 nodes with large links, 7 with small ones and 50 queues
     And jobs of 1000 KB are accepted from 3 to 7 s
     And a node with 2 Mbit/s is cut off from 2 to 20 s, frozen from 3 to 8 s
     When 16 s have passed
--- a/features/steps/store_relay.py
+++ b/features/steps/store_relay.py
@@ -71,7 +71,7 @@
         for name in "ab":
             relay = StoreRelay(name, random.Random(1), Metrics())
             relay.know(lambda: addresses)
-            self.stores[name] = relay.wrap("jobs", self.views[name])
+            self.stores[name] = relay.wrap("jobs", self.views[name], self.views[name])
             port = self.run(relay.listen("127.0.0.1", 0))
             addresses[name] = f"127.0.0.1:{port}"
             self.relays[name] = relay
--- a/primrosepitch/node/follower.py
+++ b/primrosepitch/node/follower.py
@@ -79,16 +79,19 @@
         """Follow for good."""
         while True:
             try:
+                behind = False
                 if not self.loaded:
                     await self._load()
                 else:
-                    await self._read(WAIT_S)
+                    batch = await self._read(WAIT_S)
+                    behind = batch.next_offset < batch.end_offset
             except StoreUnavailableError as exc:
                 self._note_down(str(exc))
                 await asyncio.sleep(RETRY_S)
                 continue
             self._note_up()
-            await asyncio.sleep(LEAD_GAP_S if self.leading else FOLLOW_GAP_S)
+            if not behind:
+                await asyncio.sleep(LEAD_GAP_S if self.leading else FOLLOW_GAP_S)
 
     async def catch_up(self, offset: int | None = None) -> None:
         """Read to the end of the ledger, or to an offset.
--- a/primrosepitch/node/relay.py
+++ b/primrosepitch/node/relay.py
@@ -96,12 +96,16 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._server = PeerServer(self.handle)
 
-    def wrap(self, partition: str, store: LedgerStore) -> RelayedStore:
+    def wrap(
+        self, partition: str, store: LedgerStore, for_others: LedgerStore
+    ) -> RelayedStore:
         """Return a store that is reached through other nodes when necessary.
 
         :param partition: name under which the nodes know it
+        :param for_others: the same for calls of other nodes, with smaller pages: they
+            cross two links more, and the first part of an answer waits for all of it
         """
-        self._stores[partition] = store
+        self._stores[partition] = for_others
         return RelayedStore(self, partition, store)
 
     def know(self, addresses: Callable[[], dict[str, str]]) -> None:
