Give operators' records to nodes that can't read them in time themselves

A page of several versions was read whole although only the newest counts. Transfers competed on full links, ran out of time and were begun anew. operators_read showed up to 6.6 s for one reading, and versions read one by one.

node/operators.py follows the records as the product's own part. A node whose link carries them within 0.2 s reads the store, one large record at a time, then only the newest. The others get them packed (30 KB) from such a node, which answers as soon as it has a change, and compare with the end of the store's records themselves; without such a node they read the store. What both sides know is as old as the answers say. node/newest.py (from the adapter) and node/peer_pool.py (from the relay) hold what others use too.

--- a/features/manifest_rollout.feature
+++ b/features/manifest_rollout.feature
@@ -75,6 +75,28 @@
     Then no node was late with a version
     And no node took the unreadable manifest
 
+  # Guards against an older version that comes later, from the store or another node.
+  Scenario: No node goes back to an older version
+    Given 2 nodes with large links, 4 with small ones and 1750 queues
+    And versions are confirmed every 0.6 s from 3 to 9 s
+    And 2 small nodes are cut off the store from 2 to 8 s by reset
+    And version 2 is written again at 11 s
+    When 16 s have passed
+    Then no node was late with a version
+
+  # Guards against a node that takes what another one garbled, or fills its memory.
+  Scenario Outline: Packed records that are <fault> are refused
+    Given packed records of 200 KB
+    When they are <fault>
+    Then they can't be unpacked
+
+    Examples:
+      | fault     |
+      | cut short |
+      | altered   |
+      | too large |
+      | no rows   |
+
   # Guards against a change that costs a node more than the target allows: 940 changes a
   # day at 3 KB/s.
   Scenario: What a change costs a node with a small link
--- a/features/manifest_world.py
+++ b/features/manifest_world.py
@@ -85,10 +85,12 @@
         self.network.add_host(STORE, 4000)
         self.network.add_host(CALLERS, 1000)
         rates = [LARGE_MBIT] * large + [SMALL_MBIT] * small
+        self.rates = {}
         self.small = []
         for number, rate in enumerate(rates):
             ip = f"10.1.0.{number + 1}"
             self.network.add_host(ip, rate)
+            self.rates[ip] = rate
             if rate == SMALL_MBIT:
                 self.small.append(ip)
             self.programs[ip] = None
@@ -125,7 +127,7 @@
             zone="hall",
             listen_addresses=Addresses(f"{ip}:{PORT}", f"{ip}:{PORT + 3}"),
             platform=StoreSettings(f"{STORE}:{PORT}"),
-            limits=InstanceLimits(cpu_share=0.5, cpu_cores=1.0),
+            limits=InstanceLimits(0.5, 1.0, self.rates[ip]),
         )
         self.network.spawn(ip, self._serve(ip, settings))
 
@@ -177,14 +179,17 @@
 
     # The operator
 
-    def publish(self):
-        """Write the next version, which adds one queue."""
-        number = len(self.versions) + 1
+    def manifest(self, number):
+        """Return a version of the manifest; each one adds a queue."""
         added = [json.dumps(queue_row(f"v{n + 1}")) for n in range(number)]
         routes = ",".join([*self._base, *added])
         services = '[{"name":"pressing"}]'
         text = f'{{"version":{number},"routes":[{routes}],"services":{services}}}'
-        self.store.write("keyed.op", "config", text.encode())
+        return text.encode()
+
+    def publish(self):
+        """Write the next version."""
+        self.store.write("keyed.op", "config", self.manifest(len(self.versions) + 1))
         self.versions.append(self.now())
 
     def publish_between(self, begin, end, gap):
--- a/features/steps/directory.py
+++ b/features/steps/directory.py
@@ -3,11 +3,12 @@
 import asyncio
 
 import msgspec
-from adapter.directory import BEHIND_S, KeyedDirectory, decode_operator_record
+from adapter.directory import KeyedDirectory, decode_operator_record
 from behave import given, then, when
 
 from primrosepitch import clock
 from primrosepitch.jobs.store import Batch, KeyedRecord, StoreUnavailableError
+from primrosepitch.node.newest import BEHIND_S
 
 
 def version(number):
@@ -41,7 +42,7 @@
     partition = context.partition = CountingPartition()
     context.directory = KeyedDirectory(partition, decode_operator_record)
     asyncio.run(context.directory.changes(0.0))
-    context.directory._read_at = clock.monotonic() - 3
+    context.directory._reader._read_at = clock.monotonic() - 3
     partition.records += [version(number) for number in range(2, 42)]
     partition.read_records = 0
 
@@ -49,7 +50,7 @@
 @given("a directory that was read just now, and 40 versions since, 2 in each reading")
 def step_slow_reader(context):
     step_behind(context)
-    context.directory._read_at = clock.monotonic()
+    context.directory._reader._read_at = clock.monotonic()
     context.partition.page = 2
 
 
--- a/features/steps/manifest_rollout.py
+++ b/features/steps/manifest_rollout.py
@@ -1,8 +1,11 @@
 """Steps about the roll-out of the operators' manifest."""
 
+import zlib
+
 from behave import given, then, when
 from manifest_world import ManifestWorld
 
+from primrosepitch.node.packing import MAX_BYTES, PackedRecordsError, pack, unpack
 from standins.log_store import Refusal
 
 LEDGER_LAG = 20
@@ -89,6 +92,42 @@
     context.world.at(seconds, store.write, "keyed.op", "config", UNREADABLE)
 
 
+@given("version {number:d} is written again at {seconds:g} s")
+def step_older(context, number, seconds):
+    world = context.world
+    world.at(
+        seconds,
+        lambda: world.store.write("keyed.op", "config", world.manifest(number)),
+    )
+
+
+@given("packed records of {size:d} KB")
+def step_packed(context, size):
+    context.packed = pack({"config": b"q" * size * 1024})
+
+
+FAULTS = {
+    "cut short": lambda data: data[:-7],
+    "altered": lambda data: data[:20] + b"x" + data[21:],
+    "too large": lambda data: pack({"config": bytes(MAX_BYTES + 1)}),
+    "no rows": lambda data: zlib.compress(b"\x01"),
+}
+
+
+@when("they are {fault}")
+def step_garble(context, fault):
+    context.packed = FAULTS[fault](context.packed)
+
+
+@then("they can't be unpacked")
+def step_not_unpacked(context):
+    try:
+        unpack(context.packed)
+    except PackedRecordsError:
+        return
+    raise AssertionError("unpacked")
+
+
 @when("{seconds:g} s have passed")
 def step_pass(context, seconds):
     context.world.play(seconds)
--- a/features/steps/store_relay.py
+++ b/features/steps/store_relay.py
@@ -15,6 +15,7 @@
     StoreUnknownError,
 )
 from primrosepitch.metrics import Metrics
+from primrosepitch.node.peer_pool import PeerPool
 from primrosepitch.node.relay import StoreRelay
 
 
@@ -65,23 +66,29 @@
         self.loop = asyncio.new_event_loop()
         self.ledger = SharedLedger()
         self.views = {name: StoreView(self.ledger) for name in "ab"}
+        self.pools = {}
         self.relays = {}
         self.stores = {}
         self.addresses = addresses = {}
         for name in "ab":
-            relay = StoreRelay(name, random.Random(1), Metrics())
-            relay.know(lambda: addresses)
+            pool = self.pools[name] = PeerPool(name, random.Random(1))
+            relay = StoreRelay(pool, Metrics())
+            pool.know(lambda: addresses)
             self.stores[name] = relay.wrap("jobs", self.views[name], self.views[name])
-            port = self.run(relay.listen("127.0.0.1", 0))
+            port = self.run(pool.listen("127.0.0.1", 0))
             addresses[name] = f"127.0.0.1:{port}"
             self.relays[name] = relay
 
     def run(self, awaitable):
         return self.loop.run_until_complete(awaitable)
 
+    def end(self, name):
+        self.pools[name].close()
+        self.relays[name].close()
+
     def close(self):
-        for relay in self.relays.values():
-            relay.close()
+        for name in self.relays:
+            self.end(name)
         self.run(asyncio.sleep(0))
         self.loop.close()
 
@@ -109,7 +116,7 @@
 
 @when("{name:w} is gone")
 def step_gone(context, name):
-    context.nodes.relays[name].close()
+    context.nodes.end(name)
     context.nodes.run(asyncio.sleep(0.05))
 
 
--- a/idl/primrose.thrift
+++ b/idl/primrose.thrift
@@ -184,6 +184,28 @@
   4: i64 end_offset
 }
 
+// The operators' newest records, for a node with a slow link or without the store.
+
+struct OperatorsAsk {
+  1: i64 offset,
+  2: i32 wait_ms
+}
+
+// Bytes that precede an OperatorsAnswer, so that a long answer shows progress.
+struct OperatorsPart {
+  1: binary data
+}
+
+// direct: whether the node reads the store itself as soon as something changes.
+// age_ms: time since these were surely the newest records in the store.
+// Without newer records than those before the offset asked for, data is empty.
+struct OperatorsAnswer {
+  1: bool direct,
+  2: i32 age_ms,
+  3: i64 offset,
+  4: binary data
+}
+
 union Body {
   1: Hello hello,
   2: Status status,
@@ -206,7 +228,10 @@
   19: StoreRead store_read,
   20: StoreBatch store_batch,
   21: StoreNewest store_newest,
-  22: StorePart store_part
+  22: StorePart store_part,
+  23: OperatorsAsk operators_ask,
+  24: OperatorsPart operators_part,
+  25: OperatorsAnswer operators_answer
 }
 
 // call numbers a question; its answer repeats the number. 0: no answer is expected.
--- a/primrosepitch/events.py
+++ b/primrosepitch/events.py
@@ -333,9 +333,15 @@
     5410,
     "operators_read",
     logging.INFO,
-    "A reading of the operators' records brought some: their bytes, the time it took, "
-    "the records passed since the reading before, and whether the store was used "
-    "directly.",
+    "The operators' records were read from the store or another node: how many, how "
+    "many of them changed, the bytes received and the time it took.",
+)
+RECORDS_UNREADABLE = event(
+    5413,
+    "packed_records_unreadable",
+    logging.WARNING,
+    "Another node gave operators' records that can't be unpacked; the next is asked.",
+    "check that all nodes run compatible versions",
 )
 RELAY_FAILED = event(
     5411,
--- a/primrosepitch/gen/primrose/ttypes.py
+++ b/primrosepitch/gen/primrose/ttypes.py
@@ -2665,6 +2665,258 @@
         return not (self == other)
 
 
+class OperatorsAsk(object):
+    """
+    Attributes:
+     - offset
+     - wait_ms
+
+    """
+
+    __slots__ = (
+        'offset',
+        'wait_ms',
+    )
+
+
+    def __init__(self, offset=None, wait_ms=None,):
+        self.offset = offset
+        self.wait_ms = wait_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OperatorsAsk')
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 1)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 2)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class OperatorsPart(object):
+    """
+    Attributes:
+     - data
+
+    """
+
+    __slots__ = (
+        'data',
+    )
+
+
+    def __init__(self, data=None,):
+        self.data = data
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.data = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OperatorsPart')
+        if self.data is not None:
+            oprot.writeFieldBegin('data', TType.STRING, 1)
+            oprot.writeBinary(self.data)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class OperatorsAnswer(object):
+    """
+    Attributes:
+     - direct
+     - age_ms
+     - offset
+     - data
+
+    """
+
+    __slots__ = (
+        'direct',
+        'age_ms',
+        'offset',
+        'data',
+    )
+
+
+    def __init__(self, direct=None, age_ms=None, offset=None, data=None,):
+        self.direct = direct
+        self.age_ms = age_ms
+        self.offset = offset
+        self.data = data
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.direct = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.data = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OperatorsAnswer')
+        if self.direct is not None:
+            oprot.writeFieldBegin('direct', TType.BOOL, 1)
+            oprot.writeBool(self.direct)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 3)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        if self.data is not None:
+            oprot.writeFieldBegin('data', TType.STRING, 4)
+            oprot.writeBinary(self.data)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Body(object):
     """
     Attributes:
@@ -2690,6 +2942,9 @@
      - store_batch
      - store_newest
      - store_part
+     - operators_ask
+     - operators_part
+     - operators_answer
 
     """
 
@@ -2716,10 +2971,13 @@
         'store_batch',
         'store_newest',
         'store_part',
+        'operators_ask',
+        'operators_part',
+        'operators_answer',
     )
 
 
-    def __init__(self, hello=None, status=None, fetch=None, fetched=None, fetch_state=None, fetched_state=None, ask_units=None, claim=None, claim_answer=None, claim_done=None, sync_claims=None, synced_claims=None, relay_append=None, relay_appended=None, fetch_answer=None, fetched_answer=None, store_append=None, store_appended=None, store_read=None, store_batch=None, store_newest=None, store_part=None,):
+    def __init__(self, hello=None, status=None, fetch=None, fetched=None, fetch_state=None, fetched_state=None, ask_units=None, claim=None, claim_answer=None, claim_done=None, sync_claims=None, synced_claims=None, relay_append=None, relay_appended=None, fetch_answer=None, fetched_answer=None, store_append=None, store_appended=None, store_read=None, store_batch=None, store_newest=None, store_part=None, operators_ask=None, operators_part=None, operators_answer=None,):
         self.hello = hello
         self.status = status
         self.fetch = fetch
@@ -2742,6 +3000,9 @@
         self.store_batch = store_batch
         self.store_newest = store_newest
         self.store_part = store_part
+        self.operators_ask = operators_ask
+        self.operators_part = operators_part
+        self.operators_answer = operators_answer
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2884,6 +3145,24 @@
                     self.store_part.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.STRUCT:
+                    self.operators_ask = OperatorsAsk()
+                    self.operators_ask.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.STRUCT:
+                    self.operators_part = OperatorsPart()
+                    self.operators_part.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 25:
+                if ftype == TType.STRUCT:
+                    self.operators_answer = OperatorsAnswer()
+                    self.operators_answer.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2982,6 +3261,18 @@
             oprot.writeFieldBegin('store_part', TType.STRUCT, 22)
             self.store_part.write(oprot)
             oprot.writeFieldEnd()
+        if self.operators_ask is not None:
+            oprot.writeFieldBegin('operators_ask', TType.STRUCT, 23)
+            self.operators_ask.write(oprot)
+            oprot.writeFieldEnd()
+        if self.operators_part is not None:
+            oprot.writeFieldBegin('operators_part', TType.STRUCT, 24)
+            self.operators_part.write(oprot)
+            oprot.writeFieldEnd()
+        if self.operators_answer is not None:
+            oprot.writeFieldBegin('operators_answer', TType.STRUCT, 25)
+            self.operators_answer.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3275,6 +3566,25 @@
     (3, TType.I64, 'next_offset', None, None, ),  # 3
     (4, TType.I64, 'end_offset', None, None, ),  # 4
 )
+all_structs.append(OperatorsAsk)
+OperatorsAsk.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'offset', None, None, ),  # 1
+    (2, TType.I32, 'wait_ms', None, None, ),  # 2
+)
+all_structs.append(OperatorsPart)
+OperatorsPart.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'data', 'BINARY', None, ),  # 1
+)
+all_structs.append(OperatorsAnswer)
+OperatorsAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'direct', None, None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+    (3, TType.I64, 'offset', None, None, ),  # 3
+    (4, TType.STRING, 'data', 'BINARY', None, ),  # 4
+)
 all_structs.append(Body)
 Body.thrift_spec = (
     None,  # 0
@@ -3300,6 +3610,9 @@
     (20, TType.STRUCT, 'store_batch', [StoreBatch, None], None, ),  # 20
     (21, TType.STRUCT, 'store_newest', [StoreNewest, None], None, ),  # 21
     (22, TType.STRUCT, 'store_part', [StorePart, None], None, ),  # 22
+    (23, TType.STRUCT, 'operators_ask', [OperatorsAsk, None], None, ),  # 23
+    (24, TType.STRUCT, 'operators_part', [OperatorsPart, None], None, ),  # 24
+    (25, TType.STRUCT, 'operators_answer', [OperatorsAnswer, None], None, ),  # 25
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
--- a/primrosepitch/node/node.py
+++ b/primrosepitch/node/node.py
@@ -7,12 +7,7 @@
 import random
 
 from primrosepitch import clock
-from primrosepitch.events import (
-    MANIFEST_IN_FORCE,
-    OPERATORS_READ,
-    TASK_FAILED,
-    emit,
-)
+from primrosepitch.events import MANIFEST_IN_FORCE, TASK_FAILED, emit
 from primrosepitch.jobs.model import JobSpec
 from primrosepitch.jobs.records import NodeAddress, Record, encode
 from primrosepitch.jobs.store import (
@@ -21,10 +16,11 @@
     StoreUnknownError,
 )
 from primrosepitch.metrics import Metrics
-from primrosepitch.node.dependency import Dependency
 from primrosepitch.node.desk import JobDesk
 from primrosepitch.node.follower import Appender, Follower
-from primrosepitch.node.ports import Platform, Reading
+from primrosepitch.node.operators import OperatorsFollower
+from primrosepitch.node.peer_pool import PeerPool
+from primrosepitch.node.ports import Platform
 from primrosepitch.node.relay import StoreRelay
 from primrosepitch.node.scheduler import SchedulerRunner
 from primrosepitch.scheduling.configuration import Configuration, WaveSpec
@@ -32,13 +28,6 @@
 
 __all__ = ["Node"]
 
-OPERATORS_WAIT_S = 0.8
-"""Time for which a reading of the configuration waits for a change. A waiting read
-may miss a change, or its connection may be silent; the next one finds it."""
-
-RETRY_S = 0.2
-"""Pause after a failed reading."""
-
 INTRODUCE_S = 1.0
 """Pause before this node's address is written, and written again if that failed."""
 
@@ -50,7 +39,9 @@
     """A node of the deployment.
 
     :param itself: unique name, also of the holder of a term, and address
+    :param pool: the other nodes
     :param cores: processor time that it has, in cores
+    :param link_bytes_per_s: rate of its link
     """
 
     def __init__(
@@ -58,18 +49,17 @@
         itself: NodeAddress,
         platform: Platform,
         relay: StoreRelay,
+        pool: PeerPool,
         limits: Limits,
         rng: random.Random,
         metrics: Metrics,
-        cores: float = 1.0,
+        cores: float,
+        link_bytes_per_s: float,
     ) -> None:
         """Do nothing yet."""
         self.cfg: Configuration | None = None
         self.stopping = False
         self._itself = itself
-        self._relay = relay
-        self._metrics = metrics
-        self._operators_at = clock.monotonic()
         self._platform = platform
         self._follower = Follower(platform.ledger, self._record_seen)
         self._appender = Appender(platform.ledger)
@@ -83,7 +73,15 @@
             cores,
             lambda: relay.direct,
         )
-        relay.know(lambda: self._follower.ledger.nodes)
+        self._operators = OperatorsFollower(
+            platform.operators,
+            relay,
+            pool,
+            link_bytes_per_s,
+            self._operators_changed,
+            metrics,
+        )
+        pool.know(lambda: self._follower.ledger.nodes)
         self._observe(metrics)
 
     def _observe(self, metrics: Metrics) -> None:
@@ -100,11 +98,6 @@
             "1",
             lambda: self.cfg.version if self.cfg is not None else 0,
         )
-        metrics.observe(
-            "primrose.operators.age",
-            "s",
-            lambda: round(clock.monotonic() - self._operators_at, 2),
-        )
 
     @property
     def ledger_offset(self) -> int:
@@ -120,7 +113,7 @@
     async def run(self) -> None:
         """Run all parts for good."""
         parts = [
-            self._follow_operators(),
+            self._operators.run(),
             self._follower.run(),
             self._appender.run(),
             self.scheduler.run(),
@@ -159,35 +152,13 @@
             self.desk.folded(record.job)
         self.scheduler.record_seen(record)
 
-    async def _follow_operators(self) -> None:
-        directory = self._platform.operators()
-        records = Dependency("operators' records")
-        while True:
-            try:
-                changes = await directory.changes(OPERATORS_WAIT_S)
-            except StoreUnavailableError as exc:
-                records.lost(str(exc))
-                await asyncio.sleep(RETRY_S)
-                continue
-            records.back()
-            self._operators_at = clock.monotonic()
-            if changes:
-                self._note_reading(directory.reading)
-            for change in changes:
-                if isinstance(change, Configuration):
-                    self._configure(change)
-                elif isinstance(change, WaveSpec):
-                    self.scheduler.add_wave(change)
-            if not changes and self.cfg is None:
-                await asyncio.sleep(RETRY_S)
-
-    def _note_reading(self, reading: Reading) -> None:
-        source = "store" if self._relay.direct else "another node"
-        emit(OPERATORS_READ, **reading._asdict(), source=source)
-        self._metrics.time(
-            "primrose.operators.read.duration", reading.took_s, source=source
-        )
-        self._metrics.count("primrose.operators.read.bytes", reading.size)
+    def _operators_changed(self, records: list[KeyedRecord]) -> None:
+        for record in records:
+            change = self._platform.operators_change(record)
+            if isinstance(change, Configuration):
+                self._configure(change)
+            elif isinstance(change, WaveSpec):
+                self.scheduler.add_wave(change)
 
     def _configure(self, cfg: Configuration) -> None:
         if self.cfg is not None and cfg.version <= self.cfg.version:
--- /dev/null
+++ b/primrosepitch/node/operators.py
@@ -0,0 +1,325 @@
+"""Follows what operators write, from the store or from another node.
+
+The pattern it answers: a manifest of hundreds of kilobytes changes in quick
+succession, while links carry a few Mbit/s and the store turns some nodes away. A node
+whose link is too slow for that, or that has lost the store, gets the newest records
+packed from another node, which has read them once for many.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from primrosepitch import clock
+from primrosepitch.errors import PeerUnavailableError
+from primrosepitch.events import (
+    OPERATORS_READ,
+    RECORDS_UNREADABLE,
+    RELAY_FAILED,
+    emit,
+)
+from primrosepitch.gen.primrose.ttypes import (
+    OperatorsAnswer,
+    OperatorsAsk,
+    OperatorsPart,
+)
+from primrosepitch.jobs.store import (
+    Batch,
+    KeyedRecord,
+    LedgerStore,
+    StoreUnavailableError,
+)
+from primrosepitch.metrics import Metrics
+from primrosepitch.net.peers import Question
+from primrosepitch.node.dependency import Dependency
+from primrosepitch.node.newest import NewestReader
+from primrosepitch.node.packing import PackedRecordsError, pack, unpack
+from primrosepitch.node.peer_pool import PeerNode, PeerPool
+from primrosepitch.node.relay import StoreRelay
+
+__all__ = ["OperatorsFollower"]
+
+WAIT_S = 0.8
+"""Time for which a reading of the store waits for a change. A waiting read may miss a
+change, or its connection may be silent; the next one finds it."""
+
+NODE_WAIT_S = 0.4
+"""Time for which another node waits for a change before it answers."""
+
+ANSWER_S = 0.6
+"""Time for another node's answer besides its wait, and for each part of it."""
+
+END_S = 0.6
+"""Time for asking the store for the end of the records."""
+
+DIRECT_READ_S = 0.2
+"""Time on this node's link up to which it reads the records from the store itself."""
+
+FETCH_S = 0.3
+"""Time for which other nodes are asked for records that the store is known to have."""
+
+NODES_ASKED = 4
+"""Nodes that are asked in one round."""
+
+GAP_S = 0.1
+"""Pause after a change, in which changes that follow it gather."""
+
+RETRY_S = 0.2
+"""Pause after a failed reading, and while no other node reads the store itself."""
+
+PART_BYTES = 32 * 1024
+"""Bytes in one part of an answer; 0.05 s on a link of 5 Mbit/s."""
+
+
+class OperatorsFollower:
+    """Follows the operators' records, and gives them to other nodes.
+
+    ``confirmed_at`` is the newest time (boot-time clock) of which it is known that no
+    other record was in the store then.
+
+    :param store: partition that operators write, reached directly only
+    :param relay: tells whether the store serves this node
+    :param link_bytes_per_s: rate of this node's link
+    :param on_change: called with the records that have changed
+    """
+
+    def __init__(
+        self,
+        store: LedgerStore,
+        relay: StoreRelay,
+        pool: PeerPool,
+        link_bytes_per_s: float,
+        on_change: Callable[[list[KeyedRecord]], None],
+        metrics: Metrics,
+    ) -> None:
+        """Know nothing yet."""
+        self.confirmed_at = clock.monotonic()
+        self._store = store
+        self._relay = relay
+        self._pool = pool
+        self._link_bytes_per_s = link_bytes_per_s
+        self._on_change = on_change
+        self._metrics = metrics
+        self._reader = NewestReader(store)
+        self._records: dict[str, bytes] = {}
+        self._packed: bytes | None = None
+        self._source: PeerNode | None = None
+        self._newer_since = 0.0
+        self._changed = asyncio.Event()
+        self._dependency = Dependency("operators' records")
+        self._answers: set[asyncio.Task[None]] = set()
+        pool.serve(OperatorsAsk, self.handle)
+        metrics.observe("primrose.operators.age", "s", self.age_s)
+        metrics.observe("primrose.operators.size", "By", self._size)
+
+    @property
+    def reads_store(self) -> bool:
+        """Whether this node reads the store itself: it may, and its link is fit."""
+        most = DIRECT_READ_S * self._link_bytes_per_s
+        return self._relay.direct and self._size() <= most
+
+    def age_s(self) -> float:
+        """Return the seconds since these were surely the newest records."""
+        return round(clock.monotonic() - self.confirmed_at, 2)
+
+    def _size(self) -> int:
+        return sum(map(len, self._records.values()))
+
+    @property
+    def _offset(self) -> int:
+        return -1 if self._reader.offset is None else self._reader.offset
+
+    async def run(self) -> None:
+        """Follow for good."""
+        while True:
+            try:
+                if self.reads_store or not self._pool.others():
+                    await self._read_store()
+                else:
+                    await self._ask_nodes()
+            except StoreUnavailableError as exc:
+                self._dependency.lost(str(exc))
+                await asyncio.sleep(RETRY_S)
+            else:
+                self._dependency.back()
+
+    # From the store
+
+    async def _read_store(self) -> None:
+        began = clock.monotonic()
+        try:
+            records = await self._reader.read(WAIT_S)
+        except StoreUnavailableError as exc:
+            self._relay.turned_away("op", self._store, str(exc))
+            raise
+        size = sum(len(record.value) for record in records)
+        if self._reader.caught_up:
+            # What was written while the records were on their way is not known.
+            self._confirm(began if records else clock.monotonic())
+        if records:
+            await self._take(records, began, size, "store")
+
+    async def _check_end(self) -> None:
+        """Compare with the store itself, in case the other nodes are out of date."""
+        began = clock.monotonic()
+        try:
+            end = await self._store.end(began + END_S)
+        except StoreUnavailableError as exc:
+            self._relay.turned_away("op", self._store, str(exc))
+            return
+        if end <= self._offset:
+            self._confirm(began)
+            return
+        self._newer_since = self._newer_since or began
+        if began - self._newer_since > FETCH_S:
+            records = await self._reader.read_newest()
+            self._confirm(began)
+            size = sum(len(record.value) for record in records)
+            await self._take(records, began, size, "store")
+
+    # From other nodes
+
+    async def _ask_nodes(self) -> None:
+        asked = [n for n in self._pool.others() if n != self._source][:NODES_ASKED]
+        if self._source is not None:
+            asked.insert(0, self._source)
+        changed = False
+        for node in asked:
+            # One that is not known to read the store is not waited for.
+            wait_s = NODE_WAIT_S if node == self._source else 0.0
+            began = clock.monotonic()
+            answer, data = await self._ask(node, wait_s)
+            self._source = node if answer is not None and answer.direct else None
+            if answer is None:
+                self._pool.avoid(node)
+                continue
+            if answer.offset >= self._offset:
+                self._confirm(began - answer.age_ms / 1000)
+            if answer.offset > self._offset:
+                changed = await self._take_packed(answer.offset, data, began, node)
+            if changed or answer.direct:
+                break
+        if self._relay.direct:
+            await self._check_end()
+        elif self._source is None and not changed:
+            raise StoreUnavailableError("no node that was asked reads the store")
+        if self._source is None:
+            await asyncio.sleep(RETRY_S)
+
+    async def _ask(
+        self, node: PeerNode, wait_s: float
+    ) -> tuple[OperatorsAnswer | None, bytes]:
+        question = OperatorsAsk(self._offset, round(wait_s * 1000))
+        began = clock.monotonic()
+        reason = "unexpected answer"
+        try:
+            parts = await self._pool.client(node).ask_parts(
+                question, wait_s + ANSWER_S, lambda m: isinstance(m, OperatorsPart)
+            )
+        except PeerUnavailableError as exc:
+            reason = str(exc)
+        else:
+            if isinstance(parts[-1], OperatorsAnswer):
+                return parts[-1], b"".join(part.data for part in parts)
+        emit(
+            RELAY_FAILED,
+            node=node.name,
+            call="OperatorsAsk",
+            partition="op",
+            reason=reason,
+            took_s=round(clock.monotonic() - began, 2),
+        )
+        return None, b""
+
+    async def _take_packed(
+        self, offset: int, data: bytes, began: float, node: PeerNode
+    ) -> bool:
+        """Take the records of another node.
+
+        :returns: whether they could be read
+        """
+        try:
+            rows = unpack(data)
+        except PackedRecordsError as exc:
+            emit(RECORDS_UNREADABLE, node=node.name, error=str(exc))
+            self._pool.avoid(node)
+            self._source = None
+            return False
+        records = self._reader.take_all(Batch(rows, offset, offset))
+        await self._take(records, began, len(data), node.name, data)
+        return True
+
+    # Both
+
+    def _confirm(self, at: float) -> None:
+        self.confirmed_at = max(self.confirmed_at, at)
+
+    async def _take(
+        self,
+        records: list[KeyedRecord],
+        began: float,
+        received: int,
+        source: str,
+        packed: bytes | None = None,
+    ) -> None:
+        """Put records in force, and let changes that follow gather for a while.
+
+        :param received: bytes that came over the link
+        :param packed: all records, if they came packed
+        """
+        known = self._records
+        changed = [r for r in records if known.get(r.key, b"") != r.value]
+        for key, value in changed:
+            if value:
+                known[key] = value
+            else:
+                known.pop(key, None)
+        self._packed = packed
+        self._newer_since = 0.0
+        self._changed.set()
+        self._changed = asyncio.Event()
+        took_s = round(clock.monotonic() - began, 3)
+        emit(
+            OPERATORS_READ,
+            records=len(records),
+            changed=len(changed),
+            received=received,
+            offset=self._offset,
+            took_s=took_s,
+            source=source,
+        )
+        via = "store" if source == "store" else "node"
+        self._metrics.time("primrose.operators.read.duration", took_s, source=via)
+        self._metrics.count("primrose.operators.read.bytes", received, source=via)
+        self._on_change(changed)
+        await asyncio.sleep(GAP_S)
+
+    # For other nodes
+
+    def handle(self, question: Question) -> None:
+        """Give the records to another node, now or when they change."""
+        task = asyncio.ensure_future(self._answer(question))
+        self._answers.add(task)
+        task.add_done_callback(self._answers.discard)
+
+    async def _answer(self, question: Question) -> None:
+        asked: OperatorsAsk = question.body
+        if self._offset <= asked.offset and self.reads_store:
+            wait_s = min(asked.wait_ms / 1000, NODE_WAIT_S)
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass  # Answered below with what there is.
+        data = b""
+        if self._offset > asked.offset:
+            if self._packed is None:
+                self._packed = pack(self._records)
+            data = self._packed
+        while len(data) > PART_BYTES:
+            question.answer(OperatorsPart(data[:PART_BYTES]))
+            data = data[PART_BYTES:]
+        age_ms = round((clock.monotonic() - self.confirmed_at) * 1000)
+        direct = self.reads_store
+        question.answer(OperatorsAnswer(direct, age_ms, self._offset, data))
--- a/primrosepitch/node/ports.py
+++ b/primrosepitch/node/ports.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
 from primrosepitch.jobs.model import EndpointId
-from primrosepitch.jobs.store import LedgerStore
+from primrosepitch.jobs.store import KeyedRecord, LedgerStore
 from primrosepitch.scheduling.configuration import Configuration, WaveSpec
 from primrosepitch.scheduling.effects import (
     AskAdvice,
@@ -24,34 +24,13 @@
     Outcome,
 )
 
-__all__ = ["Directory", "Platform", "Reading"]
-
-
-class Reading(NamedTuple):
-    """What the newest reading of a directory cost.
-
-    :param size: bytes of the records' values
-    :param offset: where the next one starts
-    :param passed: records of the partition since the reading before
-    :param newest: whether only the newest record of each key was read
-    """
-
-    records: int = 0
-    size: int = 0
-    offset: int = 0
-    passed: int = 0
-    newest: bool = False
-    took_s: float = 0.0
+__all__ = ["Directory", "Platform"]
 
 
 class Directory(Protocol):
     """A keyed partition that others write; only read here."""
 
-    reading: Reading
-
-    async def changes(
-        self, wait_s: float
-    ) -> list[Configuration | WaveSpec | EndpointReport | EndpointId]:
+    async def changes(self, wait_s: float) -> list[EndpointReport | EndpointId]:
         """Return what has changed since the last call; a bare id has been removed.
 
         The first call returns all there is.
@@ -65,13 +44,18 @@
 
     :param ledger: partition that every node reads
     :param runs: partition of the runs of jobs that have not ended
+    :param operators: partition that operators write, reached directly only
     """
 
     ledger: LedgerStore
     runs: LedgerStore
+    operators: LedgerStore
 
-    def operators(self) -> Directory:
-        """Return the operators' configuration and waves."""
+    def operators_change(self, record: KeyedRecord) -> Configuration | WaveSpec | None:
+        """Return the meaning of an operators' record.
+
+        :returns: ``None`` if it is none of these, or can't be read, which is logged
+        """
 
     def endpoints(self) -> Directory:
         """Return the endpoints' reports, read from their begin."""
--- a/primrosepitch/node/relay.py
+++ b/primrosepitch/node/relay.py
@@ -8,8 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
-from collections.abc import Callable
 from typing import Any
 
 from primrosepitch import clock
@@ -43,7 +41,8 @@
     StoreUnknownError,
 )
 from primrosepitch.metrics import Metrics
-from primrosepitch.net.peers import PeerClient, PeerServer, Question
+from primrosepitch.net.peers import Question
+from primrosepitch.node.peer_pool import PeerPool
 
 __all__ = ["RelayedStore", "StoreRelay"]
 
@@ -64,9 +63,6 @@
 PEERS_TRIED = 2
 """Nodes that one call is tried through; each takes up to ``PEER_S``."""
 
-AVOID_S = 3.0
-"""Time for which a node that could not help is asked last."""
-
 MAX_BATCH_BYTES = 512 * 1024
 """Bytes of records after which an answer ends; it has one record at least."""
 
@@ -77,24 +73,20 @@
 class StoreRelay:
     """Knows whether the store serves this node, and which nodes may help.
 
-    :param node: name of this node
-    :param rng: chooses whom to ask
+    :param pool: the other nodes
     """
 
-    def __init__(self, node: str, rng: random.Random, metrics: Metrics) -> None:
+    def __init__(self, pool: PeerPool, metrics: Metrics) -> None:
         """Believe at first that the store serves this node."""
-        self._metrics = metrics
         self.direct = True
-        self._node = node
-        self._addresses: Callable[[], dict[str, str]] = dict
-        self._rng = rng
+        self._pool = pool
+        self._metrics = metrics
         self._stores: dict[str, LedgerStore] = {}
-        self._peers: dict[str, PeerClient] = {}
-        self._avoid: dict[str, float] = {}
         self._probing: asyncio.Task[None] | None = None
         self._away_at = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
-        self._server = PeerServer(self.handle)
+        for kind in (StoreAppend, StoreRead, StoreNewest):
+            pool.serve(kind, self.handle)
 
     def wrap(
         self, partition: str, store: LedgerStore, for_others: LedgerStore
@@ -108,39 +100,28 @@
         self._stores[partition] = for_others
         return RelayedStore(self, partition, store)
 
-    def know(self, addresses: Callable[[], dict[str, str]]) -> None:
-        """Learn the other nodes from what gives the address of every node."""
-        self._addresses = addresses
-
-    async def listen(self, host: str, port: int) -> int:
-        """Serve other nodes.
-
-        :returns: the port
-        """
-        return await self._server.listen(host, port)
-
     def close(self) -> None:
-        """Close all connections."""
-        self._server.close()
-        for peer in self._peers.values():
-            peer.close()
+        """End all tasks."""
         for task in (self._probing, *self._tasks):
             if task is not None:
                 task.cancel()
 
     # This node is turned away
 
-    def turned_away(self, partition: str, reason: str) -> None:
-        """Note that a direct call failed; calls go through other nodes from now on."""
+    def turned_away(self, partition: str, store: LedgerStore, reason: str) -> None:
+        """Note that a direct call failed; calls go through other nodes from now on.
+
+        :param store: the partition, to be tried directly now and then
+        """
         if not self.direct:
             return
         self.direct = False
         self._away_at = clock.monotonic()
-        emit(RELAY_ON, partition=partition, reason=reason, nodes=len(self._others()))
-        self._probing = asyncio.ensure_future(self._probe(partition))
+        nodes = len(self._pool.others())
+        emit(RELAY_ON, partition=partition, reason=reason, nodes=nodes)
+        self._probing = asyncio.ensure_future(self._probe(store))
 
-    async def _probe(self, partition: str) -> None:
-        store = self._stores[partition]
+    async def _probe(self, store: LedgerStore) -> None:
         while not self.direct:
             await asyncio.sleep(PROBE_S)
             began = clock.monotonic()
@@ -160,15 +141,6 @@
             away_s = round(clock.monotonic() - self._away_at, 2)
             emit(RELAY_OFF, after_s=away_s)
 
-    def _others(self) -> list[tuple[str, str]]:
-        """Return the other nodes, those that could not help last."""
-        nodes = [n for n in self._addresses().items() if n[0] != self._node]
-        self._rng.shuffle(nodes)
-        now = clock.monotonic()
-        kept = self._peers
-        nodes.sort(key=lambda n: (self._avoid.get(n[0], 0.0) > now, n[1] not in kept))
-        return nodes
-
     async def ask(self, question: Any, wait_s: float) -> list[Any] | None:
         """Ask other nodes to make a call.
 
@@ -177,11 +149,11 @@
         :raises StoreUnknownError: if one may have made it
         """
         unknown = False
-        for number, (name, address) in enumerate(self._others()[:PEERS_TRIED]):
+        for number, node in enumerate(self._pool.others()[:PEERS_TRIED]):
             if number and self.direct:
                 # The store serves this node again; the caller tries it.
                 break
-            peer = self._peer(address)
+            peer = self._pool.client(node)
             opened, connected = peer.connections, peer.ready()
             began = clock.monotonic()
             reason = "turned away too"
@@ -203,24 +175,18 @@
                 return parts
             emit(
                 RELAY_FAILED,
-                node=name,
+                node=node.name,
                 call=kind,
                 partition=question.partition,
                 reason=reason,
                 took_s=round(took_s, 2),
             )
             unknown = unknown or outcome == StoreOutcome.UNKNOWN
-            self._avoid[name] = clock.monotonic() + AVOID_S
+            self._pool.avoid(node)
         if unknown:
             raise StoreUnknownError("no answer through another node")
         return None
 
-    def _peer(self, address: str) -> PeerClient:
-        peer = self._peers.get(address)
-        if peer is None:
-            peer = self._peers[address] = PeerClient(address)
-        return peer
-
     # Another node is turned away
 
     def handle(self, question: Question) -> None:
@@ -345,7 +311,7 @@
                 return await self._direct.append(records, deadline, fence)
             except StoreUnavailableError as exc:
                 refused = exc
-                self._relay.turned_away(self._partition, str(exc))
+                self._relay.turned_away(self._partition, self._direct, str(exc))
         done = await self._append_elsewhere(records, fence)
         if done is not None:
             return done
@@ -380,7 +346,7 @@
                 return await self._direct.read(offset, wait_s, limit)
             except StoreUnavailableError as exc:
                 refused = exc
-                self._relay.turned_away(self._partition, str(exc))
+                self._relay.turned_away(self._partition, self._direct, str(exc))
         batch = await self._read_elsewhere(offset, wait_s)
         if batch is not None:
             return batch
@@ -422,7 +388,7 @@
                 return await self._direct.newest(deadline)
             except StoreUnavailableError as exc:
                 refused = exc
-                self._relay.turned_away(self._partition, str(exc))
+                self._relay.turned_away(self._partition, self._direct, str(exc))
         batch = await self._ask_for_records(StoreNewest(self._partition), 0.0)
         if batch is not None:
             return batch
