Answer 503 where a queue or key may only be too new to be known

A node that hears neither from the store nor from other nodes, or that is still fetching a version, answered 404 and 401 from its old one, which told callers that a confirmed queue or key does not exist.

A denial by records older than 2.5 s is a 503 with Retry-After. While newer ones are known to exist, the caller waits for them for up to 0.5 s. A node that could not get them for 2 s is not ready and serves nobody. Known queues and keys are served as before, so that a node that is cut off serves what it can. denial_unsure logs each case with path, version and age.

Before: "An isolated node does not deny a queue ..." fails with 404. After: 503 while isolated, 200 and a true 404 afterwards.

--- a/features/manifest_rollout.feature
+++ b/features/manifest_rollout.feature
@@ -97,6 +97,17 @@
       | too large |
       | no rows   |
 
+  # Guards against "no such queue" from a node that can't know: it hears from nobody.
+  Scenario: An isolated node does not deny a queue that has been confirmed meanwhile
+    Given 2 nodes with large links, 2 with small ones and 50 queues
+    And versions are confirmed every 1 s from 3 to 12 s
+    And a small node is isolated from 4 to 20 s
+    When 14 s have passed
+    Then the isolated node answers 503 for the newest queue
+    When 26 s have passed
+    Then the isolated node answers 200 for the newest queue
+    And the isolated node answers 404 for a queue that never existed
+
   # Guards against a change that costs a node more than the target allows: 940 changes a
   # day at 3 KB/s.
   Scenario: What a change costs a node with a small link
--- a/features/manifest_world.py
+++ b/features/manifest_world.py
@@ -77,7 +77,6 @@
         self.broken = []
         self.unhandled = []
         self.probes = 0
-        self.seen = {}
         self.programs = {}
         self._calm_at = {}
         self._refused_until = 0.0
@@ -157,6 +156,16 @@
             lambda: self.network.heal(ip, STORE),
         )
 
+    def isolate(self, ip, begin, end):
+        others = [other for other in (*self.programs, STORE) if other != ip]
+        self.disturb(
+            ip,
+            begin,
+            end,
+            lambda: [self.network.cut(ip, other, Cut.SILENT) for other in others],
+            lambda: [self.network.heal(ip, other) for other in others],
+        )
+
     def refuse(self, ip, begin, end, how):
         # The store's refusals only stretch the bound, also for the node itself.
         self.at(begin, self.store.refuse, ip, how)
@@ -228,21 +237,18 @@
             bound += STRETCH_S
         return sum(at <= now - bound for at in self.versions)
 
+    async def get(self, ip, path):
+        """Ask a node for the jobs that wait in a queue."""
+        host = {"Host": "fleet.example"}
+        return await call(f"{ip}:{PORT}", "GET", path, headers=host, timeout_s=2.0)
+
     async def ask(self, ip, version):
         began = self.now()
         try:
-            response = await call(
-                f"{ip}:{PORT}",
-                "GET",
-                f"/v{version}/",
-                headers={"Host": "fleet.example"},
-                timeout_s=2.0,
-            )
+            response = await self.get(ip, f"/v{version}/")
         except (OSError, ConnectionLostError):
             return
         self.probes += 1
-        newest = max(self.seen.get(ip, 0), version if response.status == 200 else 0)
-        self.seen[ip] = newest
         if response.status in (401, 403, 404):
             self.broken.append((round(began, 2), ip, version, response.status))
 
--- /dev/null
+++ b/features/steps/denials.py
@@ -0,0 +1,85 @@
+"""Steps about denials by a configuration that may be out of date."""
+
+import asyncio
+
+from adapter.intake import Intake
+from behave import given, then, when
+
+from primrosepitch.jobs.model import QueueName, ServiceName, WorkspaceName
+from primrosepitch.metrics import Metrics
+from primrosepitch.net.http_messages import HttpRequest
+from primrosepitch.net.http_server import Exchange
+from primrosepitch.scheduling.configuration import Configuration, QueueSpec
+
+
+def configuration(*names):
+    cfg = Configuration(version=len(names))
+    for name in names:
+        queue = QueueSpec(QueueName(name), "h", f"/{name}/", ServiceName("s"))
+        cfg.queues[queue.name] = queue
+    cfg.keys["right"] = WorkspaceName("w")
+    return cfg
+
+
+class InForce:
+    """A configuration in a given state."""
+
+    def __init__(self, state):
+        self.cfg = configuration("old")
+        self.outdated = state == "outdated"
+        self._state = state
+
+    def age_s(self):
+        return 9.0
+
+    async def settle(self, deadline):
+        if self._state == "about to be replaced":
+            self.cfg = configuration("old", "new")
+        return self._state != "unconfirmed"
+
+
+class Desk:
+    """Knows no job."""
+
+    def waiting(self, queue):
+        return 0
+
+
+class Connection:
+    """Keeps the answer."""
+
+    def respond(self, response):
+        self.response = response
+
+
+ASKED = {
+    "an unknown name": ("new", "right"),
+    "an unknown key": ("old", "wrong"),
+    "a known key": ("old", "right"),
+}
+
+
+@given("an intake whose configuration is {state}")
+def step_intake(context, state):
+    context.intake = Intake(Desk(), InForce(state), Metrics())
+
+
+@when("a caller asks for a queue with {what}")
+def step_ask(context, what):
+    name, key = ASKED[what]
+    headers = [(b"host", b"h"), (b"authorization", f"Bearer {key}".encode())]
+    request = HttpRequest(b"GET", f"/{name}/".encode(), headers)
+    conn = Connection()
+
+    async def answer():
+        context.intake.handle(Exchange(request, conn))
+        while context.intake.busy:
+            await asyncio.sleep(0)
+
+    asyncio.run(answer())
+    context.response = conn.response
+
+
+@then("the answer has status {status:d}")
+def step_status(context, status):
+    assert context.response.status == status, context.response
--- a/features/steps/manifest_rollout.py
+++ b/features/steps/manifest_rollout.py
@@ -3,7 +3,7 @@
 import zlib
 
 from behave import given, then, when
-from manifest_world import ManifestWorld
+from manifest_world import CALLERS, ManifestWorld
 
 from primrosepitch.node.packing import MAX_BYTES, PackedRecordsError, pack, unpack
 from standins.log_store import Refusal
@@ -86,6 +86,12 @@
     context.world.jobs_between(begin, end, size * 1024)
 
 
+@given("a small node is isolated from {begin:g} to {end:g} s")
+def step_isolate(context, begin, end):
+    (context.isolated,) = next_small(context, 1)
+    context.world.isolate(context.isolated, begin, end)
+
+
 @given("an unreadable manifest is written at {seconds:g} s")
 def step_unreadable(context, seconds):
     store = context.world.store
@@ -177,3 +183,26 @@
         if program.node.ledger_offset < end - LEDGER_LAG
     }
     assert not behind, f"{behind} of {end}"
+
+
+def answer_of(context, name):
+    """Return what the isolated node tells a caller, who may come back when told so."""
+    world = context.world
+    path = f"/{name}/"
+    asked = world.network.spawn(CALLERS, world.get(context.isolated, path))
+    response = world.run(asked)
+    if response.status == 503:
+        assert int(response.headers["retry-after"]) > 0, response.headers
+    return response.status
+
+
+@then("the isolated node answers {status:d} for the newest queue")
+def step_newest_queue(context, status):
+    found = answer_of(context, f"v{len(context.world.versions)}")
+    assert found == status, found
+
+
+@then("the isolated node answers {status:d} for a queue that never existed")
+def step_no_queue(context, status):
+    found = answer_of(context, "never")
+    assert found == status, found
--- a/primrosepitch/events.py
+++ b/primrosepitch/events.py
@@ -194,6 +194,14 @@
     "The store did not say whether a job is stored; the caller was told so.",
     "check the store; a repeat with the same id settles it",
 )
+DENIAL_UNSURE = event(
+    5007,
+    "denial_unsure",
+    logging.WARNING,
+    "A queue or key is unknown here, but the configuration may be out of date; the "
+    "caller was told to come back.",
+    "see operators_read and primrose_operators_age of this node",
+)
 JOB_CANCELLED = event(5004, "job_cancelled", logging.INFO, "A cancellation is stored.")
 JOB_ENDED = event(5005, "job_ended", logging.INFO, "A job has ended.")
 JOB_UNPLACEABLE = event(
--- a/primrosepitch/node/node.py
+++ b/primrosepitch/node/node.py
@@ -108,7 +108,26 @@
     def ready(self) -> bool:
         """Return whether callers should be sent here."""
         fresh = clock.monotonic() - self._follower.read_at < STORE_SILENT_S
-        return self.cfg is not None and not self.stopping and fresh
+        usable = self.cfg is not None and not self.outdated
+        return usable and not self.stopping and fresh
+
+    @property
+    def outdated(self) -> bool:
+        """Return whether a newer configuration has been out of reach for too long."""
+        return self._operators.outdated
+
+    def age_s(self) -> float:
+        """Return the seconds since the configuration was surely the newest one."""
+        return self._operators.age_s()
+
+    async def settle(self, deadline: float) -> bool:
+        """Wait a moment for a configuration that is known to be newer.
+
+        :param deadline: boot-time clock at which the caller leaves
+        :returns: whether the one in force is surely recent, so that what it lacks
+            does not exist
+        """
+        return await self._operators.settle(deadline)
 
     async def run(self) -> None:
         """Run all parts for good."""
--- a/primrosepitch/node/operators.py
+++ b/primrosepitch/node/operators.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 from primrosepitch import clock
@@ -68,6 +69,16 @@
 RETRY_S = 0.2
 """Pause after a failed reading, and while no other node reads the store itself."""
 
+UNCONFIRMED_S = 2.5
+"""Age from which on the records may be out of date. It is below 2 s while the store or
+another node that reads it answers."""
+
+SETTLE_S = 0.5
+"""Time for which a caller waits for records that are known to be newer."""
+
+OUTDATED_S = 2.0
+"""Time after which a node that can't get records known to be newer serves nobody."""
+
 PART_BYTES = 32 * 1024
 """Bytes in one part of an answer; 0.05 s on a link of 5 Mbit/s."""
 
@@ -119,6 +130,25 @@
         most = DIRECT_READ_S * self._link_bytes_per_s
         return self._relay.direct and self._size() <= most
 
+    @property
+    def outdated(self) -> bool:
+        """Whether newer records have been known, and out of reach, for too long."""
+        since = self._newer_since
+        return bool(since) and clock.monotonic() - since > OUTDATED_S
+
+    async def settle(self, deadline: float) -> bool:
+        """Wait a moment for records that are known to be newer.
+
+        :param deadline: boot-time clock at which the caller leaves
+        :returns: whether the records in force are surely recent
+        """
+        if self._newer_since:
+            left = min(SETTLE_S, deadline - clock.monotonic())
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(max(0.0, left)):
+                    await self._changed.wait()
+        return not self._newer_since and self.age_s() < UNCONFIRMED_S
+
     def age_s(self) -> float:
         """Return the seconds since these were surely the newest records."""
         return round(clock.monotonic() - self.confirmed_at, 2)
@@ -307,11 +337,9 @@
         asked: OperatorsAsk = question.body
         if self._offset <= asked.offset and self.reads_store:
             wait_s = min(asked.wait_ms / 1000, NODE_WAIT_S)
-            try:
+            with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_s):
                     await self._changed.wait()
-            except TimeoutError:
-                pass  # Answered below with what there is.
         data = b""
         if self._offset > asked.offset:
             if self._packed is None:
