Ask a source of operators' records half as often, and cover its loss

The question now waits 0.8 s, as a reading of the store does, and 0.3 s once newer records are known.

An answer whose records can't be unpacked no longer confirms the older ones, a confirmation ends what was known to be newer, and the newest records read for another node may take 1.5 s before the answer begins.

--- a/features/manifest_rollout.feature
+++ b/features/manifest_rollout.feature
@@ -48,6 +48,14 @@
     When 36 s have passed
     Then no node was late with a version
 
+  # Guards against trusting nodes that don't know yet that they have lost the store.
+  Scenario: All nodes with large links are cut off silently
+    Given 3 nodes with large links, 9 with small ones and 1750 queues
+    And versions are confirmed every 1.5 s from 3 to 21 s
+    And 3 large nodes are cut off the store from 6 to 14 s by silent
+    When 30 s have passed
+    Then no node was late with a version
+
   # Guards against reading version after version where only the newest one counts.
   Scenario: Versions 0.08 s apart, all nodes connected
     Given 3 nodes with large links, 9 with small ones and 1750 queues
--- a/features/manifest_world.py
+++ b/features/manifest_world.py
@@ -85,13 +85,12 @@
         self.network.add_host(CALLERS, 1000)
         rates = [LARGE_MBIT] * large + [SMALL_MBIT] * small
         self.rates = {}
-        self.small = []
+        self.by_size = {"large": [], "small": []}
         for number, rate in enumerate(rates):
             ip = f"10.1.0.{number + 1}"
             self.network.add_host(ip, rate)
             self.rates[ip] = rate
-            if rate == SMALL_MBIT:
-                self.small.append(ip)
+            self.by_size["small" if rate == SMALL_MBIT else "large"].append(ip)
             self.programs[ip] = None
         self.run(self.network.spawn(STORE, self.store.start(STORE, PORT)))
         for ip in self.programs:
--- a/features/steps/manifest_rollout.py
+++ b/features/steps/manifest_rollout.py
@@ -1,6 +1,7 @@
 """Steps about the roll-out of the operators' manifest."""
 
 import zlib
+from collections import Counter
 
 from behave import given, then, when
 from manifest_world import CALLERS, ManifestWorld
@@ -20,15 +21,16 @@
 def step_world(context, large, small, queues):
     context.world = ManifestWorld(large, small, queues)
     context.add_cleanup(context.world.close)
-    context.disturbed = 0
+    context.disturbed = Counter()
     context.world.publish()
 
 
-def next_small(context, count):
-    """Return small nodes that no fault of this scenario has met yet."""
-    small = context.world.small
-    first, context.disturbed = context.disturbed, context.disturbed + count
-    return [small[number % len(small)] for number in range(first, first + count)]
+def next_nodes(context, count, size="small"):
+    """Return nodes of a size that no fault of this scenario has met yet."""
+    nodes = context.world.by_size[size]
+    first = context.disturbed[size]
+    context.disturbed[size] += count
+    return [nodes[number % len(nodes)] for number in range(first, first + count)]
 
 
 @given("versions are confirmed every {gap:g} s from {begin:g} to {end:g} s")
@@ -37,10 +39,10 @@
 
 
 @given(
-    "{count:d} small nodes are cut off the store from {begin:g} to {end:g} s by {how}"
+    "{count:d} {size} nodes are cut off the store from {begin:g} to {end:g} s by {how}"
 )
-def step_cut(context, count, begin, end, how):
-    for ip in next_small(context, count):
+def step_cut(context, count, size, begin, end, how):
+    for ip in next_nodes(context, count, size):
         context.world.cut_off(ip, begin, end, how)
 
 
@@ -49,29 +51,29 @@
     "frozen from {frozen:g} to {thawed:g} s"
 )
 def step_cut_and_frozen(context, rate, begin, end, frozen, thawed):
-    (ip,) = next_small(context, 1)
+    (ip,) = next_nodes(context, 1)
     context.world.network.set_rate(ip, rate)
     context.world.cut_off(ip, begin, end, "reset")
     context.world.freeze(ip, frozen, thawed)
 
 
 @given(
-    "the store turns {count:d} small nodes away from {begin:g} to {end:g} s by {how}"
+    "the store turns {count:d} {size} nodes away from {begin:g} to {end:g} s by {how}"
 )
-def step_refuse(context, count, begin, end, how):
-    for ip in next_small(context, count):
+def step_refuse(context, count, size, begin, end, how):
+    for ip in next_nodes(context, count, size):
         context.world.refuse(ip, begin, end, Refusal(how))
 
 
-@given("{count:d} small nodes are restarted from {begin:g} to {end:g} s")
-def step_restart(context, count, begin, end):
-    for ip in next_small(context, count):
+@given("{count:d} {size} nodes are restarted from {begin:g} to {end:g} s")
+def step_restart(context, count, size, begin, end):
+    for ip in next_nodes(context, count, size):
         context.world.restart(ip, begin, end)
 
 
-@given("{count:d} small nodes are frozen from {begin:g} to {end:g} s")
-def step_freeze(context, count, begin, end):
-    for ip in next_small(context, count):
+@given("{count:d} {size} nodes are frozen from {begin:g} to {end:g} s")
+def step_freeze(context, count, size, begin, end):
+    for ip in next_nodes(context, count, size):
         context.world.freeze(ip, begin, end)
 
 
@@ -88,7 +90,7 @@
 
 @given("a small node is isolated from {begin:g} to {end:g} s")
 def step_isolate(context, begin, end):
-    (context.isolated,) = next_small(context, 1)
+    (context.isolated,) = next_nodes(context, 1)
     context.world.isolate(context.isolated, begin, end)
 
 
@@ -162,7 +164,7 @@
 @then("a small node received at most {count:d} bytes for a version")
 def step_bytes(context, count):
     world = context.world
-    for ip in world.small:
+    for ip in world.by_size["small"]:
         found = world.network.received_bytes(ip) / len(world.versions)
         assert found <= count, f"{ip} received {found:.0f} bytes for a version"
 
--- a/primrosepitch/node/operators.py
+++ b/primrosepitch/node/operators.py
@@ -45,7 +45,7 @@
 """Time for which a reading of the store waits for a change. A waiting read may miss a
 change, or its connection may be silent; the next one finds it."""
 
-NODE_WAIT_S = 0.4
+NODE_WAIT_S = 0.8
 """Time for which another node waits for a change before it answers."""
 
 ANSWER_S = 0.6
@@ -217,17 +217,18 @@
         changed = False
         for node in asked:
             # One that is not known to read the store is not waited for.
-            wait_s = NODE_WAIT_S if node == self._source else 0.0
+            longest = FETCH_S if self._newer_since else NODE_WAIT_S
+            wait_s = longest if node == self._source else 0.0
             began = clock.monotonic()
             answer, data = await self._ask(node, wait_s)
             self._source = node if answer is not None and answer.direct else None
             if answer is None:
                 self._pool.avoid(node)
                 continue
-            if answer.offset >= self._offset:
-                self._confirm(began - answer.age_ms / 1000)
             if answer.offset > self._offset:
                 changed = await self._take_packed(answer.offset, data, began, node)
+            if answer.offset == self._offset:
+                self._confirm(began - answer.age_ms / 1000)
             if changed or answer.direct:
                 break
         if self._relay.direct:
@@ -284,6 +285,8 @@
 
     def _confirm(self, at: float) -> None:
         self.confirmed_at = max(self.confirmed_at, at)
+        if at >= self._newer_since:
+            self._newer_since = 0.0
 
     async def _take(
         self,
--- a/primrosepitch/node/relay.py
+++ b/primrosepitch/node/relay.py
@@ -53,6 +53,9 @@
 """Time for a call through another node besides its wait: its own call and two ways.
 Each part of a long answer may take as much."""
 
+NEWEST_S = 1.5
+"""Time for which another node reads all newest records before it can answer."""
+
 RELAY_WAIT_S = 0.3
 """Longest time for which another node waits for a record: meanwhile the store may
 serve this node again."""
@@ -389,7 +392,8 @@
             except StoreUnavailableError as exc:
                 refused = exc
                 self._relay.turned_away(self._partition, self._direct, str(exc))
-        batch = await self._ask_for_records(StoreNewest(self._partition), 0.0)
+        question = StoreNewest(self._partition)
+        batch = await self._ask_for_records(question, NEWEST_S)
         if batch is not None:
             return batch
         if refused is not None:
