Split what nodes tell each other of the records from following them

node/operators.py decides whom to read from; node/records_exchange.py asks and answers other nodes and hides how the records travel. Corrupt records and lost answers end in one place, as no help.

--- a/primrosepitch/node/operators.py
+++ b/primrosepitch/node/operators.py
@@ -9,22 +9,10 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections.abc import Callable
 
 from primrosepitch import clock
-from primrosepitch.errors import PeerUnavailableError
-from primrosepitch.events import (
-    OPERATORS_READ,
-    RECORDS_UNREADABLE,
-    RELAY_FAILED,
-    emit,
-)
-from primrosepitch.gen.primrose.ttypes import (
-    OperatorsAnswer,
-    OperatorsAsk,
-    OperatorsPart,
-)
+from primrosepitch.events import OPERATORS_READ, emit
 from primrosepitch.jobs.store import (
     Batch,
     KeyedRecord,
@@ -32,11 +20,10 @@
     StoreUnavailableError,
 )
 from primrosepitch.metrics import Metrics
-from primrosepitch.net.peers import Question
 from primrosepitch.node.dependency import Dependency
 from primrosepitch.node.newest import NewestReader
-from primrosepitch.node.packing import PackedRecordsError, pack, unpack
 from primrosepitch.node.peer_pool import PeerNode, PeerPool
+from primrosepitch.node.records_exchange import RecordsExchange, View
 from primrosepitch.node.relay import StoreRelay
 
 __all__ = ["OperatorsFollower"]
@@ -48,9 +35,6 @@
 NODE_WAIT_S = 0.8
 """Time for which another node waits for a change before it answers."""
 
-ANSWER_S = 0.6
-"""Time for another node's answer besides its wait, and for each part of it."""
-
 END_S = 0.6
 """Time for asking the store for the end of the records."""
 
@@ -79,9 +63,6 @@
 OUTDATED_S = 2.0
 """Time after which a node that can't get records known to be newer serves nobody."""
 
-PART_BYTES = 32 * 1024
-"""Bytes in one part of an answer; 0.05 s on a link of 5 Mbit/s."""
-
 
 class OperatorsFollower:
     """Follows the operators' records, and gives them to other nodes.
@@ -114,13 +95,10 @@
         self._metrics = metrics
         self._reader = NewestReader(store)
         self._records: dict[str, bytes] = {}
-        self._packed: bytes | None = None
+        self._exchange = RecordsExchange(pool, self._view)
         self._source: PeerNode | None = None
         self._newer_since = 0.0
-        self._changed = asyncio.Event()
         self._dependency = Dependency("operators' records")
-        self._answers: set[asyncio.Task[None]] = set()
-        pool.serve(OperatorsAsk, self.handle)
         metrics.observe("primrose.operators.age", "s", self.age_s)
         metrics.observe("primrose.operators.size", "By", self._size)
 
@@ -144,9 +122,7 @@
         """
         if self._newer_since:
             left = min(SETTLE_S, deadline - clock.monotonic())
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(max(0.0, left)):
-                    await self._changed.wait()
+            await self._exchange.wait_for_change(left)
         return not self._newer_since and self.age_s() < UNCONFIRMED_S
 
     def age_s(self) -> float:
@@ -156,6 +132,9 @@
     def _size(self) -> int:
         return sum(map(len, self._records.values()))
 
+    def _view(self) -> View:
+        return View(self.reads_store, self.confirmed_at, self._offset, self._records)
+
     @property
     def _offset(self) -> int:
         return -1 if self._reader.offset is None else self._reader.offset
@@ -181,7 +160,7 @@
         try:
             records = await self._reader.read(WAIT_S)
         except StoreUnavailableError as exc:
-            self._relay.turned_away("op", self._store, str(exc))
+            self._relay.turned_away("operators", self._store, str(exc))
             raise
         size = sum(len(record.value) for record in records)
         if self._reader.caught_up:
@@ -196,7 +175,7 @@
         try:
             end = await self._store.end(began + END_S)
         except StoreUnavailableError as exc:
-            self._relay.turned_away("op", self._store, str(exc))
+            self._relay.turned_away("operators", self._store, str(exc))
             return
         if end <= self._offset:
             self._confirm(began)
@@ -211,77 +190,42 @@
     # From other nodes
 
     async def _ask_nodes(self) -> None:
+        changed = await self._ask_round()
+        if self._relay.direct:
+            await self._check_end()
+        elif self._source is None and not changed:
+            raise StoreUnavailableError("no node that was asked reads the store")
+        if self._source is None:
+            await asyncio.sleep(RETRY_S)
+
+    async def _ask_round(self) -> bool:
+        """Ask until a node has something newer, or reads the store itself.
+
+        :returns: whether something has changed
+        """
         asked = [n for n in self._pool.others() if n != self._source][:NODES_ASKED]
         if self._source is not None:
             asked.insert(0, self._source)
-        changed = False
         for node in asked:
             # One that is not known to read the store is not waited for.
             longest = FETCH_S if self._newer_since else NODE_WAIT_S
             wait_s = longest if node == self._source else 0.0
             began = clock.monotonic()
-            answer, data = await self._ask(node, wait_s)
-            self._source = node if answer is not None and answer.direct else None
-            if answer is None:
-                self._pool.avoid(node)
+            given = await self._exchange.ask(node, self._offset, wait_s)
+            self._source = node if given is not None and given.direct else None
+            if given is None or given.offset < self._offset:
                 continue
-            if answer.offset > self._offset:
-                changed = await self._take_packed(answer.offset, data, began, node)
-            if answer.offset == self._offset:
-                self._confirm(began - answer.age_ms / 1000)
-            if changed or answer.direct:
+            self._confirm(given.confirmed_at)
+            if given.records:
+                batch = Batch(given.records, given.offset, given.offset)
+                records = self._reader.take_all(batch)
+                await self._take(records, began, given.received, node.name)
+                return True
+            if given.direct:
                 break
-        if self._relay.direct:
-            await self._check_end()
-        elif self._source is None and not changed:
-            raise StoreUnavailableError("no node that was asked reads the store")
-        if self._source is None:
-            await asyncio.sleep(RETRY_S)
-
-    async def _ask(
-        self, node: PeerNode, wait_s: float
-    ) -> tuple[OperatorsAnswer | None, bytes]:
-        question = OperatorsAsk(self._offset, round(wait_s * 1000))
-        began = clock.monotonic()
-        reason = "unexpected answer"
-        try:
-            parts = await self._pool.client(node).ask_parts(
-                question, wait_s + ANSWER_S, lambda m: isinstance(m, OperatorsPart)
-            )
-        except PeerUnavailableError as exc:
-            reason = str(exc)
-        else:
-            if isinstance(parts[-1], OperatorsAnswer):
-                return parts[-1], b"".join(part.data for part in parts)
-        emit(
-            RELAY_FAILED,
-            node=node.name,
-            call="OperatorsAsk",
-            partition="op",
-            reason=reason,
-            took_s=round(clock.monotonic() - began, 2),
-        )
-        return None, b""
+        return False
 
-    async def _take_packed(
-        self, offset: int, data: bytes, began: float, node: PeerNode
-    ) -> bool:
-        """Take the records of another node.
-
-        :returns: whether they could be read
-        """
-        try:
-            rows = unpack(data)
-        except PackedRecordsError as exc:
-            emit(RECORDS_UNREADABLE, node=node.name, error=str(exc))
-            self._pool.avoid(node)
-            self._source = None
-            return False
-        records = self._reader.take_all(Batch(rows, offset, offset))
-        await self._take(records, began, len(data), node.name, data)
-        return True
-
-    # Both
+    # From either
 
     def _confirm(self, at: float) -> None:
         self.confirmed_at = max(self.confirmed_at, at)
@@ -294,12 +238,10 @@
         began: float,
         received: int,
         source: str,
-        packed: bytes | None = None,
     ) -> None:
         """Put records in force, and let changes that follow gather for a while.
 
         :param received: bytes that came over the link
-        :param packed: all records, if they came packed
         """
         known = self._records
         changed = [r for r in records if known.get(r.key, b"") != r.value]
@@ -308,10 +250,8 @@
                 known[key] = value
             else:
                 known.pop(key, None)
-        self._packed = packed
         self._newer_since = 0.0
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._exchange.note_change()
         took_s = round(clock.monotonic() - began, 3)
         emit(
             OPERATORS_READ,
@@ -327,30 +267,3 @@
         self._metrics.count("primrose.operators.read.bytes", received, source=via)
         self._on_change(changed)
         await asyncio.sleep(GAP_S)
-
-    # For other nodes
-
-    def handle(self, question: Question) -> None:
-        """Give the records to another node, now or when they change."""
-        task = asyncio.ensure_future(self._answer(question))
-        self._answers.add(task)
-        task.add_done_callback(self._answers.discard)
-
-    async def _answer(self, question: Question) -> None:
-        asked: OperatorsAsk = question.body
-        if self._offset <= asked.offset and self.reads_store:
-            wait_s = min(asked.wait_ms / 1000, NODE_WAIT_S)
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(wait_s):
-                    await self._changed.wait()
-        data = b""
-        if self._offset > asked.offset:
-            if self._packed is None:
-                self._packed = pack(self._records)
-            data = self._packed
-        while len(data) > PART_BYTES:
-            question.answer(OperatorsPart(data[:PART_BYTES]))
-            data = data[PART_BYTES:]
-        age_ms = round((clock.monotonic() - self.confirmed_at) * 1000)
-        direct = self.reads_store
-        question.answer(OperatorsAnswer(direct, age_ms, self._offset, data))
