--- a/features/steps/manifest_rollout.py
+++ b/features/steps/manifest_rollout.py
@@ -2,12 +2,13 @@
 
 import zlib
 from collections import Counter
+from contextlib import ExitStack
 
 from behave import given, then, when
-from manifest_world import CALLERS, ManifestWorld
 
 from primrosepitch.node.packing import MAX_BYTES, PackedRecordsError, pack, unpack
 from standins.log_store import Refusal
+from standins.manifest_world import CALLERS, manifest_world
 
 LEDGER_LAG = 20
 """Records that may be on their way; the scheduler adds four a second."""
@@ -19,8 +20,9 @@
     "{large:d} nodes with large links, {small:d} with small ones and {queues:d} queues"
 )
 def step_world(context, large, small, queues):
-    context.world = ManifestWorld(large, small, queues)
-    context.add_cleanup(context.world.close)
+    stack = ExitStack()
+    context.world = stack.enter_context(manifest_world(large, small, queues))
+    context.add_cleanup(stack.close)
     context.disturbed = Counter()
     context.world.publish()
 
--- a/features/manifest_world.py
+++ b/standins/manifest_world.py
@@ -1,7 +1,12 @@
 """Nodes on slow links, their store, an operator and callers, in virtual time."""
 
+from __future__ import annotations
+
 import asyncio
 import json
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
+from typing import Any, TypeVar
 
 from adapter.program import Program
 from adapter.settings import (
@@ -19,10 +24,14 @@
     WorkspaceName,
 )
 from primrosepitch.jobs.records import encode
-from standins.http import ConnectionLostError, call
-from standins.log_store import LogStore
+from standins.http import ConnectionLostError, Response, call
+from standins.log_store import LogStore, Refusal
 from standins.network import Cut, VirtualLoop
 
+__all__ = ["CALLERS", "ManifestWorld", "manifest_world"]
+
+T = TypeVar("T")
+
 STORE = "10.0.0.1"
 CALLERS = "10.0.0.2"
 PORT = 8340
@@ -43,9 +52,10 @@
 """Interval at which callers ask each node for the newest queue that it must serve."""
 
 PAYLOAD_BYTES = 4000
+"""Payload of an accepted job."""
 
 
-def queue_row(name):
+def queue_row(name: str) -> dict[str, Any]:
     """Return a queue of the operators' manifest."""
     return {
         "name": f"q-{name}",
@@ -62,63 +72,83 @@
     }
 
 
+@contextmanager
+def manifest_world(large: int, small: int, queues: int) -> Iterator[ManifestWorld]:
+    """Play a deployment on a clock of its own.
+
+    :param large: nodes with links of 100 Mbit/s
+    :param small: nodes with links of 5 Mbit/s
+    :param queues: in the manifest, besides those that versions add
+    """
+    loop = VirtualLoop()
+    with loop.as_clock():
+        world = ManifestWorld(loop, large, small, queues)
+        try:
+            yield world
+        finally:
+            world.close()
+
+
 class ManifestWorld:
     """All hosts of a deployment, on one virtual clock."""
 
-    def __init__(self, large, small, queues):
-        self.loop = VirtualLoop()
-        self._clock = self.loop.as_clock()
-        self._clock.__enter__()
+    def __init__(self, loop: VirtualLoop, large: int, small: int, queues: int) -> None:
+        """Start all nodes."""
+        self.loop = loop
         self.loop.set_exception_handler(self._unexpected)
         self.network = self.loop.network
         self.began = self.loop.time()
         self.store = LogStore()
-        self.versions = []
-        self.broken = []
-        self.unhandled = []
+        self.versions: list[float] = []
+        self.broken: list[tuple[float, str, int, int]] = []
+        self.unhandled: list[Any] = []
         self.probes = 0
-        self.programs = {}
-        self._calm_at = {}
+        self.programs: dict[str, Program] = {}
+        self._excused: dict[str, list[tuple[float, float]]] = {}
         self._refused_until = 0.0
         self._base = [json.dumps(queue_row(f"base{n:05d}")) for n in range(queues)]
         self.network.add_host(STORE, 4000)
         self.network.add_host(CALLERS, 1000)
         rates = [LARGE_MBIT] * large + [SMALL_MBIT] * small
-        self.rates = {}
-        self.by_size = {"large": [], "small": []}
+        self.rates: dict[str, float] = {}
+        self.by_size: dict[str, list[str]] = {"large": [], "small": []}
         for number, rate in enumerate(rates):
             ip = f"10.1.0.{number + 1}"
             self.network.add_host(ip, rate)
             self.rates[ip] = rate
             self.by_size["small" if rate == SMALL_MBIT else "large"].append(ip)
-            self.programs[ip] = None
         self.run(self.network.spawn(STORE, self.store.start(STORE, PORT)))
-        for ip in self.programs:
+        for ip in self.rates:
             self.start(ip)
 
-    def _unexpected(self, loop, details):
+    def _unexpected(
+        self, loop: asyncio.AbstractEventLoop, details: dict[str, Any]
+    ) -> None:
         """Keep what a task left unhandled; a killed host cancels its own."""
         exc = details.get("exception")
         if not isinstance(exc, asyncio.CancelledError):
             self.unhandled.append(exc or details["message"])
 
-    def now(self):
+    def now(self) -> float:
+        """Return the seconds since the start."""
         return self.loop.time() - self.began
 
-    def run(self, awaitable):
+    def run(self, awaitable: Awaitable[T]) -> T:
+        """Let time pass until something is done."""
         return self.loop.run_until_complete(awaitable)
 
-    def close(self):
-        for ip in (*self.programs, STORE, CALLERS, ""):
+    def close(self) -> None:
+        """End everything."""
+        for ip in (*self.rates, STORE, CALLERS, ""):
             self.network.frozen.pop(ip, None)
             self.network.kill(ip)
         self.loop.run_until_complete(asyncio.sleep(0.1))
         self.loop.close()
-        self._clock.__exit__(None, None, None)
 
     # Nodes and their faults
 
-    def start(self, ip):
+    def start(self, ip: str) -> None:
+        """Start a node."""
         settings = PlatformSettings(
             node_name=f"node-{ip}",
             ip_address=ip,
@@ -129,23 +159,33 @@
         )
         self.network.spawn(ip, self._serve(ip, settings))
 
-    async def _serve(self, ip, settings):
+    async def _serve(self, ip: str, settings: PlatformSettings) -> None:
         program = self.programs[ip] = Program(settings)
         await program.listen()
         await program.node.run()
 
-    def at(self, seconds, action, *args):
+    def at(self, seconds: float, action: Callable[..., Any], *args: Any) -> None:
         """Do something at a time of the simulation."""
         self.loop.call_at(self.began + seconds, action, *args)
 
-    def disturb(self, ip, begin, end, on, off):
+    def disturb(
+        self,
+        ip: str,
+        begin: float,
+        end: float,
+        on: Callable[[], Any],
+        off: Callable[[], Any],
+    ) -> None:
         """Schedule a fault of a node; it has to be up to date again after contact."""
-        spans = self._calm_at.setdefault(ip, [])
-        spans.append((begin, end + CONTACT_S))
+        self._excuse(ip, begin, end)
         self.at(begin, on)
         self.at(end, off)
 
-    def cut_off(self, ip, begin, end, how):
+    def _excuse(self, ip: str, begin: float, end: float) -> None:
+        self._excused.setdefault(ip, []).append((begin, end + CONTACT_S))
+
+    def cut_off(self, ip: str, begin: float, end: float, how: str) -> None:
+        """Cut a node off the store."""
         cut = Cut(how)
         self.disturb(
             ip,
@@ -155,28 +195,29 @@
             lambda: self.network.heal(ip, STORE),
         )
 
-    def isolate(self, ip, begin, end):
-        others = [other for other in (*self.programs, STORE) if other != ip]
-        self.disturb(
-            ip,
-            begin,
-            end,
-            lambda: [self.network.cut(ip, other, Cut.SILENT) for other in others],
-            lambda: [self.network.heal(ip, other) for other in others],
-        )
+    def isolate(self, ip: str, begin: float, end: float) -> None:
+        """Cut a node off all but the callers."""
+        for other in (*self.rates, STORE):
+            if other != ip:
+                self.at(begin, self.network.cut, ip, other, Cut.SILENT)
+                self.at(end, self.network.heal, ip, other)
+        self._excuse(ip, begin, end)
 
-    def refuse(self, ip, begin, end, how):
+    def refuse(self, ip: str, begin: float, end: float, how: Refusal) -> None:
+        """Let the store turn a node away."""
         # The store's refusals only stretch the bound, also for the node itself.
         self.at(begin, self.store.refuse, ip, how)
         self.at(end, self.store.refused.pop, ip)
         self._refused_until = max(self._refused_until, end + CONTACT_S)
 
-    def restart(self, ip, begin, end):
+    def restart(self, ip: str, begin: float, end: float) -> None:
+        """Kill a node and start it again."""
         self.disturb(
             ip, begin, end, lambda: self.network.kill(ip), lambda: self.start(ip)
         )
 
-    def freeze(self, ip, begin, end):
+    def freeze(self, ip: str, begin: float, end: float) -> None:
+        """Let a node stand still."""
         self.disturb(
             ip,
             begin,
@@ -187,7 +228,7 @@
 
     # The operator
 
-    def manifest(self, number):
+    def manifest(self, number: int) -> bytes:
         """Return a version of the manifest; each one adds a queue."""
         added = [json.dumps(queue_row(f"v{n + 1}")) for n in range(number)]
         routes = ",".join([*self._base, *added])
@@ -195,17 +236,18 @@
         text = f'{{"version":{number},"routes":[{routes}],"services":{services}}}'
         return text.encode()
 
-    def publish(self):
+    def publish(self) -> None:
         """Write the next version."""
         self.store.write("keyed.op", "config", self.manifest(len(self.versions) + 1))
         self.versions.append(self.now())
 
-    def publish_between(self, begin, end, gap):
+    def publish_between(self, begin: float, end: float, gap: float) -> None:
+        """Write versions one after the other."""
         count = int((end - begin) / gap)
         for number in range(count):
             self.at(begin + number * gap, self.publish)
 
-    def jobs_between(self, begin, end, size):
+    def jobs_between(self, begin: float, end: float, size: int) -> None:
         """Let jobs of some bytes in all be accepted by nodes that are not simulated."""
         count = size // PAYLOAD_BYTES
         for number in range(count):
@@ -221,27 +263,27 @@
             when = begin + (end - begin) * number / count
             self.at(when, self.store.write, "keyed.jobs", *encode(spec))
 
-    def turned_away(self):
+    def turned_away(self) -> list[str]:
         """Return the nodes that reach the store through others."""
         return [ip for ip, p in self.programs.items() if not p.relay.direct]
 
     # Callers
 
-    def must_serve(self, ip, now):
+    def must_serve(self, ip: str, now: float) -> int:
         """Return the newest version that a node must have in force, or 0."""
-        if any(begin <= now <= end for begin, end in self._calm_at.get(ip, ())):
+        if any(begin <= now <= end for begin, end in self._excused.get(ip, ())):
             return 0
         bound = APPLY_S
         if now < self._refused_until:
             bound += STRETCH_S
         return sum(at <= now - bound for at in self.versions)
 
-    async def get(self, ip, path):
+    async def get(self, ip: str, path: str) -> Response:
         """Ask a node for the jobs that wait in a queue."""
         host = {"Host": "fleet.example"}
         return await call(f"{ip}:{PORT}", "GET", path, headers=host, timeout_s=2.0)
 
-    async def ask(self, ip, version):
+    async def ask(self, ip: str, version: int) -> None:
         """Ask a node for a queue that it must serve; 503 is no better than 404."""
         began = self.now()
         try:
@@ -253,16 +295,18 @@
         if status != 200 and self.must_serve(ip, self.now()):
             self.broken.append((round(began, 2), ip, version, status))
 
-    async def probe(self):
+    async def probe(self) -> None:
+        """Ask all nodes for their newest queue for good."""
         while True:
             now = self.now()
-            for ip in self.programs:
+            for ip in self.rates:
                 version = self.must_serve(ip, now)
                 if version:
                     self.network.spawn(CALLERS, self.ask(ip, version))
             await asyncio.sleep(PROBE_S)
 
-    def play(self, seconds):
+    def play(self, seconds: float) -> None:
+        """Let time pass while callers ask."""
         probing = self.network.spawn(CALLERS, self.probe())
         self.run(asyncio.sleep(self.began + seconds - self.loop.time()))
         probing.cancel()
