Bound the bytes of an append, as a large one could never be sent in time

All jobs that waited went into one append, which has 1 s: after an outage 400 jobs of 4 KB are 1.6 MB, 2.6 s on a link of 5 Mbit/s, so each try would be given up and begun anew, and the callers told 504. Through another node 1.2 MB raise FrameError (more than a message may have), which nothing caught: the process would have ended (the error was run, the end of the process only read).

An append takes 128 KB, or one record.

Before: "Many jobs that wait are appended in parts" fails with an append of 1,632,290 bytes. After: passes.

--- a/features/intake.feature
+++ b/features/intake.feature
@@ -29,6 +29,14 @@
     When job j1 is submitted with 5 seconds of time
     Then the reply is not_accepted
 
+  # Guards against an append that takes longer than its time on a link of 5 Mbit/s, or
+  # that is larger than a message between nodes may be: 1.6 MB waited after an outage.
+  Scenario: Many jobs that wait are appended in parts
+    Given a desk and a store
+    When 400 jobs of 4000 bytes are submitted at once
+    Then the store has 400 jobs
+    And no append took more than 1 s at 5 Mbit/s
+
   # Guards against two jobs when the same id comes twice at the same time.
   Scenario: A repeat joins the first
     Given a desk and a store
--- a/features/steps/intake.py
+++ b/features/steps/intake.py
@@ -34,9 +34,11 @@
         self.script = []
         self.refuses = False
         self.appends = 0
+        self.largest = 0
 
     async def append(self, records, deadline, fence=None):
         self.appends += 1
+        self.largest = max(self.largest, sum(len(r.value) for r in records))
         await asyncio.sleep(0)
         if self.refuses:
             raise StoreUnavailableError("refused")
@@ -60,13 +62,13 @@
         return Batch(list(self.records), len(self.records), len(self.records))
 
 
-def spec(job):
+def spec(job, payload=""):
     return JobSpec(
         job=JobId(job),
         queue=QueueName("q"),
         service=ServiceName("s"),
         workspace=WorkspaceName("w"),
-        payload="",
+        payload=payload,
         steps=(StepSpec(1),),
         accepted_ms=0,
     )
@@ -118,6 +120,28 @@
     context.reply = play(context, lambda: context.desk.submit(spec(job), deadline))
 
 
+@when("{count:d} jobs of {size:d} bytes are submitted at once")
+def step_submit_many(context, count, size):
+    deadline = clock.monotonic() + 5
+    specs = [spec(f"j{number}", "x" * size) for number in range(count)]
+
+    async def submit():
+        await asyncio.gather(*(context.desk.submit(s, deadline) for s in specs))
+
+    play(context, submit)
+
+
+@then("the store has {count:d} jobs")
+def step_count(context, count):
+    assert len(context.store.records) == count, len(context.store.records)
+
+
+@then("no append took more than {seconds:g} s at {rate:g} Mbit/s")
+def step_append_size(context, seconds, rate):
+    most = seconds * rate * 1e6 / 8
+    assert context.store.largest <= most, context.store.largest
+
+
 @when("job {job} is submitted twice at once")
 def step_submit_twice(context, job):
     deadline = clock.monotonic() + 5
--- a/primrosepitch/node/follower.py
+++ b/primrosepitch/node/follower.py
@@ -45,6 +45,9 @@
 APPEND_S = 1.0
 """Time for one try of an append; the store answers in 4 ms, or 240 ms when slow."""
 
+APPEND_BYTES = 128 * 1024
+"""Bytes of records after which an append is sent; 0.2 s on a link of 5 Mbit/s."""
+
 
 class Follower:
     """Folds the ledger as it grows.
@@ -212,9 +215,19 @@
         while True:
             await self._wake.wait()
             self._wake.clear()
-            batch, self._waiting = self._waiting, []
-            if batch:
-                await self._send(batch)
+            while self._waiting:
+                await self._send(self._next_batch())
+
+    def _next_batch(self) -> list[tuple[KeyedRecord, asyncio.Future[None]]]:
+        """Take what one append may carry, and at least one record."""
+        size = count = 0
+        for record, _ in self._waiting:
+            size += len(record.value)
+            if count and size > APPEND_BYTES:
+                break
+            count += 1
+        batch, self._waiting = self._waiting[:count], self._waiting[count:]
+        return batch
 
     async def _send(
         self, batch: list[tuple[KeyedRecord, asyncio.Future[None]]]
