Keep a message that is too large from ending the process

A call that is larger than a message between nodes may be (1 MB) raised FrameError out of PeerClient, where callers expect PeerUnavailableError; in the appender's task that ends the node.

After: the outcome is unknown, and the next append through the same node succeeds.

--- a/features/steps/store_relay.py
+++ b/features/steps/store_relay.py
@@ -130,8 +130,7 @@
     context.nodes.ledger.epoch = 2
 
 
-def append(context, name, key, fence=None):
-    records = [KeyedRecord(key, b"1")]
+def append(context, name, records, fence=None):
     loop = context.nodes.loop
     store = context.nodes.stores[name]
     context.error = context.outcome = None
@@ -145,12 +144,18 @@
 
 @when("{name:w} appends record {key:w} under epoch {epoch:d}")
 def step_append_fenced(context, name, key, epoch):
-    append(context, name, key, Fence(epoch, 1))
+    append(context, name, [KeyedRecord(key, b"1")], Fence(epoch, 1))
 
 
 @when("{name:w} appends record {key:w}")
 def step_append(context, name, key):
-    append(context, name, key)
+    append(context, name, [KeyedRecord(key, b"1")])
+
+
+@when("{name:w} appends {count:d} records of {size:d} bytes in one call")
+def step_append_large(context, name, count, size):
+    records = [KeyedRecord(f"k{n}", b"1" * size) for n in range(count)]
+    append(context, name, records)
 
 
 @when("{name:w} reads from {offset:d}")
--- a/features/store_relay.feature
+++ b/features/store_relay.feature
@@ -40,6 +40,16 @@
     And a appends record y
     Then a is told the offset 1
 
+  # Guards against a node that ends because one call is larger than a message may be.
+  # The outcome counts as unknown like that of any call that broke off.
+  Scenario: An append that is too large for another node ends nothing
+    Given nodes a and b
+    When the store turns a away
+    And a appends 300 records of 4000 bytes in one call
+    Then a is told that the outcome is unknown
+    When a appends record x
+    Then a is told the offset 0
+
   # Guards against a beaten scheduler that goes on because a peer hides the refusal.
   Scenario: A beaten fence is told through the other node
     Given nodes a and b
--- a/primrosepitch/net/peers.py
+++ b/primrosepitch/net/peers.py
@@ -242,7 +242,11 @@
             self._opening = None
 
     def _send(self, env: Envelope) -> None:
-        if self._writer is None or not _write(self._writer, env):
+        try:
+            sent = self._writer is not None and _write(self._writer, env)
+        except FrameError as exc:
+            raise PeerUnavailableError(f"{self.address}: {exc.detail}") from exc
+        if not sent:
             self._drop()
             raise PeerUnavailableError(f"{self.address}: the connection is closed")
 
