Keep the follower's pause when a reading brought nothing

A reading without records that is not at the end (no progress) would have been repeated without a pause since the follower reads on while behind. The store and other nodes always give one record at least; a follower must not depend on it. Found by reading the diff; no run showed it.

manifest_rollout.feature: 16 passed, 0 failed.

--- a/primrosepitch/node/follower.py
+++ b/primrosepitch/node/follower.py
@@ -87,7 +87,10 @@
                     await self._load()
                 else:
                     batch = await self._read(WAIT_S)
-                    behind = batch.next_offset < batch.end_offset
+                    # Without records there is no progress, so the pause is kept.
+                    behind = bool(batch.records) and (
+                        batch.next_offset < batch.end_offset
+                    )
             except StoreUnavailableError as exc:
                 self._note_down(str(exc))
                 await asyncio.sleep(RETRY_S)
