Let a long answer of another node take up to 60 s while its parts come

The bound of 8 s for all parts of an answer was still a time that does not depend on the size: 2.4 MB of newest records over a link harmed to 2 Mbit/s take 10 s, were thrown away and asked for again.

Before: "A node that is turned away reads all newest records over a harmed link" fails (23 of 733 records). After: passes.

--- a/features/manifest_rollout.feature
+++ b/features/manifest_rollout.feature
@@ -39,6 +39,15 @@
     When 16 s have passed
     Then all nodes have read the ledger to its end
 
+  # Guards against an answer that is thrown away after 8 s though its parts come.
+  Scenario: A node that is turned away reads all newest records over a harmed link
+    Given 6 nodes with large links, 2 with small ones and 50 queues
+    And jobs of 2400 KB are accepted from 3 to 7 s
+    And a node with 2 Mbit/s is cut off from 2 to 40 s, frozen from 3 to 8 s
+    And the store forgets its history at 7.5 s
+    When 28 s have passed
+    Then all nodes have read the ledger to its end
+
   # Guards against a start that begins anew for ever: all pages together had 6 s.
   Scenario: A node that is restarted reads a ledger that takes longer than one call may
     Given 3 nodes with large links, 3 with small ones and 50 queues
--- a/primrosepitch/net/peers.py
+++ b/primrosepitch/net/peers.py
@@ -25,8 +25,8 @@
 MAX_UNSENT_BYTES = 4 << 20
 """A peer that takes no more bytes than this has stopped reading."""
 
-MAX_ANSWER_S = 8.0
-"""Longest time for an answer of several messages; 1 MB takes 1.6 s at 5 Mbit/s."""
+MAX_ANSWER_S = 60.0
+"""Longest time for an answer of several messages; 8 MB take 13 s at 5 Mbit/s."""
 
 CONNECT_S = 2.0
 RETRY_S = 0.5
