Take note of failed connections to other nodes that nobody waits for

When a question ran out of time while its connection was being opened, the failure was reported as an exception that was never retrieved, outside the numbered events. The question itself is answered and logged as before (relay_call_failed).

Before: "Nodes are isolated while others are restarted" fails by these reports. After: passes.

--- a/features/manifest_rollout.feature
+++ b/features/manifest_rollout.feature
@@ -48,6 +48,15 @@
     When 28 s have passed
     Then all nodes have read the ledger to its end
 
+  # Guards against errors that nobody takes note of, when many nodes come and go.
+  Scenario: Nodes are isolated while others are restarted
+    Given 3 nodes with large links, 9 with small ones and 1750 queues
+    And versions are confirmed every 0.5 s from 3 to 24 s
+    And 5 small nodes are isolated from 5 to 9 s
+    And 2 large nodes are restarted from 8 to 10 s
+    When 30 s have passed
+    Then no node was late with a version
+
   # Guards against a start that begins anew for ever: all pages together had 6 s.
   Scenario: A node that is restarted reads a ledger that takes longer than one call may
     Given 3 nodes with large links, 3 with small ones and 50 queues
--- a/primrosepitch/net/peers.py
+++ b/primrosepitch/net/peers.py
@@ -221,6 +221,8 @@
             if not self._may_retry():
                 raise PeerUnavailableError(f"{self.address}: not connected")
             self._opening = asyncio.ensure_future(self._connect())
+            # Whoever waited for it may have given up.
+            self._opening.add_done_callback(_retrieve_error)
         await asyncio.shield(self._opening)
 
     def _may_retry(self) -> bool:
@@ -288,6 +290,11 @@
                 answers.whole.exception()
 
 
+def _retrieve_error(task: asyncio.Task[None]) -> None:
+    if not task.cancelled():
+        task.exception()
+
+
 def _write(writer: asyncio.StreamWriter, env: Envelope) -> bool:
     """Write a frame without waiting.
 
