Don't take a claim of one's own without an answer for a scheduler that ended

Before: "A claim without an answer does not shorten the quiet time" fails with 3.98 s of 5.98. After: passes (term.feature: 14 passed, 0 failed).

--- /dev/null
+++ b/features/steps/claims_of_terms.py
@@ -0,0 +1,97 @@
+"""Steps about claims whose answers are lost."""
+
+import asyncio
+import random
+
+from behave import given, then, when
+
+from primrosepitch import clock
+from primrosepitch.jobs.records import Term, encode
+from primrosepitch.jobs.store import (
+    AppendOutcome,
+    Batch,
+    KeyedRecord,
+    StoreUnknownError,
+)
+from primrosepitch.node.follower import Follower
+from primrosepitch.node.scheduler import SchedulerRunner
+from primrosepitch.scheduling.leases import quiet_s
+from primrosepitch.scheduling.state import Limits
+
+ROUNDING_S = 1e-6
+
+
+class Partition:
+    """Keyed partition in memory that may lose the answer to an append."""
+
+    def __init__(self, records=()):
+        self.records = list(records)
+        self.loses = False
+
+    async def append(self, records, deadline, fence=None):
+        offset = len(self.records)
+        self.records += records
+        if self.loses:
+            raise StoreUnknownError("no answer")
+        return AppendOutcome(offset, len(self.records))
+
+    async def read(self, offset, wait_s, deadline):
+        end = len(self.records)
+        return Batch(self.records[offset:], end, end)
+
+    async def newest(self, deadline):
+        return await self.read(0, 0.0, deadline)
+
+
+class Platform:
+    """The partitions that a claim needs."""
+
+    def __init__(self, ledger):
+        self.ledger = ledger
+        self.runs = Partition()
+
+    def endpoints(self):
+        return self
+
+    async def changes(self, wait_s):
+        return []
+
+
+@given("a scheduler {name:w} whose last sign is {age:g} s old")
+def step_scheduler(context, name, age):
+    ledger = Partition([KeyedRecord(*encode(Term(1, name, 5)))])
+    context.platform = Platform(ledger)
+    context.follower = Follower(ledger, lambda record: runner.record_seen(record))
+    runner = context.runner = SchedulerRunner(
+        "a",
+        context.platform,
+        context.follower,
+        Limits(),
+        random.Random(1),
+        1.0,
+        lambda: True,
+    )
+    context.follower.loaded = True
+    asyncio.run(context.follower.catch_up())
+    context.sign_at = runner._sign_at = clock.monotonic() - age
+
+
+@when("node a claims the next term without an answer")
+def step_lost(context):
+    context.platform.ledger.loses = True
+    asyncio.run(context.runner._claim())
+    asyncio.run(context.follower.catch_up())
+    assert context.follower.ledger.term.holder == "a"
+    context.platform.ledger.loses = False
+
+
+@when("node a claims the term after it")
+def step_claim(context):
+    asyncio.run(context.runner._claim())
+    assert context.runner.leading
+
+
+@then("a gives up no run of {name:w} before its grants and leases have lapsed")
+def step_quiet(context, name):
+    quiet = context.runner.state.quiet_until - context.sign_at
+    assert quiet > quiet_s(Limits()) - ROUNDING_S, quiet
--- a/features/term.feature
+++ b/features/term.feature
@@ -19,6 +19,14 @@
       | 0.1  | 60        | 0.1  | nobody  | claims         |
       | 0.1  | 60        | 0.1  | itself  | claims         |
 
+  # Guards against runs that start twice: after a claim without an answer the node took
+  # itself for the scheduler before, and gave up that one's runs 2 s too early.
+  Scenario: A claim without an answer does not shorten the quiet time
+    Given a scheduler b whose last sign is 4.3 s old
+    When node a claims the next term without an answer
+    And node a claims the term after it
+    Then a gives up no run of b before its grants and leases have lapsed
+
   # Guards against claims from a scheduler whose signs a slow store delays.
   Scenario: A slow store delays a claim
     Given a store that takes 0.24 s for an answer
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -118,6 +118,7 @@
         self._sequence = 0
         self._runs_sequence = 0
         self._claiming = False
+        self._claims: set[int] = set()
         self._stopping = False
         self._orders: dict[EndpointId, asyncio.Semaphore] = defaultdict(
             lambda: asyncio.Semaphore(ORDERS_AT_ONCE)
@@ -222,6 +223,7 @@
         earlier = self._follower.ledger.term
         term = Term(number, self._node, self._rng.getrandbits(48))
         fence = Fence(number, self._rng.getrandbits(40))
+        self._claims.add(term.nonce)
         emit(TERM_CLAIMED, term=number, silent_s=round(self._silent_s(), 2))
         record = KeyedRecord(*encode(term))
         try:
@@ -283,7 +285,10 @@
         # before this node could read at all.
         sign_at = max(self._sign_at, self._follower.connected_at)
         # A holder that released its term, or was a process of this node, has ended.
-        ended = earlier.holder in ("", self._node)
+        # A claim of this process says nothing of the scheduler before it.
+        own_claim = earlier.nonce in self._claims
+        ended = earlier.holder in ("", self._node) and not own_claim
+        self._claims.clear()
         quiet_until = sign_at + quiet_s(self._limits, ended) if earlier.number else now
         waves = {number: w.begun for number, w in ledger.waves.items()}
         taken = ev.TermTaken(now, term.number, ledger.jobs, runs, quiet_until, waves)
