Count leases only from commits that other nodes see as a sign of life

The lease that a-3 had given lapsed only at 39.16 s: it had counted its 2 s of grants from a commit that carried just the waits of full pools (or dropped old jobs), which others don't take for a sign, and which replaced the sign of that renewal.

A renewal now always carries a sign, and only such commits count.

Before: "Leases are counted from commits that are signs of life" fails with a commit of the waits alone. After: term.feature 15 passed, the scheduler's rules, backlog, lending and soak 79 passed, 0 failed.

--- a/features/steps/claims_of_terms.py
+++ b/features/steps/claims_of_terms.py
@@ -15,8 +15,11 @@
 )
 from primrosepitch.node.follower import Follower
 from primrosepitch.node.scheduler import SchedulerRunner
+from primrosepitch.scheduling import events as ev
+from primrosepitch.scheduling.effects import Commit
 from primrosepitch.scheduling.leases import quiet_s
-from primrosepitch.scheduling.state import Limits
+from primrosepitch.scheduling.reducer import step
+from primrosepitch.scheduling.state import Limits, SchedulerState
 
 ROUNDING_S = 1e-6
 
@@ -95,3 +98,23 @@
 def step_quiet(context, name):
     quiet = context.runner.state.quiet_until - context.sign_at
     assert quiet > quiet_s(Limits()) - ROUNDING_S, quiet
+
+
+@given("a scheduler whose waits have changed")
+def step_waits(context):
+    context.state = SchedulerState(node="a", limits=Limits())
+    taken = ev.TermTaken(10.0, 1, {}, {}, 10.0, {})
+    step(context.state, taken)
+    context.state.waits = {"pressing": 900}
+
+
+@when("its renewal is due")
+def step_renewal(context):
+    effects = step(context.state, ev.Tick(11.0, 0))
+    context.commit = next(e for e in effects if isinstance(e, Commit))
+
+
+@then("it commits a sign of life with the waits")
+def step_sign(context):
+    keys = {record.key for record in context.commit.shared}
+    assert keys >= {"backlog", "term"}, keys
--- a/features/term.feature
+++ b/features/term.feature
@@ -27,6 +27,13 @@
     And node a claims the term after it
     Then a gives up no run of b before its grants and leases have lapsed
 
+  # Guards against leases that outlast the quiet time: they were counted from a commit
+  # that other nodes did not count as a sign of the scheduler.
+  Scenario: Leases are counted from commits that are signs of life
+    Given a scheduler whose waits have changed
+    When its renewal is due
+    Then it commits a sign of life with the waits
+
   # Guards against claims from a scheduler whose signs a slow store delays.
   Scenario: A slow store delays a claim
     Given a store that takes 0.24 s for an answer
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -306,11 +306,14 @@
     for wave in waves:
         wave.dirty = False
         shared.append(encode(WaveProgress(wave.spec.wave, sorted(wave.begun))))
+    if renewal and not shared:
+        shared.append(encode(Term(state.term, state.node, state.nonce)))
+    # What follows is no sign of life to other nodes.
+    if shared:
+        state.renewed_at = state.now
     shared += _expired(state)
     if renewal:
         shared += _backlog(state)
-    if renewal and not shared:
-        shared.append(encode(Term(state.term, state.node, state.nonce)))
     state.committing_acks = {
         endpoint.id: (endpoint.report.born, endpoint.processed)
         for endpoint in state.endpoints.values()
@@ -318,8 +321,6 @@
     }
     state.commits += 1
     state.committing = state.commits
-    if shared:
-        state.renewed_at = state.now
     return [Commit(state.commits, _keyed(runs), _keyed(shared))]
 
 
