Follow the release of a term, and release it after the last order

Cause: the release is a term of the same number without a holder, and the fold of terms took only a higher number or an equal record. The fold now takes the release of the claim that holds the term; another claim's release and a late renewal change nothing. Since the next scheduler acts at once now, the release is written only when every order to an instance has been answered, and orders that still wait for their turn are dropped: they were checked by age, not by term.

--- a/features/steps/claims_of_terms.py
+++ b/features/steps/claims_of_terms.py
@@ -6,7 +6,8 @@
 from behave import given, then, when
 
 from primrosepitch import clock
-from primrosepitch.jobs.records import Term, encode
+from primrosepitch.jobs.model import ServiceName
+from primrosepitch.jobs.records import Ledger, Term, encode
 from primrosepitch.jobs.store import (
     AppendOutcome,
     Batch,
@@ -15,11 +16,13 @@
 )
 from primrosepitch.node.follower import LedgerFollower
 from primrosepitch.node.scheduler import SchedulerRunner
+from primrosepitch.node.term import TermObservation, claim_delay_s
 from primrosepitch.scheduling import events as ev
-from primrosepitch.scheduling.effects import Commit
+from primrosepitch.scheduling.effects import Commit, MoveInstance
 from primrosepitch.scheduling.leases import takeover_wait_s
 from primrosepitch.scheduling.reducer import step
 from primrosepitch.scheduling.state import Limits, SchedulerState
+from standins.network import VirtualLoop
 
 ROUNDING_S = 1e-6
 
@@ -102,6 +105,127 @@
     assert wait_s > takeover_wait_s(Limits()) - ROUNDING_S, wait_s
 
 
+@when("{name:w} releases its term")
+def step_release(context, name):
+    released = Term(1, "", context.follower.ledger.term.nonce)
+    context.platform.ledger.records.append(KeyedRecord(*encode(released)))
+    asyncio.run(context.follower.catch_up())
+    context.released_at = clock.monotonic()
+
+
+@then("node a claims the next term after its claim delay")
+def step_claims_after_delay(context):
+    delay_s = claim_delay_s(1.0, 1.0)
+    for elapsed_s, claims in ((0.9 * delay_s, False), (1.1 * delay_s, True)):
+        now = context.released_at + elapsed_s
+        observation = TermObservation(
+            "a",
+            context.follower.ledger.term,
+            context.runner._heartbeat_at,
+            connected_at=now - 60,
+            read_at=now,
+            latency_s=0.0,
+            jitter_s=delay_s,
+        )
+        assert observation.should_claim(now) is claims, elapsed_s
+
+
+HOLDERS = {"nobody": ""}
+
+
+@given("a ledger in which {holder:w} holds term {number:d} with nonce {nonce:d}")
+def step_ledger(context, holder, number, nonce):
+    context.ledger = Ledger()
+    context.ledger.apply(*encode(Term(number, holder, nonce)))
+
+
+@when("the ledger gets term {number:d} of {holder:w} with nonce {nonce:d}")
+@when(
+    "the ledger gets the renewal of term {number:d} of {holder:w} "
+    "with nonce {nonce:d} again"
+)
+def step_term_record(context, number, holder, nonce):
+    term = Term(number, HOLDERS.get(holder, holder), nonce)
+    context.ledger.apply(*encode(term))
+
+
+@then("the term in the ledger is {number:d}, {holder:w} and nonce {nonce:d}")
+def step_term_in_ledger(context, number, holder, nonce):
+    expected = Term(number, HOLDERS.get(holder, holder), nonce)
+    assert context.ledger.term == expected, context.ledger.term
+
+
+class SlowInstances(MemoryPlatform):
+    """Platform whose instance service answers late; records the order of events."""
+
+    def __init__(self, ledger, answer_s):
+        super().__init__(ledger)
+        self.answer_s = answer_s
+        self.history = []
+
+    async def move_instance(self, order):
+        self.history.append("sent")
+        await asyncio.sleep(self.answer_s)
+        self.history.append("answered")
+        return ev.Outcome.DONE
+
+
+async def stop_with_open_order(context, answer_s):
+    """Stop a scheduler with one order under way and one that waits for its turn."""
+    loop = asyncio.get_running_loop()
+    ledger = MemoryPartition()
+    platform = context.platform = SlowInstances(ledger, answer_s)
+    follower = LedgerFollower(ledger, lambda record: None)
+    follower.loaded = True
+    runner = SchedulerRunner(
+        "a", platform, follower, Limits(), random.Random(1), 1.0, lambda: True
+    )
+    with loop.as_clock():
+        await runner._claim()
+        assert runner.leading
+        runner._move_slots = asyncio.Semaphore(1)
+        for instance in ("m1", "m2"):
+            order = MoveInstance(instance, ServiceName("pressing"), runner.state.term)
+            runner._move_instance(order)
+        await asyncio.sleep(0.1)
+        append = ledger.append
+
+        async def append_and_record(records, deadline, fence=None):
+            platform.history.append("released")
+            return await append(records, deadline, fence)
+
+        ledger.append = append_and_record
+        await runner.release_term()
+        await asyncio.sleep(5.0)
+
+
+@given("a scheduler a whose order to move an instance is not answered for {answer:g} s")
+def step_open_order(context, answer):
+    context.answer_s = answer
+
+
+@when("a is stopped gracefully")
+def step_stop_gracefully(context):
+    loop = VirtualLoop()
+    try:
+        loop.run_until_complete(stop_with_open_order(context, context.answer_s))
+    finally:
+        loop.close()
+
+
+@then("the release is written after the answer")
+def step_release_after_answer(context):
+    history = context.platform.history
+    assert history.index("answered") < history.index("released"), history
+
+
+@then("no order is sent after the release")
+def step_no_order_after_release(context):
+    history = context.platform.history
+    assert "sent" not in history[history.index("released") :], history
+    assert history.count("sent") == 1, history
+
+
 @given("a scheduler whose queue waits have changed")
 def step_waits_changed(context):
     context.state = SchedulerState(node="a", limits=Limits())
--- a/features/term.feature
+++ b/features/term.feature
@@ -54,3 +54,34 @@
   Scenario: The first term goes to a large instance that starts 0.3 s later
     Given a small and a large instance, of which the large one starts 0.3 s later
     Then the large one claims the first term before the small one
+
+  # Guards against over a second without a scheduler after each graceful stop. Nodes that
+  # follow the ledger ignored the release, and claimed only when heartbeats were missing.
+  Scenario: A released term is claimed without waiting for missing heartbeats
+    Given a scheduler b whose last heartbeat is 0.2 s old
+    When b releases its term
+    Then node a claims the next term after its claim delay
+
+  # Guards against a term that ends because of the release of another claim, or that
+  # continues because a renewal took effect after the release.
+  Scenario Outline: Only the holder's release ends a term, and it is final
+    Given a ledger in which b holds term 3 with nonce 5
+    When the ledger gets term <number> of <holder> with nonce <nonce>
+    And the ledger gets the renewal of term 3 of b with nonce 5 again
+    Then the term in the ledger is <result>
+
+    Examples:
+      | number | holder | nonce | result                |
+      | 3      | nobody | 5     | 3, nobody and nonce 5 |
+      | 3      | nobody | 6     | 3, b and nonce 5      |
+      | 2      | nobody | 5     | 3, b and nonce 5      |
+      | 3      | c      | 5     | 3, b and nonce 5      |
+      | 4      | c      | 6     | 4, c and nonce 6      |
+
+  # Guards against orders that are sent twice around a release: the successor acts at
+  # once, while an order of the scheduler that stops is still on its way.
+  Scenario: A term is released only when its orders to instances have been answered
+    Given a scheduler a whose order to move an instance is not answered for 0.8 s
+    When a is stopped gracefully
+    Then the release is written after the answer
+    And no order is sent after the release
--- a/primrosepitch/jobs/records.py
+++ b/primrosepitch/jobs/records.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 import msgspec
+from msgspec.structs import replace
 
 from primrosepitch.jobs.model import (
     EndpointId,
@@ -317,6 +318,10 @@
     if term.number > ledger.term.number:
         ledger.term = term
         return term
+    if term == replace(ledger.term, holder=""):
+        # The holder's release, which a late renewal does not undo.
+        ledger.term = term
+        return term
     # An equal term is a renewal. Another claim of the same number lost the race.
     return term if term == ledger.term else None
 
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -128,6 +128,7 @@
         self._order_slots = asyncio.Semaphore(MAX_CONCURRENT_ORDERS)
         self._move_slots = asyncio.Semaphore(MAX_CONCURRENT_MOVES)
         self._tasks: set[asyncio.Task[Any]] = set()
+        self._instance_orders: set[asyncio.Task[Any]] = set()
         self._instances_monitor = DependencyMonitor("list of instances")
         self._advice_monitor = DependencyMonitor("advice")
         self._effect_handlers: dict[type, Callable[[Any], None]] = {
@@ -333,7 +334,11 @@
             await asyncio.sleep(REPORTS_READ_PAUSE_S)
 
     async def release_term(self) -> None:
-        """Release the term, so that another node claims it without a timeout."""
+        """Release the term, so that another node claims it without a timeout.
+
+        The release follows the answers to all orders to instances, since the next
+        scheduler may order the same instances at once.
+        """
         self._stopping = True
         if not self.leading:
             return
@@ -341,6 +346,8 @@
             await asyncio.sleep(TICK_INTERVAL_S)
         number = self.state.term
         self._step_down(ef.StepDown("the process is stopping"))
+        if self._instance_orders:
+            await asyncio.wait(self._instance_orders)
         self._ledger_sequence += 1
         record = KeyedRecord(*encode(Term(number, "", self.state.nonce)))
         try:
@@ -358,10 +365,11 @@
         for effect in step(self.state, event):
             self._effect_handlers[type(effect)](effect)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     def _dispatch_in_term(self, term: int, event: ev.Event) -> None:
         """Dispatch an event, unless the term it belongs to has ended."""
@@ -496,25 +504,35 @@
         self._dispatch_in_term(term, ev.InstancesListed(instances, clock.monotonic()))
 
     def _start_maintenance(self, order: ef.StartMaintenance) -> None:
-        self._spawn(self._send_maintenance(order, clock.monotonic()))
+        self._spawn_instance_order(self._send_maintenance(order, clock.monotonic()))
 
     async def _send_maintenance(
         self, order: ef.StartMaintenance, issued_at: float
     ) -> None:
         outcome = ev.Outcome.NOT_SENT
-        if clock.monotonic() - issued_at <= MAX_ORDER_AGE_S:
+        if self._may_order_instance(order.token, issued_at):
             outcome = await self._platform.start_maintenance(order)
         now = clock.monotonic()
         answer = ev.MaintenanceAnswered(order.instance, order.wave, outcome, now)
         self._dispatch_in_term(order.token, answer)
 
+    def _spawn_instance_order(self, work: Coroutine[Any, Any, None]) -> None:
+        task = self._spawn(work)
+        self._instance_orders.add(task)
+        task.add_done_callback(self._instance_orders.discard)
+
+    def _may_order_instance(self, token: int, issued_at: float) -> bool:
+        """Return whether an order issued under a term may still be sent."""
+        fresh = clock.monotonic() - issued_at <= MAX_ORDER_AGE_S
+        return fresh and self.state.term == token
+
     def _move_instance(self, order: ef.MoveInstance) -> None:
-        self._spawn(self._send_move(order, clock.monotonic()))
+        self._spawn_instance_order(self._send_move(order, clock.monotonic()))
 
     async def _send_move(self, order: ef.MoveInstance, issued_at: float) -> None:
         outcome = ev.Outcome.NOT_SENT
         async with self._move_slots:
-            if clock.monotonic() - issued_at <= MAX_ORDER_AGE_S:
+            if self._may_order_instance(order.token, issued_at):
                 outcome = await self._platform.move_instance(order)
         now = clock.monotonic()
         answer = ev.MoveAnswered(order.instance, order.pool, outcome, now)
