Let large instances claim first, and read the ledger to its end before a claim

Cause: the delay counted from when the ledger could be read, but no node claims before it has a configuration; the first manifest reaches all nodes at once and long after the delays have passed, so any instance got the first term. A node also claimed on what it had read up to 0.25 s earlier. The delay now counts from the first configuration too, and a node reads to the end of the ledger right before its claim: a heartbeat or a claim found there stops it.

--- a/features/steps/claims_of_terms.py
+++ b/features/steps/claims_of_terms.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import msgspec
 from behave import given, then, when
 
 from primrosepitch import clock
@@ -126,10 +127,38 @@
             read_at=now,
             latency_s=0.0,
             jitter_s=delay_s,
+            configured_at=now - 60,
         )
         assert observation.should_claim(now) is claims, elapsed_s
 
 
+UNREAD_RECORDS = {
+    "a claim of c": Term(2, "c", 6),
+    "a heartbeat of b": Term(1, "b", 5),
+    "a release of b": Term(1, "", 5),
+}
+
+
+@given("{record} is in the ledger, unread by node a")
+def step_unread(context, record):
+    if record in UNREAD_RECORDS:
+        term = UNREAD_RECORDS[record]
+        context.platform.ledger.records.append(KeyedRecord(*encode(term)))
+
+
+@when("node a finds that it should claim")
+def step_finds_claim_due(context):
+    asyncio.run(context.runner._claim())
+
+
+@then("the ledger has {count:d} claims of node a")
+def step_claim_count(context, count):
+    records = context.platform.ledger.records
+    terms = [msgspec.msgpack.decode(r.value, type=Term) for r in records]
+    claims = {t.number for t in terms if t.holder == "a"}
+    assert len(claims) == count, terms
+
+
 HOLDERS = {"nobody": ""}
 
 
--- a/features/steps/term.py
+++ b/features/steps/term.py
@@ -22,7 +22,12 @@
     term = Term(3, HOLDERS[holder], 1)
     latency_s = getattr(context, "latency_s", 0.0)
     context.observation = TermObservation(
-        "a", term, *context.observed_at, latency_s=latency_s, jitter_s=0.05
+        "a",
+        term,
+        *context.observed_at,
+        latency_s=latency_s,
+        jitter_s=0.05,
+        configured_at=NOW - 60,
     )
 
 
@@ -44,17 +49,18 @@
     assert context.observation.should_claim(NOW) is (claims == "claims")
 
 
-def first_claim_at(cores, jitter_fraction, started):
+def first_claim_at(cores, jitter_fraction, started, configured_after_s=0.0):
     """Return when a node that started at ``started`` claims the first term."""
     delay_s = claim_delay_s(cores, jitter_fraction)
-    for tick in range(1, 500):
+    configured_at = started + configured_after_s
+    for tick in range(1, 1000):
         now = started + tick * 0.01
         observation = TermObservation(
-            "a", Term(0, "", 0), 0.0, started, now, 0.0, delay_s
+            "a", Term(0, "", 0), 0.0, started, now, 0.0, delay_s, configured_at
         )
-        if observation.should_claim(now):
+        if now >= configured_at and observation.should_claim(now):
             return now
-    raise AssertionError("the node does not claim the first term within 5 s")
+    raise AssertionError("the node does not claim the first term within 10 s")
 
 
 @given("a small and a large instance, of which the large one starts {later:g} s later")
@@ -63,6 +69,15 @@
     context.large_at = first_claim_at(2.15, 1.0, NOW + later)
 
 
+@given(
+    "a small and a large instance that get the first manifest {later:g} s after they "
+    "have read the ledger"
+)
+def step_configured_later(context, later):
+    context.small_at = first_claim_at(0.52, 0.0, NOW, later)
+    context.large_at = first_claim_at(2.15, 1.0, NOW, later)
+
+
 @then("the large one claims the first term before the small one")
 def step_large_first(context):
     assert context.large_at + 0.1 < context.small_at, (
--- a/features/term.feature
+++ b/features/term.feature
@@ -85,3 +85,24 @@
     When a is stopped gracefully
     Then the release is written after the answer
     And no order is sent after the release
+
+  # Guards against a first term that goes to any instance, since the delays that let
+  # large ones claim first had passed before the first manifest arrived at all nodes.
+  Scenario: The first term goes to a large instance when all get the first manifest at once
+    Given a small and a large instance that get the first manifest 5 s after they have read the ledger
+    Then the large one claims the first term before the small one
+
+  # Guards against nodes that claim a term which another one has just claimed: each such
+  # claim is an append, and nearly a hundred nodes see a release at once.
+  Scenario Outline: A node reads to the end of the ledger before it claims
+    Given a scheduler b whose last heartbeat is 2 s old
+    And <record> is in the ledger, unread by node a
+    When node a finds that it should claim
+    Then the ledger has <claims> claims of node a
+
+    Examples:
+      | record           | claims |
+      | a claim of c     | 0      |
+      | a heartbeat of b | 0      |
+      | a release of b   | 1      |
+      | nothing          | 1      |
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -116,6 +116,7 @@
         self._may_claim = may_claim
         self._cfg = Configuration()
         self._waves: dict[int, WaveSpec] = {}
+        self._configured_at = 0.0
         self._heartbeat_at = 0.0
         self._ledger_sequence = 0
         self._runs_sequence = 0
@@ -168,6 +169,7 @@
 
     def configure(self, cfg: Configuration) -> None:
         """Pass a new configuration to the reducer."""
+        self._configured_at = self._configured_at or clock.monotonic()
         self._cfg = cfg
         self._dispatch(ev.ConfigurationChanged(cfg))
 
@@ -210,6 +212,7 @@
                 self._follower.read_at,
                 self._follower.latency_s,
                 jitter_s,
+                self._configured_at,
             )
             if (
                 self._follower.loaded
@@ -221,9 +224,23 @@
                 await self._claim()
 
     async def _claim(self) -> None:
-        """Claim the next term, which belongs to its first claim in the ledger."""
-        number = self._follower.ledger.term.number + 1
+        """Claim the next term, which belongs to its first claim in the ledger.
+
+        No claim is made if the scheduler, or another node's claim, shows in the records
+        that this node had not read yet.
+        """
+        heartbeat_at = self._heartbeat_at
         previous = self._follower.ledger.term
+        try:
+            await self._follower.catch_up()
+        except StoreUnavailableError:
+            # The follower logs that the store is unavailable.
+            return
+        newest = self._follower.ledger.term
+        if newest.holder and (self._heartbeat_at, newest) != (heartbeat_at, previous):
+            return
+        previous = newest
+        number = previous.number + 1
         term = Term(number, self._node, self._rng.getrandbits(48))
         fence = Fence(number, self._rng.getrandbits(40))
         self._claim_nonces.add(term.nonce)
--- a/primrosepitch/node/term.py
+++ b/primrosepitch/node/term.py
@@ -40,6 +40,7 @@
     :param read_at: boot-time clock of the last read
     :param latency_s: response time of the store
     :param jitter_s: delay that differs between nodes, so that they rarely claim at once
+    :param configured_at: boot-time clock since which the node has a configuration
     """
 
     node: str
@@ -49,12 +50,15 @@
     read_at: float
     latency_s: float
     jitter_s: float
+    configured_at: float
 
     def should_claim(self, now: float) -> bool:
         """Return whether the node should claim the next term."""
         if now - self.read_at > MAX_READ_AGE_S:
             return False
-        silent_s = now - max(self.heartbeat_at, self.connected_at)
+        # The delay that lets large nodes claim first counts from when a node can claim.
+        silent_since = max(self.heartbeat_at, self.connected_at, self.configured_at)
+        silent_s = now - silent_since
         if self.term.holder == self.node:
             # The holder was an earlier process of this node, which has ended.
             return True
