Let orders to instances expire before a successor sends its own

Cause: closing the connection of an order that was given up left its bytes in the kernel, which went on sending them (shown by the scenario 'An order that was given up during a cut', running and killed, in the simulated network that now keeps what a closed connection has sent). Two more ways to the same fault: a permission that had run out while the connection was opened, and a successor whose first moves came 0.5 s after its claim, while the last orders of the scheduler before may take 2.5 s. Connections are reset on close now; an order carries the time by which it must be sent, checked right before the write; where tokens are not checked a successor waits until 2.6 s after the last heartbeat that it read. Settings without fencing_required, or with another type, are refused with its name and the remedy.

--- /dev/null
+++ b/features/instance_orders.feature
@@ -0,0 +1,91 @@
+Feature: Orders to instances of two schedulers never overlap
+
+  Where the platform does not check fencing tokens, an order of an ended term that
+  arrives after one of its successor takes effect.
+
+  # Guards against an order that was given up during a cut and arrives when the cut heals:
+  # the kernel went on sending it, although the connection had been closed.
+  Scenario Outline: An order that was given up during a cut does not arrive when it heals
+    Given a node with an open connection to the service of machines
+    When their path is cut and the node orders a move
+    And the node is <state> 0.2 s later
+    And the path heals 5 s later
+    Then the service has not received the order
+
+    Examples:
+      | state   |
+      | running |
+      | frozen  |
+      | killed  |
+
+  # Guards against a process that was paused between its decision and the write, and acts
+  # on a permission that has run out.
+  Scenario Outline: An order is not sent after its permission has expired
+    Given a node without a connection to the service of machines
+    When the node orders a move within <valid> s and is frozen for <pause> s while it connects
+    Then the service has received <count> orders
+
+    Examples:
+      | valid | pause | count |
+      | 1     | 0.1   | 1     |
+      | 1     | 0.9   | 1     |
+      | 0.1   | 0.2   | 0     |
+      | 0.3   | 0.9   | 0     |
+      | 1     | 5     | 0     |
+
+  # Guards against a successor that orders an instance while the last orders of the
+  # scheduler before it are still under way: they would take effect after its own.
+  Scenario Outline: A successor orders no instance before earlier orders have expired
+    Given the platform <checks> fencing tokens
+    And a scheduler b whose last heartbeat is 1.3 s old
+    When node a claims the next term
+    Then a orders no instance before <seconds> s after that heartbeat
+
+    Examples:
+      | checks         | seconds |
+      | does not check | 2.6     |
+      | checks         | 1.8     |
+
+  # Guards against a takeover wait after a release, which follows the last order.
+  Scenario: A successor of a released term orders instances after the settling time
+    Given the platform does not check fencing tokens
+    And a scheduler b whose last heartbeat is 0.2 s old
+    When b releases its term
+    And node a claims the next term
+    Then a orders no instance before 0.5 s after its claim, but then it does
+
+  # Guards against a short takeover wait after the release of a term that was itself
+  # shorter than the wait for the one before it.
+  Scenario: A term is not released before earlier orders have expired
+    Given the platform does not check fencing tokens
+    And a scheduler b whose last heartbeat is 1.3 s old
+    When node a claims the next term
+    And a is stopped gracefully at once
+    Then the release is written 2.6 s after that heartbeat, or later
+
+  # Guards against orders of two terms for one instance in the wrong order, under load:
+  # a scheduler that can't write goes on for a second, and its orders arrive late.
+  Scenario Outline: Orders of a scheduler that can't write come before those of its successor
+    Given the platform does not check fencing tokens
+    And scheduler a lends instances in turns, with orders that arrive <delay> s late in a cut
+    When a can't write to the store and b claims <silence> s after its last heartbeat
+    Then no instance gets an order of a after one of b
+
+    Examples:
+      | delay | silence |
+      | 1.5   | 1.2     |
+      | 1.5   | 2.0     |
+      | 0.5   | 1.2     |
+
+  # Guards against a node that starts without knowing whether tokens are checked.
+  Scenario Outline: Settings must say whether fencing tokens are checked
+    Given node settings with bounds <bounds>
+    When the settings are loaded
+    Then they are refused with a message that names fencing_required and a remedy
+
+    Examples:
+      | bounds                     |
+      | {}                         |
+      | {"fencing_required": 1}    |
+      | {"fencing_required": "no"} |
+      | {"fencing_required": null} |
--- a/features/steps/claims_of_terms.py
+++ b/features/steps/claims_of_terms.py
@@ -75,7 +75,7 @@
         "a",
         context.platform,
         context.follower,
-        Limits(),
+        getattr(context, "limits", Limits()),
         random.Random(1),
         1.0,
         lambda: True,
@@ -95,6 +95,7 @@
 
 
 @when("node a claims the term after it")
+@when("node a claims the next term")
 def step_claim(context):
     asyncio.run(context.runner._claim())
     assert context.runner.leading
--- a/primrosepitch/net/http_pool.py
+++ b/primrosepitch/net/http_pool.py
@@ -5,7 +5,9 @@
 import asyncio
 import contextlib
 import socket
+import struct
 from collections import defaultdict
+from math import inf
 from typing import Any
 
 import h11
@@ -32,6 +34,9 @@
 MAX_IDLE_CONNECTIONS = 8
 """Maximum number of idle connections per address."""
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""``SO_LINGER`` with a timeout of 0."""
+
 IDLE_TIMEOUT_S = 20.0
 """Time after which an idle connection is not reused."""
 
@@ -56,7 +61,11 @@
         self._user_timeout_ms = user_timeout_ms
 
     async def call(
-        self, address: str, request: HttpRequest, deadline: float
+        self,
+        address: str,
+        request: HttpRequest,
+        deadline: float,
+        send_by: float = inf,
     ) -> HttpResponse:
         """Send a request and wait for its complete response.
 
@@ -66,6 +75,7 @@
         :param address: ``IP:PORT``
         :param deadline: boot-time clock at which the call times out; a response that is
             still arriving, for instance over a slow link, is read to its end
+        :param send_by: boot-time clock after which the request must not be sent
         :raises NotSentError: if nothing was sent
         :raises NoResponseError: if the outcome is unknown
         """
@@ -76,7 +86,7 @@
             async with asyncio.timeout(
                 max(0.0, deadline - clock.monotonic())
             ) as timeout:
-                response = await conn.exchange(request, address, timeout)
+                response = await conn.exchange(request, address, timeout, send_by)
         except TimeoutError as exc:
             conn.abort()
             # The cause of the timeout may affect the idle connections too.
@@ -122,7 +132,7 @@
                 _, conn = await loop.create_connection(_Connection, host, int(port))
         except (OSError, TimeoutError) as exc:
             raise NotSentError(f"cannot connect to {address}") from exc
-        conn.set_user_timeout(self._user_timeout_ms)
+        conn.set_socket_options(self._user_timeout_ms)
         return conn
 
 
@@ -145,16 +155,26 @@
         self._transport = transport
         self.open = True
 
-    def set_user_timeout(self, timeout_ms: int) -> None:
+    def set_socket_options(self, user_timeout_ms: int) -> None:
         if self._transport is None:
             return
         sock = self._transport.get_extra_info("socket")
-        # A simulated network may lack the option; the deadlines of calls still apply.
+        # A simulated network may lack the options; the deadlines of calls still apply.
         with contextlib.suppress(OSError):
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+            # Resets the connection on close, also when the process is killed. Otherwise
+            # the kernel would go on sending a request that has been given up, which
+            # could arrive after newer ones.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms
+            )
 
     async def exchange(
-        self, request: HttpRequest, host: str, timeout: asyncio.Timeout
+        self,
+        request: HttpRequest,
+        host: str,
+        timeout: asyncio.Timeout,
+        send_by: float,
     ) -> HttpResponse:
         self._timeout = timeout
         self._response_started_at = 0.0
@@ -174,6 +194,8 @@
         if request.body:
             data += self._h11.send(h11.Data(data=request.body)) or b""
         data += self._h11.send(h11.EndOfMessage()) or b""
+        if clock.monotonic() > send_by:
+            raise NotSentError("the request is too old to be sent")
         self._transport.write(data)
         response: HttpResponse = await fut
         return response
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -38,6 +38,7 @@
 from primrosepitch.scheduling import effects as ef
 from primrosepitch.scheduling import events as ev
 from primrosepitch.scheduling.configuration import Configuration, WaveSpec
+from primrosepitch.scheduling.instance_orders import instance_orders_expire_at
 from primrosepitch.scheduling.leases import takeover_wait_s
 from primrosepitch.scheduling.ordering import ready_steps
 from primrosepitch.scheduling.reducer import step
@@ -324,8 +325,20 @@
             else now
         )
         waves = {number: w.begun for number, w in ledger.waves.items()}
+        # A release follows the answers to all orders. Where fencing tokens are checked,
+        # a late order of an earlier scheduler is refused.
+        if previous.number and previous.holder and not self._limits.fencing_required:
+            prior_orders_until = instance_orders_expire_at(heartbeat_at)
+        else:
+            prior_orders_until = now
         event = ev.TermTaken(
-            now, term.number, ledger.jobs, runs, prior_leases_until, waves
+            now,
+            term.number,
+            ledger.jobs,
+            runs,
+            prior_leases_until,
+            waves,
+            prior_orders_until,
         )
         self._dispatch(event)
         self._spawn(self._read_reports(term.number))
@@ -362,9 +375,12 @@
         while self.state.committing and self.leading:
             await asyncio.sleep(TICK_INTERVAL_S)
         number = self.state.term
+        # Those of the term before may still be under way, too.
+        orders_until = self.state.prior_orders_until
         self._step_down(ef.StepDown("the process is stopping"))
         if self._instance_orders:
             await asyncio.wait(self._instance_orders)
+        await asyncio.sleep(max(0.0, orders_until - clock.monotonic()))
         self._ledger_sequence += 1
         record = KeyedRecord(*encode(Term(number, "", self.state.nonce)))
         try:
@@ -521,13 +537,11 @@
         self._dispatch_in_term(term, ev.InstancesListed(instances, clock.monotonic()))
 
     def _start_maintenance(self, order: ef.StartMaintenance) -> None:
-        self._spawn_instance_order(self._send_maintenance(order, clock.monotonic()))
+        self._spawn_instance_order(self._send_maintenance(order))
 
-    async def _send_maintenance(
-        self, order: ef.StartMaintenance, issued_at: float
-    ) -> None:
+    async def _send_maintenance(self, order: ef.StartMaintenance) -> None:
         outcome = ev.Outcome.NOT_SENT
-        if self._may_order_instance(order.token, issued_at):
+        if self.state.term == order.token:
             outcome = await self._platform.start_maintenance(order)
         now = clock.monotonic()
         answer = ev.MaintenanceAnswered(order.instance, order.wave, outcome, now)
@@ -538,18 +552,13 @@
         self._instance_orders.add(task)
         task.add_done_callback(self._instance_orders.discard)
 
-    def _may_order_instance(self, token: int, issued_at: float) -> bool:
-        """Return whether an order issued under a term may still be sent."""
-        fresh = clock.monotonic() - issued_at <= MAX_ORDER_AGE_S
-        return fresh and self.state.term == token
-
     def _move_instance(self, order: ef.MoveInstance) -> None:
-        self._spawn_instance_order(self._send_move(order, clock.monotonic()))
+        self._spawn_instance_order(self._send_move(order))
 
-    async def _send_move(self, order: ef.MoveInstance, issued_at: float) -> None:
+    async def _send_move(self, order: ef.MoveInstance) -> None:
         outcome = ev.Outcome.NOT_SENT
         async with self._move_slots:
-            if self._may_order_instance(order.token, issued_at):
+            if self.state.term == order.token:
                 outcome = await self._platform.move_instance(order)
         now = clock.monotonic()
         answer = ev.MoveAnswered(order.instance, order.pool, outcome, now)
--- a/primrosepitch/scheduling/effects.py
+++ b/primrosepitch/scheduling/effects.py
@@ -98,19 +98,29 @@
 
 
 class StartMaintenance(NamedTuple):
-    """Start the maintenance of an instance."""
+    """Start the maintenance of an instance.
+
+    :param send_by: boot-time clock after which the order must not be sent, since
+        another node may hold the term
+    """
 
     instance: str
     wave: int
     token: int
+    send_by: float
 
 
 class MoveInstance(NamedTuple):
-    """Move an instance to another pool."""
+    """Move an instance to another pool.
+
+    :param send_by: boot-time clock after which the order must not be sent, since
+        another node may hold the term
+    """
 
     instance: str
     pool: ServiceName
     token: int
+    send_by: float
 
 
 class ReportWaveStatus(NamedTuple):
--- a/primrosepitch/scheduling/events.py
+++ b/primrosepitch/scheduling/events.py
@@ -172,6 +172,8 @@
     :param prior_leases_until: boot-time clock until which runs of an earlier term may
         continue on endpoints that do not answer
     :param waves: instances of each wave whose maintenance has begun
+    :param prior_orders_until: boot-time clock until which orders of an earlier term may
+        reach instances
     """
 
     now: float
@@ -180,6 +182,7 @@
     runs: dict[JobId, Progress]
     prior_leases_until: float
     waves: dict[int, list[str]]
+    prior_orders_until: float = 0.0
 
 
 class JobAccepted(NamedTuple):
--- a/primrosepitch/scheduling/lending.py
+++ b/primrosepitch/scheduling/lending.py
@@ -17,7 +17,6 @@
 from primrosepitch.scheduling.effects import (
     Effect,
     ListInstances,
-    MoveInstance,
     WriteLog,
 )
 from primrosepitch.scheduling.events import (
@@ -27,6 +26,7 @@
     Outcome,
 )
 from primrosepitch.scheduling.forecast import expected_cpu
+from primrosepitch.scheduling.instance_orders import may_order_instances, move_order
 from primrosepitch.scheduling.leases import unreachable_zones, usable
 from primrosepitch.scheduling.ordering import PriorityClass, ready_steps
 from primrosepitch.scheduling.state import SMALL_JOB_COUNT, Endpoint, SchedulerState
@@ -37,8 +37,7 @@
 """Interval between decisions on moves; a move takes fifteen times as long."""
 
 TAKEOVER_SETTLE_S = 0.5
-"""Time after a takeover in which no moves are ordered, since the last orders of the
-earlier scheduler may still arrive."""
+"""Minimum time after a takeover in which no moves are ordered."""
 
 LENDING_INTERVAL_PER_JOB_S = 0.0005
 """Added to ``LENDING_INTERVAL_S`` for each open job beyond ``SMALL_JOB_COUNT``, as each
@@ -99,12 +98,11 @@
 def lend_instances(state: SchedulerState) -> list[Effect]:
     """Order moves of instances to the pools that need them."""
     spare = state.cfg.spare_pool()
-    settled = state.now >= state.term_started_at + TAKEOVER_SETTLE_S
     interval_s = (
         LENDING_INTERVAL_S
         + max(0, len(state.jobs) - SMALL_JOB_COUNT) * LENDING_INTERVAL_PER_JOB_S
     )
-    if spare is None or not settled or not state.term_confirmed:
+    if spare is None or not may_order_instances(state, TAKEOVER_SETTLE_S):
         return []
     if state.now - state.last_lending_at < interval_s:
         return []
@@ -305,7 +303,7 @@
         "coming": pool.incoming,
         "from": endpoint.report.service if endpoint is not None else "",
     }
-    order = MoveInstance(instance, pool.service, state.term)
+    order = move_order(state, instance, pool.service)
     return [WriteLog(INSTANCE_MOVING, fields), order]
 
 
@@ -338,7 +336,7 @@
     if event.outcome is Outcome.UNKNOWN:
         # The move may have begun or may still begin: the order is repeated until it is
         # answered.
-        return [*effects, MoveInstance(event.instance, event.pool, state.term)]
+        return [*effects, move_order(state, event.instance, event.pool)]
     if event.outcome is Outcome.DONE:
         state.set_instance_state(event.instance, InstanceState.MOVING, event.pool)
         return effects
--- a/primrosepitch/scheduling/maintenance.py
+++ b/primrosepitch/scheduling/maintenance.py
@@ -11,7 +11,6 @@
     Effect,
     ListInstances,
     ReportWaveStatus,
-    StartMaintenance,
     WriteLog,
 )
 from primrosepitch.scheduling.events import (
@@ -21,6 +20,10 @@
     MaintenanceAnswered,
     Outcome,
 )
+from primrosepitch.scheduling.instance_orders import (
+    maintenance_order,
+    may_order_instances,
+)
 from primrosepitch.scheduling.runs import stop_task
 from primrosepitch.scheduling.state import (
     Endpoint,
@@ -90,8 +93,7 @@
     """Advance every open wave."""
     effects: list[Effect] = []
     open_waves = [w for w in state.waves.values() if w.status != "completed"]
-    settled = state.now >= state.term_started_at + state.limits.instance_lease_s
-    if not open_waves or not settled or not state.term_confirmed:
+    if not open_waves or not may_order_instances(state, state.limits.instance_lease_s):
         return effects
     if not state.listing_pending and state.now >= state.next_list_at:
         state.listing_pending = True
@@ -151,7 +153,7 @@
         if endpoint is not None and (endpoint.tasks or not endpoint.contacted):
             continue
         wave.ordered.add(instance)
-        effects.append(StartMaintenance(instance, wave.spec.wave, state.term))
+        effects.append(maintenance_order(state, instance, wave.spec.wave))
     return effects
 
 
@@ -261,7 +263,7 @@
     if event.outcome is Outcome.UNKNOWN:
         # The maintenance may have begun or may still begin: the order is repeated until
         # it is answered.
-        return [*effects, StartMaintenance(event.instance, event.wave, state.term)]
+        return [*effects, maintenance_order(state, event.instance, event.wave)]
     wave.ordered.discard(event.instance)
     if event.outcome is Outcome.DONE:
         state.set_instance_state(event.instance, InstanceState.MAINTENANCE)
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -129,6 +129,7 @@
     state.renewed_at = state.confirmed_at = event.now
     state.term = event.term
     state.prior_leases_until = event.prior_leases_until
+    state.prior_orders_until = event.prior_orders_until
     for number, begun in event.waves.items():
         if number in state.waves:
             state.waves[number].begun.update(begun)
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -27,6 +27,7 @@
 
 __all__ = [
     "SMALL_JOB_COUNT",
+    "TERM_CONFIRMATION_S",
     "ArrivalRate",
     "Endpoint",
     "JobRun",
@@ -46,8 +47,8 @@
 
 TERM_CONFIRMATION_S = 1.0
 """Maximum age of the newest durable renewal for orders to instances. Renewals are sent
-every 0.25 s; a successor claims the term after 1.1 s without one and sends no orders to
-instances for another 3 s."""
+every 0.25 s; a successor claims the term after 1.1 s without one, see
+``instance_orders`` for when it sends orders to instances."""
 
 
 class Phase(enum.Enum):
@@ -278,6 +279,8 @@
     :param maintenance_s: duration of an instance's maintenance
     :param instance_lease_s: time after a takeover in which no maintenance is ordered
     :param status_s: time for which the state of an ended job must be kept
+    :param fencing_required: whether orders to instances with an outdated fencing token
+        are refused
     """
 
     lease_s: float = 3.8
@@ -286,6 +289,7 @@
     maintenance_s: float = 2.0
     instance_lease_s: float = 3.0
     status_s: float = 120.0
+    fencing_required: bool = True
 
 
 class SchedulerState(msgspec.Struct, eq=False):
@@ -302,6 +306,8 @@
     :param unattached: tasks that the ledger places on endpoints without a report yet
     :param prior_leases_until: boot-time clock until which runs of an earlier term may
         continue on endpoints that have not answered
+    :param prior_orders_until: boot-time clock until which orders of an earlier term may
+        reach instances
     :param commits: number of commits so far
     :param replan: whether a planning pass is due without waiting for the idle interval
     :param waits: estimated waits by pool, as last published to the other nodes
@@ -334,6 +340,7 @@
     nonce: int = 0
     term_started_at: float = 0.0
     prior_leases_until: float = 0.0
+    prior_orders_until: float = 0.0
     cfg: Configuration = msgspec.field(default_factory=Configuration)
     jobs: dict[JobId, JobRun] = msgspec.field(default_factory=dict)
     finished: dict[JobId, int] = msgspec.field(default_factory=dict)
--- a/standins/manifest_world.py
+++ b/standins/manifest_world.py
@@ -14,6 +14,7 @@
 from adapter.program import NodeProcess
 from adapter.settings import (
     Addresses,
+    Bounds,
     InstanceLimits,
     PlatformSettings,
     StoreSettings,
@@ -161,6 +162,7 @@
             zone="hall",
             listen_addresses=Addresses(f"{ip}:{PORT}", f"{ip}:{PORT + 3}"),
             platform=StoreSettings(f"{STORE_IP}:{PORT}"),
+            bounds=Bounds(fencing_required=True),
             limits=InstanceLimits(0.5, 1.0, self.rates[ip]),
         )
         self.network.spawn(ip, self._serve(ip, settings))
--- a/standins/network.py
+++ b/standins/network.py
@@ -10,11 +10,14 @@
 import asyncio
 import contextvars
 import selectors
+import socket
+import struct
 from collections import OrderedDict, defaultdict, deque
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from enum import Enum
-from typing import Any
+from math import inf
+from typing import Any, NamedTuple
 from weakref import WeakSet
 
 from primrosepitch import clock
@@ -177,16 +180,26 @@
 
 
 class _Socket:
-    """Socket with the methods that the product calls."""
+    """Socket with the methods that the product calls.
+
+    :param resets_on_close: whether closing discards data that was not delivered
+    :param user_timeout_s: time after which undelivered data is discarded
+    """
 
     def __init__(self, address: tuple[str, int]) -> None:
         self._address = address
+        self.resets_on_close = False
+        self.user_timeout_s = inf
 
     def getsockname(self) -> tuple[str, int]:
         return self._address
 
-    def setsockopt(self, *args: Any) -> None:
-        """Ignore all options."""
+    def setsockopt(self, level: int, option: int, value: Any) -> None:
+        """Set an option; all but two are ignored."""
+        if (level, option) == (socket.SOL_SOCKET, socket.SO_LINGER):
+            self.resets_on_close = struct.unpack("ii", value) == (1, 0)
+        elif (level, option) == (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT):
+            self.user_timeout_s = value / 1000
 
 
 class _Transport(asyncio.Transport):
@@ -199,7 +212,8 @@
         remote_ip: str,
         context: contextvars.Context,
     ) -> None:
-        super().__init__({"peername": (remote_ip, 0), "socket": _Socket((local_ip, 0))})
+        self.sock = _Socket((local_ip, 0))
+        super().__init__({"peername": (remote_ip, 0), "socket": self.sock})
         self.local_ip = local_ip
         self.remote_ip = remote_ip
         self.peer: _Transport | None = None
@@ -293,6 +307,11 @@
 
     def abort(self) -> None:
         other = self.peer
+        if not self.sock.resets_on_close and self._network.holds_data_of(self):
+            # The kernel goes on sending what the program has written.
+            self._network.carry_end(self)
+            self.terminate(None)
+            return
         self.terminate(None)
         if other is not None:
             reset = ConnectionResetError("connection reset by peer")
@@ -333,6 +352,24 @@
         """Return immediately."""
 
 
+class _HeldDelivery(NamedTuple):
+    """Delivery that waits until a cut heals."""
+
+    deliver: Callable[[], None]
+    flow: _Transport | None
+    since: float
+
+    def discarded(self, now: float) -> bool:
+        """Return whether the sender's kernel has discarded the data."""
+        flow = self.flow
+        if flow is None:
+            return False
+        if flow.closed:
+            # The user timeout may not apply to what a closed connection has left.
+            return flow.sock.resets_on_close
+        return now - self.since > flow.sock.user_timeout_s
+
+
 class Network:
     """Hosts and the paths between them.
 
@@ -349,7 +386,7 @@
         self.tasks = defaultdict(WeakSet)
         self._links: dict[str, tuple[_Link, _Link]] = {}
         self._cuts: dict[frozenset[str], CutMode] = {}
-        self._held_deliveries: dict[frozenset[str], list[Callable[[], None]]] = {}
+        self._held_deliveries: dict[frozenset[str], list[_HeldDelivery]] = {}
 
     def add_host(self, ip: str, mbit_per_s: float) -> None:
         """Add a host whose link has a rate in each direction."""
@@ -405,8 +442,14 @@
         """Restore a path and deliver the packets that it held."""
         pair = frozenset((one, other))
         self._cuts.pop(pair, None)
-        for deliver in self._held_deliveries.pop(pair, []):
-            deliver()
+        for held in self._held_deliveries.pop(pair, []):
+            if not held.discarded(self.loop.time()):
+                held.deliver()
+
+    def holds_data_of(self, flow: _Transport) -> bool:
+        """Return whether a cut holds data that a connection has sent."""
+        pair = frozenset((flow.local_ip, flow.remote_ip))
+        return any(held.flow is flow for held in self._held_deliveries.get(pair, []))
 
     def listen(self, factory: Any, address: tuple[str, int]) -> _Server:
         """Accept connections at an address."""
@@ -447,7 +490,7 @@
 
         def sent() -> None:
             flow.chunk_sent(size)
-            self.call_after_latency(other.local_ip, received, flow.local_ip)
+            self.call_after_latency(other.local_ip, received, flow.local_ip, flow)
 
         def received() -> None:
             self._links[other.local_ip][1].send(
@@ -468,16 +511,23 @@
         )
 
     def call_after_latency(
-        self, target: str, action: Callable[[], None], source: str = ""
+        self,
+        target: str,
+        action: Callable[[], None],
+        source: str = "",
+        flow: _Transport | None = None,
     ) -> None:
         """Call a function after the latency between two hosts.
 
         While their path is cut, it is held until the path heals or, with resets,
         dropped.
+
+        :param flow: connection whose data the function delivers, if any
         """
         pair = frozenset((source, target))
         if pair in self._cuts:
             if self._cuts[pair] is CutMode.SILENT:
-                self._held_deliveries[pair].append(action)
+                held = _HeldDelivery(action, flow, self.loop.time())
+                self._held_deliveries[pair].append(held)
             return
         self.loop.call_later(LATENCY_S, action, context=contextvars.Context())
--- a/standins/scheduler_world.py
+++ b/standins/scheduler_world.py
@@ -10,7 +10,7 @@
 import random
 from collections import Counter, defaultdict
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 
@@ -30,6 +30,7 @@
 from primrosepitch.scheduling import effects as ef
 from primrosepitch.scheduling import events as ev
 from primrosepitch.scheduling.configuration import Configuration, WaveSpec
+from primrosepitch.scheduling.instance_orders import instance_orders_expire_at
 from primrosepitch.scheduling.leases import takeover_wait_s
 from primrosepitch.scheduling.reducer import step
 from primrosepitch.scheduling.state import Limits, SchedulerState
@@ -325,9 +326,19 @@
             action()
 
 
+class InstanceOrder(NamedTuple):
+    """An order to an instance that the platform has received."""
+
+    sent_at: float
+    instance: str
+    token: int
+
+
 class SchedulerWorld:
     """Simulated environment of the scheduler.
 
+    ``cut_nodes`` names the nodes whose appends don't reach the store.
+
     :param only_partition: the only partition to which the store applies a commit to
         two partitions; empty for both
     :param store_s: duration of an append
@@ -339,6 +350,7 @@
     :param failure_rate: fraction of runs that fail
     :param duration_sigma: sigma of the log-normal factor on the duration of runs
     :param duration_factors: factor on the duration of runs, by job
+    :param instance_order_delay_s: delay of the orders of cut nodes to move instances
     :param interference: part of the target latency that a filling run at full rate
         adds to that of serving runs on its endpoint
     :param violations: violations of scheduling rules, as text
@@ -376,6 +388,9 @@
         self.duration_factors: dict[JobId, int] = {}
         self.list_names_endpoints = True
         self.interference = 0.0
+        self.instance_order_delay_s = 0.0
+        self.instance_orders: list[InstanceOrder] = []
+        self.cut_nodes: set[str] = set()
         self._ending_gang = False
         self.violations: list[str] = []
         self.counts: Counter[str] = Counter()
@@ -465,8 +480,12 @@
         """Publish an endpoint's report again."""
         self._announce(worker)
 
-    def take_term(self, name: str) -> Node:
-        """Make a node take the next term."""
+    def take_term(self, name: str, heartbeat_at: float | None = None) -> Node:
+        """Make a node take the next term.
+
+        :param heartbeat_at: time of the last scheduler's newest heartbeat; now if it
+            is not given
+        """
         node = next((n for n in self.nodes if n.name == name), None)
         if node is None:
             node = Node(self, name)
@@ -482,7 +501,15 @@
         quiet = self.now + takeover_wait_s(self.limits) if has_predecessor else self.now
         waves = {number: w.begun for number, w in self.ledger.waves.items()}
         jobs, runs = self.ledger.jobs, decode_runs(self.stored_runs.items())
-        node.feed(ev.TermTaken(self.now, self.newest_term, jobs, runs, quiet, waves))
+        orders_until = self.now
+        if has_predecessor and not self.limits.fencing_required:
+            newest = self.now if heartbeat_at is None else heartbeat_at
+            orders_until = instance_orders_expire_at(newest)
+        node.feed(
+            ev.TermTaken(
+                self.now, self.newest_term, jobs, runs, quiet, waves, orders_until
+            )
+        )
         for worker in self.workers.values():
             if worker.up:
                 node.feed(ev.EndpointReported(worker.report(), self.now))
@@ -721,7 +748,7 @@
         self.call_later(self.store_s, lambda: self._append(node, term, effect))
 
     def _append(self, node: Node, term: int, effect: ef.Commit) -> None:
-        if not self.store_up:
+        if not self.store_up or node.name in self.cut_nodes:
             self._retry_append(node, term, effect)
             return
         if node.state.term != term:
@@ -920,8 +947,13 @@
 
     def _order_outcome(self, instance: str, token: int) -> ev.Outcome:
         """Return the outcome of an order; fencing tokens are kept per instance."""
-        if token < self.instance_tokens.get(instance, 0):
-            return ev.Outcome.FENCED
+        newest = self.instance_tokens.get(instance, 0)
+        if token < newest:
+            if self.limits.fencing_required:
+                return ev.Outcome.FENCED
+            self._record_violation(
+                "one", f"{instance} got an order of term {token} after {newest}"
+            )
         self.instance_tokens[instance] = token
         return ev.Outcome.BUSY if self._is_down(instance) else ev.Outcome.DONE
 
@@ -929,11 +961,25 @@
         return self.down_until.get(instance, 0.0) > self.now
 
     def _do_moveinstance(self, node: Node, order: ef.MoveInstance) -> None:
+        if self.now > order.send_by:
+            self._answer_move(node, order, ev.Outcome.NOT_SENT)
+            return
+        sent_at = self.now
+        delay_s = self.instance_order_delay_s if node.name in self.cut_nodes else 0.0
+        self.call_later(delay_s, lambda: self._move(node, order, sent_at))
+
+    def _move(self, node: Node, order: ef.MoveInstance, sent_at: float) -> None:
+        self.instance_orders.append(InstanceOrder(sent_at, order.instance, order.token))
         outcome = self._order_outcome(order.instance, order.token)
         self.counts[f"moves {outcome.value}"] += 1
         if outcome is ev.Outcome.DONE:
             self.down_state[order.instance] = ev.InstanceState.MOVING
             self._replace_worker(order.instance, order.pool, 1.5)
+        self._answer_move(node, order, outcome)
+
+    def _answer_move(
+        self, node: Node, order: ef.MoveInstance, outcome: ev.Outcome
+    ) -> None:
         answer = ev.MoveAnswered(order.instance, order.pool, outcome, self.now)
         self._send_answer(node, answer)
 
