Count a new scheduler's permissions from its claim

What could happen: a node that was paused, or waited for a slow store, between its claim and the start of its term acted as if it had claimed just then: for a second it could order instances, and for two seconds grant leases, though another node may have claimed in the meantime and counts from the claim. Tasks could run twice. Cause: the reducer took the time at which the term began for that of the newest durable heartbeat; that is the claim, which other nodes read. TermTaken now carries the time at which the claim was sent. Evidence: three of four rows of 'A node that was paused after its claim acts only after a commit' failed before; all pass.

--- a/features/steps/claims_of_terms.py
+++ b/features/steps/claims_of_terms.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from math import inf
 
 import msgspec
 from behave import given, then, when
@@ -20,7 +21,7 @@
 from primrosepitch.node.term import TermObservation, claim_delay_s
 from primrosepitch.scheduling import events as ev
 from primrosepitch.scheduling.effects import Commit, MoveInstance
-from primrosepitch.scheduling.leases import takeover_wait_s
+from primrosepitch.scheduling.leases import may_grant_leases, takeover_wait_s
 from primrosepitch.scheduling.reducer import step
 from primrosepitch.scheduling.state import Limits, SchedulerState
 from standins.network import VirtualLoop
@@ -200,6 +201,62 @@
         return ev.Outcome.DONE
 
 
+def run_virtually(work):
+    """Run a coroutine in virtual time, and end the tasks that it has started."""
+    loop = VirtualLoop()
+    try:
+        loop.run_until_complete(work)
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0.01))
+    finally:
+        loop.close()
+
+
+async def claim_while_paused(context, seconds):
+    """Pause a node between the answer to its claim and the start of its term."""
+    loop = asyncio.get_running_loop()
+    ledger = MemoryPartition()
+    platform = MemoryPlatform(ledger)
+    follower = LedgerFollower(ledger, lambda record: None)
+    follower.loaded = True
+    context.runner = SchedulerRunner(
+        "a", platform, follower, Limits(), random.Random(1), 1.0, lambda: True
+    )
+    read_newest = platform.runs.read_newest
+
+    async def read_late(deadline):
+        await asyncio.sleep(seconds)
+        return await read_newest(deadline)
+
+    platform.runs.read_newest = read_late
+    with loop.as_clock():
+        await context.runner._claim()
+        assert context.runner.leading
+        context.now = clock.monotonic()
+
+
+@given("a node that is paused for {seconds:g} s after the store has taken its claim")
+def step_paused_claim(context, seconds):
+    run_virtually(claim_while_paused(context, seconds))
+
+
+@then("it {may_order} instances, and it {may_grant} leases, before its first commit")
+def step_permissions(context, may_order, may_grant):
+    state = context.runner.state
+    step(state, ev.Tick(context.now + 0.02, 0))
+    assert state.term_confirmed is (may_order == "may order"), state.confirmed_at
+    assert may_grant_leases(state) is (may_grant == "may grant"), state.confirmed_at
+
+
+@then("after its first commit it may do both")
+def step_permissions_after_commit(context):
+    state = context.runner.state
+    step(state, ev.Committed(state.committing, context.now + 0.03))
+    assert state.term_confirmed
+    assert may_grant_leases(state)
+
+
 async def stop_with_open_order(context, answer_s):
     """Stop a scheduler with one order under way and one that waits for its turn."""
     loop = asyncio.get_running_loop()
@@ -215,7 +272,9 @@
         assert runner.leading
         runner._move_slots = asyncio.Semaphore(1)
         for instance in ("m1", "m2"):
-            order = MoveInstance(instance, ServiceName("pressing"), runner.state.term)
+            order = MoveInstance(
+                instance, ServiceName("pressing"), runner.state.term, inf
+            )
             runner._move_instance(order)
         await asyncio.sleep(0.1)
         append = ledger.append
@@ -236,11 +295,7 @@
 
 @when("a is stopped gracefully")
 def step_stop_gracefully(context):
-    loop = VirtualLoop()
-    try:
-        loop.run_until_complete(stop_with_open_order(context, context.answer_s))
-    finally:
-        loop.close()
+    run_virtually(stop_with_open_order(context, context.answer_s))
 
 
 @then("the release is written after the answer")
@@ -259,7 +314,7 @@
 @given("a scheduler whose queue waits have changed")
 def step_waits_changed(context):
     context.state = SchedulerState(node="a", limits=Limits())
-    taken = ev.TermTaken(10.0, 1, {}, {}, 10.0, {})
+    taken = ev.TermTaken(10.0, 10.0, 1, {}, {}, 10.0, {}, 10.0)
     step(context.state, taken)
     context.state.waits = {"pressing": 900}
 
--- a/features/term.feature
+++ b/features/term.feature
@@ -106,3 +106,18 @@
       | a heartbeat of b | 0      |
       | a release of b   | 1      |
       | nothing          | 1      |
+
+  # Guards against a permission that has run out: a node that was paused after its claim
+  # ordered instances and granted leases as if it had claimed just now, though others may
+  # have claimed the term after it.
+  Scenario Outline: A node that was paused after its claim acts only after a commit
+    Given a node that is paused for <pause> s after the store has taken its claim
+    Then it <orders> instances, and it <grants> leases, before its first commit
+    And after its first commit it may do both
+
+    Examples:
+      | pause | orders        | grants        |
+      | 0.1   | may order     | may grant     |
+      | 1.2   | may not order | may grant     |
+      | 2.5   | may not order | may not grant |
+      | 10    | may not order | may not grant |
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -247,8 +247,9 @@
         self._claim_nonces.add(term.nonce)
         emit(TERM_CLAIMED, term=number, silent_s=round(self._heartbeat_age_s(), 2))
         record = KeyedRecord(*encode(term))
+        claimed_at = clock.monotonic()
         try:
-            deadline = clock.monotonic() + COMMIT_TIMEOUT_S
+            deadline = claimed_at + COMMIT_TIMEOUT_S
             outcome = await self._platform.ledger.append([record], deadline, fence)
             await self._follower.catch_up(outcome.offset + 1)
         except (StoreUnavailableError, StoreUnknownError, StoreFencedError) as exc:
@@ -274,7 +275,7 @@
             await asyncio.sleep(CLAIM_PAUSE_S)
             return
         self._ledger_sequence = self._runs_sequence = fence.sequence
-        self._begin_term(term, previous, runs)
+        self._begin_term(term, previous, runs, claimed_at)
 
     async def _claim_runs(
         self, record: KeyedRecord, fence: Fence
@@ -299,7 +300,11 @@
         return clock.monotonic() - max(self._heartbeat_at, self._follower.connected_at)
 
     def _begin_term(
-        self, term: Term, previous: Term, runs: dict[JobId, Progress]
+        self,
+        term: Term,
+        previous: Term,
+        runs: dict[JobId, Progress],
+        claimed_at: float,
     ) -> None:
         now = clock.monotonic()
         state = self.state = SchedulerState(node=self._node, limits=self._limits)
@@ -333,6 +338,7 @@
             prior_orders_until = now
         event = ev.TermTaken(
             now,
+            claimed_at,
             term.number,
             ledger.jobs,
             runs,
--- a/primrosepitch/scheduling/events.py
+++ b/primrosepitch/scheduling/events.py
@@ -166,6 +166,7 @@
 class TermTaken(NamedTuple):
     """This node has become the scheduler.
 
+    :param claimed_at: boot-time clock at which the claim was sent
     :param term: fencing token of all its orders
     :param jobs: jobs in the ledger up to the claim
     :param runs: runs of the jobs that have not ended
@@ -177,12 +178,13 @@
     """
 
     now: float
+    claimed_at: float
     term: int
     jobs: dict[JobId, JobEntry]
     runs: dict[JobId, Progress]
     prior_leases_until: float
     waves: dict[int, list[str]]
-    prior_orders_until: float = 0.0
+    prior_orders_until: float
 
 
 class JobAccepted(NamedTuple):
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -126,7 +126,8 @@
 @_handles(ev.TermTaken)
 def _term_taken(state: SchedulerState, event: ev.TermTaken) -> list[Effect]:
     state.now = state.term_started_at = event.now
-    state.renewed_at = state.confirmed_at = event.now
+    # The claim is the first heartbeat that other nodes read.
+    state.renewed_at = state.confirmed_at = event.claimed_at
     state.term = event.term
     state.prior_leases_until = event.prior_leases_until
     state.prior_orders_until = event.prior_orders_until
--- a/standins/scheduler_world.py
+++ b/standins/scheduler_world.py
@@ -507,7 +507,14 @@
             orders_until = instance_orders_expire_at(newest)
         node.feed(
             ev.TermTaken(
-                self.now, self.newest_term, jobs, runs, quiet, waves, orders_until
+                self.now,
+                self.now,
+                self.newest_term,
+                jobs,
+                runs,
+                quiet,
+                waves,
+                orders_until,
             )
         )
         for worker in self.workers.values():
