Keep an unanswered order to an instance uncertain until one is answered

What could happen: the answer to an order to move or maintain an instance was lost, and its repeat could not be sent or was turned away. The scheduler took that as 'nothing was ordered' and started tasks on the instance, which the first order, carried out without an answer, then ended.

--- a/features/instance_orders.feature
+++ b/features/instance_orders.feature
@@ -89,3 +89,31 @@
       | {"fencing_required": 1}    |
       | {"fencing_required": "no"} |
       | {"fencing_required": null} |
+
+  # Guards against tasks that start on an instance which a move then ends: after a lost
+  # answer, a repeat of the order that could not be sent counted as if nothing had been
+  # ordered.
+  Scenario Outline: An order without an answer stays uncertain until one is answered
+    Given an idle instance that a scheduler moves to another pool
+    When its orders end as <outcomes>
+    Then its endpoint <use>
+
+    Examples:
+      | outcomes                    | use                |
+      | not sent                    | may be used again  |
+      | unhealthy                   | may be used again  |
+      | busy                        | may be used again  |
+      | unknown                     | may not be used    |
+      | unknown, not sent           | may not be used    |
+      | unknown, unhealthy          | may not be used    |
+      | unknown, not sent, not sent | may not be used    |
+      | unknown, not sent, busy     | may be used again  |
+      | unknown, done               | may not be used    |
+
+  # Guards against an order that is repeated in a tight loop, or without the permission
+  # that it needs.
+  Scenario: An order without an answer is repeated only while the term is confirmed
+    Given an idle instance that a scheduler moves to another pool
+    When its orders end as unknown
+    Then the order is repeated once within 0.4 s
+    And it is not repeated while the store answers no commit for 5 s
--- a/features/steps/instance_orders.py
+++ b/features/steps/instance_orders.py
@@ -25,7 +25,7 @@
 from primrosepitch.scheduling.configuration import Configuration, ServiceSpec
 from primrosepitch.scheduling.effects import MoveInstance
 from primrosepitch.scheduling.reducer import step
-from primrosepitch.scheduling.state import Limits
+from primrosepitch.scheduling.state import Limits, SchedulerState
 from standins.instance_service import NODE_IP, SERVICE_IP, OrderWorld
 from standins.network import CutMode, VirtualLoop
 from standins.scheduler_world import SchedulerWorld
@@ -280,3 +280,89 @@
     assert context.error is not None, "the settings were accepted"
     message = context.error.message()
     assert name in message and "correct the named setting" in message, message
+
+
+class LendingReducer:
+    """Scheduler with one idle endpoint more than its pool needs."""
+
+    def __init__(self):
+        self.state = SchedulerState(node="a", limits=Limits())
+        self.now = 100.0
+        self.commits = True
+        self.orders = []
+        step(self.state, ev.ConfigurationChanged(lending_configuration()))
+        step(self.state, ev.TermTaken(100.0, 100.0, 1, {}, {}, 100.0, {}, 100.0))
+        world = SchedulerWorld(1)
+        reports = [world.add_worker(f"w{n}", "off").report() for n in range(3)]
+        for report in reports:
+            self.feed(ev.EndpointReported(report, self.now))
+            polled = ev.EndpointPolled(
+                report.endpoint, report.born, 100.0, 100.0, 1, [], []
+            )
+            self.feed(polled)
+        self.run(0.5)
+        self.feed(ev.InstancesListed(world._instance_views(), self.now))
+        # The pool keeps two endpoints; the third is switched off when it has been idle.
+        while not self.orders:
+            self.run(TICK_S)
+            assert self.now < 110.0, "no order was sent"
+        self.endpoint = self.state.endpoint_on(self.orders[0][1].instance)
+
+    def feed(self, event):
+        for effect in step(self.state, event):
+            if isinstance(effect, MoveInstance):
+                self.orders.append((self.now, effect))
+
+    def run(self, seconds):
+        end = self.now + seconds
+        while self.now < end:
+            self.now += TICK_S
+            self.feed(ev.Tick(self.now, round(self.now * 1000)))
+            if self.commits and self.state.committing:
+                self.feed(ev.Committed(self.state.committing, self.now))
+
+    def answer(self, outcome):
+        order = self.orders[-1][1]
+        self.feed(ev.MoveAnswered(order.instance, order.pool, outcome, self.now))
+        self.answered_at = self.now
+
+
+@given("an idle instance that a scheduler moves to another pool")
+def step_moving(context):
+    context.reducer = LendingReducer()
+
+
+@when("its orders end as {outcomes}")
+def step_outcomes(context, outcomes):
+    reducer = context.reducer
+    for number, name in enumerate(outcomes.split(", ")):
+        if number:
+            sent = len(reducer.orders)
+            reducer.run(0.3)
+            assert len(reducer.orders) == sent + 1, reducer.orders
+        reducer.answer(ev.Outcome[name.upper().replace(" ", "_")])
+
+
+@then("its endpoint {use}")
+def step_instance_use(context, use):
+    evacuated = bool(context.reducer.endpoint.evacuation_reason)
+    assert evacuated is (use == "may not be used"), use
+
+
+@then("the order is repeated once within {seconds:g} s")
+def step_repeated(context, seconds):
+    reducer = context.reducer
+    reducer.run(seconds)
+    assert len(reducer.orders) == 2, reducer.orders
+    assert reducer.orders[-1][0] > reducer.answered_at, reducer.orders
+
+
+@then("it is not repeated while the store answers no commit for {seconds:g} s")
+def step_not_repeated(context, seconds):
+    reducer = context.reducer
+    reducer.commits = False
+    reducer.run(1.2)
+    sent = len(reducer.orders)
+    reducer.answer(ev.Outcome.UNKNOWN)
+    reducer.run(seconds - 1.2)
+    assert len(reducer.orders) == sent, reducer.orders
--- a/primrosepitch/net/http_pool.py
+++ b/primrosepitch/net/http_pool.py
@@ -185,7 +185,6 @@
         ]
         if self._transport is None or self._transport.is_closing():
             raise NotSentError("connection is closed")
-        fut = self._fut = asyncio.get_running_loop().create_future()
         self.reusable = False
         head = h11.Request(
             method=request.method, target=request.target, headers=headers
@@ -196,6 +195,7 @@
         data += self._h11.send(h11.EndOfMessage()) or b""
         if clock.monotonic() > send_by:
             raise NotSentError("the request is too old to be sent")
+        fut = self._fut = asyncio.get_running_loop().create_future()
         self._transport.write(data)
         response: HttpResponse = await fut
         return response
--- a/primrosepitch/scheduling/backlog.py
+++ b/primrosepitch/scheduling/backlog.py
@@ -65,7 +65,7 @@
     spare = state.cfg.spare_pool()
     largest = max((v.capacity.cpu for v in state.instances.values()), default=0)
     switched_off = sum(view.pool == spare for view in state.instances.values())
-    incoming = sum(pool == service for pool, _ in state.moves.values())
+    incoming = sum(move.pool == service for move in state.moves.values())
     cores = float((switched_off + incoming) * largest)
     for endpoint in state.endpoints.values():
         if not usable(state, endpoint):
--- a/primrosepitch/scheduling/instance_orders.py
+++ b/primrosepitch/scheduling/instance_orders.py
@@ -10,14 +10,16 @@
 
 from primrosepitch.jobs.model import ServiceName
 from primrosepitch.scheduling.effects import MoveInstance, StartMaintenance
+from primrosepitch.scheduling.events import Outcome
 from primrosepitch.scheduling.state import TERM_CONFIRMATION_S, SchedulerState
 
 __all__ = [
     "ORDER_TIMEOUT_S",
     "instance_orders_expire_at",
+    "leaves_uncertain",
+    "maintenance_order",
     "may_order_instances",
     "move_order",
-    "maintenance_order",
 ]
 
 ORDER_TIMEOUT_S = 1.5
@@ -57,5 +59,15 @@
     return StartMaintenance(instance, wave, state.term, _send_by(state))
 
 
+def leaves_uncertain(outcome: Outcome, uncertain: bool) -> bool:
+    """Return whether an order may still take effect after an answer.
+
+    :param uncertain: whether an earlier order for the same was not answered
+    """
+    if outcome is Outcome.UNKNOWN:
+        return True
+    return uncertain and outcome in (Outcome.NOT_SENT, Outcome.UNHEALTHY)
+
+
 def _send_by(state: SchedulerState) -> float:
     return state.confirmed_at + TERM_CONFIRMATION_S
--- a/primrosepitch/scheduling/lending.py
+++ b/primrosepitch/scheduling/lending.py
@@ -26,10 +26,19 @@
     Outcome,
 )
 from primrosepitch.scheduling.forecast import expected_cpu
-from primrosepitch.scheduling.instance_orders import may_order_instances, move_order
+from primrosepitch.scheduling.instance_orders import (
+    leaves_uncertain,
+    may_order_instances,
+    move_order,
+)
 from primrosepitch.scheduling.leases import unreachable_zones, usable
 from primrosepitch.scheduling.ordering import PriorityClass, ready_steps
-from primrosepitch.scheduling.state import SMALL_JOB_COUNT, Endpoint, SchedulerState
+from primrosepitch.scheduling.state import (
+    SMALL_JOB_COUNT,
+    Endpoint,
+    InstanceMove,
+    SchedulerState,
+)
 
 __all__ = ["lend_instances", "move_answered"]
 
@@ -114,6 +123,7 @@
     if state.listed_at < state.term_started_at:
         return effects
     _drop_finished_moves(state)
+    effects += _repeat_moves(state)
     pools = _evaluate_pools(state)
     idle = _surplus_endpoints(state, pools)
     switched_off = _switched_off(state, spare)
@@ -155,11 +165,22 @@
         for e in state.endpoints.values()
         if e.listed and not e.evacuation_reason
     }
-    for instance, (pool, expected_by) in list(state.moves.items()):
-        if joined.get(instance) == pool or state.now > expected_by:
+    for instance, move in list(state.moves.items()):
+        expired = state.now > move.expected_by and not move.uncertain
+        if joined.get(instance) == move.pool or expired:
             del state.moves[instance]
 
 
+def _repeat_moves(state: SchedulerState) -> list[Effect]:
+    """Repeat the orders that were not answered."""
+    effects: list[Effect] = []
+    for instance, move in state.moves.items():
+        if move.repeat:
+            move.repeat = False
+            effects.append(move_order(state, instance, move.pool))
+    return effects
+
+
 def _evaluate_pools(state: SchedulerState) -> dict[ServiceName, Pool]:
     demand = _current_demand(state)
     largest = max((v.capacity.cpu for v in state.instances.values()), default=0)
@@ -176,7 +197,7 @@
         cores = demand.get(service.name, 0.0) * DEMAND_HEADROOM_FACTOR
         need = math.ceil(cores / size) if size else 1
         need = max(need, _min_endpoints(state, service.name), MIN_ENDPOINTS)
-        incoming = sum(pool == service.name for pool, _ in state.moves.values())
+        incoming = sum(move.pool == service.name for move in state.moves.values())
         pools[service.name] = Pool(service.name, need, incoming, endpoints)
     return pools
 
@@ -294,7 +315,7 @@
         endpoint.evacuation_reason = LENDING_REASON
     pool.incoming += 1
     expected_by = state.now + state.limits.migration_s + JOIN_SLACK_S
-    state.moves[instance] = (pool.service, expected_by)
+    state.moves[instance] = InstanceMove(pool.service, expected_by)
     fields = {
         "instance": instance,
         "pool": pool.service,
@@ -333,10 +354,12 @@
         "outcome": event.outcome.value,
     }
     effects: list[Effect] = [WriteLog(MOVE_ANSWERED, fields)]
-    if event.outcome is Outcome.UNKNOWN:
-        # The move may have begun or may still begin: the order is repeated until it is
-        # answered.
-        return [*effects, move_order(state, event.instance, event.pool)]
+    move = state.moves.get(event.instance)
+    if move is not None and leaves_uncertain(event.outcome, move.uncertain):
+        move.uncertain = move.repeat = True
+        return effects
+    if move is not None:
+        move.uncertain = False
     if event.outcome is Outcome.DONE:
         state.set_instance_state(event.instance, InstanceState.MOVING, event.pool)
         return effects
--- a/primrosepitch/scheduling/maintenance.py
+++ b/primrosepitch/scheduling/maintenance.py
@@ -21,6 +21,7 @@
     Outcome,
 )
 from primrosepitch.scheduling.instance_orders import (
+    leaves_uncertain,
     maintenance_order,
     may_order_instances,
 )
@@ -110,6 +111,9 @@
     if not wave.status:
         wave.status = "running"
         effects.append(ReportWaveStatus(wave.spec.wave, completed=False))
+    for instance in sorted(wave.repeat):
+        effects.append(maintenance_order(state, instance, wave.spec.wave))
+    wave.repeat.clear()
     remaining = [i for i in wave.spec.instances if i not in wave.begun]
     # Instances that have left the platform need no maintenance.
     remaining = [i for i in remaining if i in state.instances]
@@ -260,11 +264,12 @@
     effects: list[Effect] = [WriteLog(UPKEEP_ANSWERED, fields)]
     down_s = state.limits.maintenance_s + DOWN_SLACK_S
     wave.down_until[event.instance] = event.now + down_s
-    if event.outcome is Outcome.UNKNOWN:
-        # The maintenance may have begun or may still begin: the order is repeated until
-        # it is answered.
-        return [*effects, maintenance_order(state, event.instance, event.wave)]
+    if leaves_uncertain(event.outcome, event.instance in wave.uncertain):
+        wave.uncertain.add(event.instance)
+        wave.repeat.add(event.instance)
+        return effects
     wave.ordered.discard(event.instance)
+    wave.uncertain.discard(event.instance)
     if event.outcome is Outcome.DONE:
         state.set_instance_state(event.instance, InstanceState.MAINTENANCE)
         wave.begun.add(event.instance)
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -30,6 +30,7 @@
     "TERM_CONFIRMATION_S",
     "ArrivalRate",
     "Endpoint",
+    "InstanceMove",
     "JobRun",
     "Limits",
     "Phase",
@@ -244,6 +245,9 @@
     :param begun: instances whose maintenance has begun
     :param down_until: boot-time clock until which an instance counts as down
     :param ordered: instances whose maintenance order has not been answered
+    :param uncertain: instances whose order was sent and not answered, so that their
+        maintenance may have begun or may still begin
+    :param repeat: instances whose order is to be sent again
     :param selected: instances that are drained for maintenance
     :param dirty: whether ``begun`` has changes that are not committed
     """
@@ -252,11 +256,28 @@
     begun: set[str] = msgspec.field(default_factory=set)
     down_until: dict[str, float] = msgspec.field(default_factory=dict)
     ordered: set[str] = msgspec.field(default_factory=set)
+    uncertain: set[str] = msgspec.field(default_factory=set)
+    repeat: set[str] = msgspec.field(default_factory=set)
     selected: set[str] = msgspec.field(default_factory=set)
     status: str = ""
     dirty: bool = False
 
 
+class InstanceMove(msgspec.Struct, eq=False):
+    """Move of an instance to another pool.
+
+    :param expected_by: boot-time clock until which its endpoint is expected to join
+    :param uncertain: whether an order was sent and not answered, so that the move may
+        have begun or may still begin
+    :param repeat: whether the order is to be sent again
+    """
+
+    pool: ServiceName
+    expected_by: float
+    uncertain: bool = False
+    repeat: bool = False
+
+
 class ArrivalRate(msgspec.Struct, eq=False):
     """Exponentially decaying arrival rate of a pool's work, for one time constant.
 
@@ -313,8 +334,7 @@
     :param waits: estimated waits by pool, as last published to the other nodes
     :param waits_sent_at: boot-time clock of that publication
     :param listing_pending: whether a listing of the instances is in progress
-    :param moves: pool that each moving instance is expected in, and the boot-time clock
-        until which it is expected there
+    :param moves: moves that have been ordered, by instance
     :param immovable: pairs of instance and pool whose move was refused
     :param share_tokens: jobs that each workspace may still submit within its share, and
         the Unix time in ms of that count
@@ -369,7 +389,7 @@
     listing_pending: bool = False
     listed_at: float = 0.0
     next_list_at: float = 0.0
-    moves: dict[str, tuple[ServiceName, float]] = msgspec.field(default_factory=dict)
+    moves: dict[str, InstanceMove] = msgspec.field(default_factory=dict)
     immovable: set[tuple[str, ServiceName]] = msgspec.field(default_factory=set)
     arrival_rates: dict[ServiceName, list[ArrivalRate]] = msgspec.field(
         default_factory=dict
