--- /dev/null
+++ b/features/malformed_messages.feature
@@ -0,0 +1,94 @@
+Feature: A malformed message or an unexpected error does not end a process
+
+  # Guards against a reader that stops at a record without a readable key, and never
+  # reads the ones after it.
+  Scenario Outline: An unreadable record does not hide the ones after it
+    Given a page of the store with the record <record> between two good ones
+    When a node reads the page
+    Then it gets the two good records, and goes on after the third
+
+    Examples:
+      | record     |
+      | empty      |
+      | ff         |
+      | 02fffe0102 |
+      | 0561       |
+
+  # Guards against 'nothing was appended' where the store does not say so: the job would
+  # be refused as not run although it may run.
+  Scenario Outline: Only statuses that say so mean that nothing was appended
+    Given a store that answers an append with <status> and body <body>
+    When a node appends a record
+    Then the append is <outcome>
+
+    Examples:
+      | status | body                           | outcome     |
+      | 200    | {"offset": 1, "end_offset": 2} | done        |
+      | 200    | {"offset": "x"}                | unknown     |
+      | 200    | (nothing)                      | unknown     |
+      | 409    | {"reason": "fenced"}           | fenced      |
+      | 412    | {"end_offset": 7}              | unavailable |
+      | 429    | (nothing)                      | unavailable |
+      | 503    | (nothing)                      | unavailable |
+      | 507    | (nothing)                      | unavailable |
+      | 500    | (nothing)                      | unknown     |
+      | 502    | (nothing)                      | unknown     |
+      | 504    | (nothing)                      | unknown     |
+
+  # Guards against polls and listings that stop for good: an exception left the poll or
+  # the listing marked as in progress.
+  Scenario Outline: Malformed answers of <service> are decoded, or refused
+    Then 400 generated answers of <service> raise nothing, with seed 7
+
+    Examples:
+      | service            |
+      | an endpoint        |
+      | the machines list  |
+      | the advice service |
+      | the store          |
+
+  Scenario: A machine with an unknown state does not hide the others
+    Given a list of machines in the states up, melting and down
+    Then the machines that are up and down are listed
+
+  # Guards against one job that ends each node that schedules, in turn: by memory, by
+  # amounts that count down the use of an endpoint, or by figures that no record holds.
+  Scenario Outline: A submission that no scheduler can hold is refused
+    Given the submission <body>
+    Then the submission is refused, and the message names <setting>
+
+    Examples:
+      | body                                                              | setting      |
+      | {"steps": [{"count": 1000000000}]}                                | count        |
+      | {"steps": [{"count": 200}], "repetitions": 1000000}               | tasks        |
+      | {"steps": [{"count": 15000}, {"count": 15000}]}                   | tasks        |
+      | {"steps": [{"count": 1, "cpu": -500}]}                            | cpu          |
+      | {"steps": [{"count": 1, "memory_request_mb": 1e30}]}              | memory       |
+      | {"steps": [{"count": 1, "estimated_ms": 1e300}]}                  | estimated_ms |
+      | {"steps": [{"count": 1}], "interval_ms": -1, "repetitions": 2}    | interval_ms  |
+      | {"steps": [{"count": 1}], "first_run_ms": 99999999999999999999}   | first_run_ms |
+
+  Scenario: Generated submissions are refused, or can be stored and scheduled
+    Then 400 generated submissions raise nothing in the scheduler, with seed 11
+
+  # Guards against an error of the scheduler that ends the process, so that its callers
+  # are cut off, or that leaves it scheduling with a state that is half changed.
+  Scenario Outline: An unexpected error in the scheduler ends its term, not the process
+    Given a node that schedules
+    When <place> raises an unexpected error
+    Then the node has stepped down and logged the error
+    And the node claims the next term and schedules again
+
+    Examples:
+      | place               |
+      | the reducer         |
+      | a call of an effect |
+      | a decoded record    |
+
+  Scenario: A failed part of a node is restarted while the others go on
+    Given a node with a part that raises twice
+    Then the part is started three times and the other part goes on
+
+  Scenario: A request whose handling fails is answered as unknown
+    Given an intake that raises an unexpected error
+    Then a submission is answered with 504
--- a/features/steps/claims_of_terms.py
+++ b/features/steps/claims_of_terms.py
@@ -11,10 +11,7 @@
 from primrosepitch.jobs.model import ServiceName
 from primrosepitch.jobs.records import Ledger, Term, encode
 from primrosepitch.jobs.store import (
-    AppendOutcome,
-    Batch,
     KeyedRecord,
-    StoreUnknownError,
 )
 from primrosepitch.node.follower import LedgerFollower
 from primrosepitch.node.scheduler import SchedulerRunner
@@ -24,47 +21,11 @@
 from primrosepitch.scheduling.leases import may_grant_leases, takeover_wait_s
 from primrosepitch.scheduling.reducer import step
 from primrosepitch.scheduling.state import Limits, SchedulerState
-from standins.network import VirtualLoop
+from standins.memory_platform import MemoryPartition, MemoryPlatform, run_virtually
 
 ROUNDING_S = 1e-6
 
 
-class MemoryPartition:
-    """Keyed partition in memory that can lose the response to an append."""
-
-    def __init__(self, records=()):
-        self.records = list(records)
-        self.loses_responses = False
-
-    async def append(self, records, deadline, fence=None):
-        offset = len(self.records)
-        self.records += records
-        if self.loses_responses:
-            raise StoreUnknownError("no response")
-        return AppendOutcome(offset, len(self.records))
-
-    async def read(self, offset, wait_s, deadline):
-        end = len(self.records)
-        return Batch(self.records[offset:], end, end)
-
-    async def read_newest(self, deadline):
-        return await self.read(0, 0.0, deadline)
-
-
-class MemoryPlatform:
-    """Platform that has only the partitions a claim uses."""
-
-    def __init__(self, ledger):
-        self.ledger = ledger
-        self.runs = MemoryPartition()
-
-    def open_endpoint_feed(self):
-        return self
-
-    async def changes(self, wait_s):
-        return []
-
-
 @given("a scheduler {name:w} whose last heartbeat is {age:g} s old")
 def step_scheduler(context, name, age):
     ledger = MemoryPartition([KeyedRecord(*encode(Term(1, name, 5)))])
@@ -201,18 +162,6 @@
         return ev.Outcome.DONE
 
 
-def run_virtually(work):
-    """Run a coroutine in virtual time, and end the tasks that it has started."""
-    loop = VirtualLoop()
-    try:
-        loop.run_until_complete(work)
-        for task in asyncio.all_tasks(loop):
-            task.cancel()
-        loop.run_until_complete(asyncio.sleep(0.01))
-    finally:
-        loop.close()
-
-
 async def claim_while_paused(context, seconds):
     """Pause a node between the answer to its claim and the start of its term."""
     loop = asyncio.get_running_loop()
--- /dev/null
+++ b/features/steps/malformed_messages.py
@@ -0,0 +1,505 @@
+"""Steps for malformed messages and unexpected errors."""
+
+import asyncio
+import json
+import random
+import struct
+from types import SimpleNamespace
+
+import msgspec
+from adapter.intake import HttpIntake
+from adapter.services import PlatformClient
+from adapter.settings import (
+    Addresses,
+    Bounds,
+    CloudSettings,
+    PlatformSettings,
+    StoreSettings,
+)
+from adapter.store import KeyedPartition
+from adapter.submissions import decode_submission
+from behave import given, then, when
+from hypothesis import HealthCheck, seed, settings, strategies
+from hypothesis import given as generate
+
+from primrosepitch import clock
+from primrosepitch.jobs.model import (
+    EndpointId,
+    JobId,
+    QueueName,
+    ServiceName,
+    WorkspaceName,
+)
+from primrosepitch.jobs.records import Ledger, encode
+from primrosepitch.jobs.store import (
+    KeyedRecord,
+    StoreFencedError,
+    StoreUnavailableError,
+    StoreUnknownError,
+)
+from primrosepitch.metrics import Metrics
+from primrosepitch.net.http_messages import HttpRequest, HttpResponse
+from primrosepitch.node import node as node_module
+from primrosepitch.node.follower import LedgerFollower
+from primrosepitch.node.node import Node
+from primrosepitch.node.scheduler import SchedulerRunner
+from primrosepitch.scheduling import effects as ef
+from primrosepitch.scheduling import events as ev
+from primrosepitch.scheduling.configuration import Configuration, QueueSpec
+from primrosepitch.scheduling.reducer import step
+from primrosepitch.scheduling.state import Limits, SchedulerState
+from standins.memory_platform import MemoryPartition, MemoryPlatform, run_virtually
+
+QUEUE = QueueSpec(QueueName("q"), "h", "/q/", ServiceName("pressing"))
+
+
+class ScriptedClient:
+    """HTTP client that answers every call with the same response."""
+
+    def __init__(self, status, body):
+        self.response = HttpResponse(status, [], body)
+
+    async def call(self, address, request, deadline, send_by=0.0):
+        return self.response
+
+
+def frame(content):
+    return struct.pack(">I", len(content)) + content
+
+
+def read_partition(body):
+    partition = KeyedPartition(ScriptedClient(200, body), "a:1", "jobs", 0, 64)
+    return asyncio.run(partition.read(5, 0.0, clock.monotonic() + 1))
+
+
+@given("a page of the store with the record {content:w} between two good ones")
+def step_page(context, content):
+    bad = b"" if content == "empty" else bytes.fromhex(content)
+    rows = frame(b"\x01a1"), frame(bad), frame(b"\x01b2")
+    context.body = struct.pack(">QQ", 8, 0) + b"".join(rows)
+
+
+@when("a node reads the page")
+def step_read_page(context):
+    context.batch = read_partition(context.body)
+
+
+@then("it gets the two good records, and goes on after the third")
+def step_good_records(context):
+    records = context.batch.records
+    assert [records[0], records[2]] == [("a", b"1"), ("b", b"2")], records
+    assert context.batch.next_offset == 8, context.batch
+
+
+@given("a store that answers an append with {status:d} and body {body}")
+def step_append_answer(context, status, body):
+    text = b"" if body == "(nothing)" else body.encode()
+    context.partition = KeyedPartition(
+        ScriptedClient(status, text), "a:1", "jobs", 0, 64
+    )
+
+
+@when("a node appends a record")
+def step_append(context):
+    errors = {
+        StoreUnavailableError: "unavailable",
+        StoreUnknownError: "unknown",
+        StoreFencedError: "fenced",
+    }
+    work = context.partition.append([KeyedRecord("k", b"v")], clock.monotonic() + 1)
+    try:
+        asyncio.run(work)
+        context.outcome = "done"
+    except tuple(errors) as exc:
+        context.outcome = errors[type(exc)]
+
+
+@then("the append is {outcome:w}")
+def step_append_outcome(context, outcome):
+    assert context.outcome == outcome, context.outcome
+
+
+def platform_client(body, status=200):
+    address = "127.0.0.1:1"
+    settings_of_node = PlatformSettings(
+        node_name="n",
+        ip_address="127.0.0.1",
+        zone="hall",
+        listen_addresses=Addresses(address),
+        platform=StoreSettings(address),
+        bounds=Bounds(fencing_required=True),
+        advice=address,
+        cloud=CloudSettings(address),
+    )
+    client = ScriptedClient(status, body)
+    return PlatformClient(settings_of_node, client, Metrics(), lambda _, s, p: s)
+
+
+def poll(body):
+    order = ef.PollEndpoint(EndpointId("w1"), "a:1", 0, 0, 0, 1)
+    answer = asyncio.run(platform_client(body).poll_endpoint(order))
+    if isinstance(answer, ev.EndpointPolled):
+        state = SchedulerState(node="a")
+        step(state, ev.TermTaken(1.0, 1.0, 1, {}, {}, 1.0, {}, 1.0))
+        step(state, answer)
+
+
+def list_machines(body):
+    asyncio.run(platform_client(body).list_instances())
+
+
+def advise(body):
+    request = ef.RequestAdvice((JobId("0" * 16), 0, 0), (EndpointId("w1"),), 1.0)
+    asyncio.run(platform_client(body).request_advice(request))
+
+
+def read_store(body):
+    try:
+        read_partition(body)
+    except StoreUnavailableError:
+        return
+    partition = KeyedPartition(ScriptedClient(200, body), "a:1", "jobs", 0, 64)
+    try:
+        asyncio.run(partition.read_newest(clock.monotonic() + 1))
+    except StoreUnavailableError:
+        return
+
+
+scalars = strategies.one_of(
+    strategies.none(),
+    strategies.booleans(),
+    strategies.integers(),
+    strategies.floats(allow_nan=False, allow_infinity=False),
+    strategies.text(max_size=6),
+    strategies.sampled_from(["up", "done", "0.0.0.0", "5c0e7a21d94b36f8.0.1.17"]),
+)
+values = strategies.recursive(
+    scalars,
+    lambda inner: strategies.one_of(
+        strategies.lists(inner, max_size=4),
+        strategies.dictionaries(strategies.text(max_size=5), inner, max_size=3),
+    ),
+    max_leaves=8,
+)
+
+
+def rows(*cells):
+    return strategies.lists(
+        strategies.one_of(strategies.tuples(*cells), strategies.lists(values)),
+        max_size=3,
+    )
+
+
+task_names = strategies.one_of(
+    strategies.just("5c0e7a21d94b36f8.0.1.17"), strategies.text(max_size=8), values
+)
+numbers = strategies.one_of(strategies.integers(-3, 9), values)
+answers = {
+    "an endpoint": (
+        strategies.fixed_dictionaries(
+            {
+                "clock_ms": numbers,
+                "running": rows(task_names, numbers, values, numbers),
+                "ended": rows(numbers, task_names, numbers, values, values),
+            },
+            optional={"born": numbers},
+        ),
+        poll,
+    ),
+    "the machines list": (
+        strategies.fixed_dictionaries(
+            {
+                "machines": strategies.lists(
+                    strategies.fixed_dictionaries(
+                        {
+                            "machine": strategies.just("m"),
+                            "pool": strategies.just("p"),
+                            "state": values,
+                        },
+                        optional={"capacity": values, "labels": values, "id": values},
+                    ),
+                    max_size=3,
+                )
+            }
+        ),
+        list_machines,
+    ),
+    "the advice service": (
+        strategies.fixed_dictionaries(
+            {"allowed": rows(values, values)}, optional={"validity_ms": values}
+        ),
+        advise,
+    ),
+    "the store": (
+        strategies.fixed_dictionaries(
+            {
+                "items": strategies.lists(
+                    strategies.fixed_dictionaries(
+                        {"key": strategies.text(max_size=3), "value": values},
+                    ),
+                    max_size=3,
+                ),
+                "end_offset": numbers,
+            }
+        ),
+        read_store,
+    ),
+}
+
+
+def generated(strategy, check, count, number):
+    """Check generated bodies, and damaged ones, with a fixed seed."""
+
+    @seed(number)
+    @settings(
+        max_examples=count,
+        database=None,
+        deadline=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    @generate(strategy, strategies.integers(0, 3), strategies.integers(0, 1 << 30))
+    def run(value, damage, where):
+        body = bytearray(json.dumps(value).encode())
+        if damage == 1 and body:
+            body[where % len(body)] ^= 1 + where % 255
+        elif damage == 2:
+            del body[where % (len(body) + 1) :]
+        check(bytes(body))
+
+    run()
+
+
+@then("{count:d} generated answers of {service} raise nothing, with seed {number:d}")
+def step_generated_answers(context, count, service, number):
+    strategy, check = answers[service]
+    generated(strategy, check, count, number)
+
+
+@given("a list of machines in the states {first:w}, {second:w} and {third:w}")
+def step_machine_states(context, first, second, third):
+    machines = [
+        {"machine": state, "pool": "p", "state": state}
+        for state in (first, second, third)
+    ]
+    body = json.dumps({"machines": machines}).encode()
+    context.views = asyncio.run(platform_client(body).list_instances())
+
+
+@then("the machines that are {first:w} and {second:w} are listed")
+def step_listed(context, first, second):
+    assert [view.instance for view in context.views] == [first, second], context.views
+
+
+def decode(body):
+    return decode_submission(body, JobId("1" * 16), QUEUE, WorkspaceName("w"), 1000)
+
+
+@given("the submission {body}")
+def step_submission(context, body):
+    context.body = body.encode()
+
+
+@then("the submission is refused, and the message names {setting:w}")
+def step_submission_refused(context, setting):
+    try:
+        decode(context.body)
+    except msgspec.DecodeError as exc:
+        assert setting in str(exc), exc
+    else:
+        raise AssertionError("the submission was accepted")
+
+
+def store_and_schedule(body):
+    try:
+        spec = decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return
+    ledger = Ledger()
+    ledger.apply(*encode(spec))
+    assert ledger.jobs[spec.job].spec == spec
+    state = SchedulerState(node="a")
+    step(state, ev.TermTaken(1.0, 1.0, 1, {}, {}, 1.0, {}, 1.0))
+    step(state, ev.JobAccepted(spec))
+    for tick in range(3):
+        step(state, ev.Tick(2.0 + tick, 2000))
+        if state.committing:
+            step(state, ev.Committed(state.committing, 2.5 + tick))
+
+
+OPTIONAL_AMOUNTS = (
+    "cpu",
+    "gpu",
+    "estimated_ms",
+    "anti_affinity",
+    "may_miss",
+    "target_ms",
+    "requirements",
+    "gang",
+    "long_running",
+    "fills",
+)
+amounts = strategies.one_of(strategies.integers(0, 40), scalars)
+submissions = strategies.fixed_dictionaries(
+    {
+        "steps": strategies.lists(
+            strategies.fixed_dictionaries(
+                {"count": strategies.one_of(strategies.integers(1, 9), amounts)},
+                optional=dict.fromkeys(
+                    (
+                        "cpu",
+                        "gpu",
+                        "estimated_ms",
+                        "anti_affinity",
+                        "may_miss",
+                        "target_ms",
+                        "requirements",
+                        "gang",
+                        "long_running",
+                        "fills",
+                    ),
+                    amounts,
+                )
+                | {"after": strategies.lists(amounts, max_size=2)},
+            ),
+            max_size=3,
+        )
+    },
+    optional={
+        "repetitions": amounts,
+        "interval_ms": amounts,
+        "first_run_ms": amounts,
+        "specification": values,
+    },
+)
+
+
+@then(
+    "{count:d} generated submissions raise nothing in the scheduler, with seed "
+    "{number:d}"
+)
+def step_generated_submissions(context, count, number):
+    generated(submissions, store_and_schedule, count, number)
+
+
+class FailingPlatform(MemoryPlatform):
+    """Platform whose list of instances raises an unexpected error on request."""
+
+    failing = False
+
+    async def list_instances(self):
+        if self.failing:
+            raise RuntimeError("unexpected")
+        return []
+
+
+@given("a node that schedules")
+def step_scheduling_node(context):
+    ledger = MemoryPartition()
+    context.platform = FailingPlatform(ledger)
+    follower = context.follower = LedgerFollower(
+        ledger, lambda record: context.runner.handle_record(record)
+    )
+    follower.loaded = True
+    context.runner = SchedulerRunner(
+        "a", context.platform, follower, Limits(), random.Random(1), 1.0, lambda: True
+    )
+    context.runner._cfg = Configuration(version=1)
+
+
+def raise_error(*args):
+    raise RuntimeError("unexpected")
+
+
+async def fail_once(context, place):
+    runner = context.runner
+    with asyncio.get_running_loop().as_clock():
+        asyncio.ensure_future(context.follower.run())
+        work = asyncio.ensure_future(runner.run())
+        await asyncio.sleep(3.0)
+        assert runner.leading, "the node did not claim the first term"
+        context.first_term = runner.state.term
+        if place == "the reducer":
+            runner.state.jobs = None
+        elif place == "a call of an effect":
+            context.platform.failing = True
+            runner._list_instances(ef.ListInstances())
+        else:
+            handlers = runner._effect_handlers
+            saved, handlers[ef.Commit] = handlers[ef.Commit], raise_error
+            runner._dispatch(ev.Tick(clock.monotonic() + 1.0, 0))
+            handlers[ef.Commit] = saved
+        await asyncio.sleep(0.1)
+        context.stepped_down = not runner.leading
+        context.platform.failing = False
+        await asyncio.sleep(5.0)
+        context.term = runner.state.term
+        context.process_runs = not work.done()
+
+
+@when("{place} raises an unexpected error")
+def step_error(context, place):
+    run_virtually(fail_once(context, place))
+
+
+@then("the node has stepped down and logged the error")
+def step_stepped_down(context):
+    assert context.stepped_down
+    assert context.process_runs
+
+
+@then("the node claims the next term and schedules again")
+def step_schedules_again(context):
+    assert context.term > context.first_term, (context.term, context.first_term)
+
+
+@given("a node with a part that raises twice")
+def step_failing_part(context):
+    context.starts, context.ticks = 0, 0
+
+    async def failing():
+        context.starts += 1
+        if context.starts < 3:
+            raise RuntimeError("unexpected")
+        await asyncio.sleep(60)
+
+    async def steady():
+        while True:
+            context.ticks += 1
+            await asyncio.sleep(0.1)
+
+    node = Node.__new__(Node)
+    node._metrics = Metrics()
+
+    async def run():
+        parts = [node._supervise("failing", failing), node._supervise("steady", steady)]
+        tasks = [asyncio.ensure_future(part) for part in parts]
+        await asyncio.sleep(node_module.RESTART_DELAY_S * 4)
+        assert not any(task.done() for task in tasks)
+
+    run_virtually(run())
+
+
+@then("the part is started three times and the other part goes on")
+def step_restarted(context):
+    assert context.starts == 3, context.starts
+    assert context.ticks > 10, context.ticks
+
+
+@given("an intake that raises an unexpected error")
+def step_failing_intake(context):
+    cfg = Configuration(version=1)
+    cfg.queues[QUEUE.name] = msgspec.structs.replace(QUEUE, open=True)
+    active = SimpleNamespace(cfg=cfg, outdated=False)
+    intake = SimpleNamespace(submit=raise_error)
+    context.http_intake = HttpIntake(intake, active, Metrics())
+
+
+@then("a submission is answered with {status:d}")
+def step_submission_status(context, status):
+    request = HttpRequest(
+        b"POST", b"/q/" + b"1" * 16, [(b"host", b"h")], b'{"steps": [{"count": 1}]}'
+    )
+    responses = []
+    exchange = SimpleNamespace(request=request, respond=responses.append)
+    asyncio.run(context.http_intake._answer(exchange))
+    assert [r.status for r in responses] == [status], responses
--- a/primrosepitch/events.py
+++ b/primrosepitch/events.py
@@ -158,7 +158,8 @@
     1112,
     "task_failed",
     logging.ERROR,
-    "A background task of the process failed with an unexpected exception.",
+    "A task of the process failed with an unexpected exception; the line names its "
+    "part, which is restarted, and the process goes on.",
     "report it with the log lines around it",
 )
 SETTINGS_READ_AGAIN = event(
@@ -350,6 +351,13 @@
     "A record of the ledger could not be decoded and is ignored.",
     "find the process that wrote it; it may run a newer version",
 )
+MESSAGE_MALFORMED = event(
+    5414,
+    "message_malformed",
+    logging.WARNING,
+    "A message of the named kind and sender could not be decoded and is ignored.",
+    "find the process that sent it; it may run a newer version",
+)
 RELAY_ON = event(
     5406,
     "relay_on",
--- a/primrosepitch/node/node.py
+++ b/primrosepitch/node/node.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import random
+from collections.abc import Awaitable, Callable
 
 from primrosepitch import clock
 from primrosepitch.events import MANIFEST_IN_FORCE, TASK_FAILED, emit
@@ -31,6 +32,9 @@
 ADDRESS_RETRY_S = 1.0
 """Pause before this node's address is written, and before each retry."""
 
+RESTART_DELAY_S = 0.5
+"""Pause before a part of the node is restarted after an unexpected exception."""
+
 MAX_READ_AGE_S = 2.5
 """Age of the last ledger read beyond which the node reports itself not ready, so that
 callers are sent to another node."""
@@ -60,6 +64,7 @@
         """Compose the parts; nothing runs before :meth:`run`."""
         self.cfg: Configuration | None = None
         self.stopping = False
+        self._metrics = metrics
         self._identity = identity
         self._platform = platform
         self._follower = LedgerFollower(platform.ledger, self._handle_record)
@@ -138,18 +143,26 @@
 
     async def run(self) -> None:
         """Run all parts until cancelled."""
-        parts = [
-            self._operators.run(),
-            self._follower.run(),
-            self._appender.run(),
-            self.scheduler.run(),
-            self._publish_address(),
-        ]
-        try:
-            await asyncio.gather(*parts)
-        except Exception as exc:
-            emit(TASK_FAILED, error=repr(exc))
-            raise
+        parts = {
+            "operators": self._operators.run,
+            "follower": self._follower.run,
+            "appender": self._appender.run,
+            "scheduler": self.scheduler.run,
+            "address": self._publish_address,
+        }
+        await asyncio.gather(*(self._supervise(*part) for part in parts.items()))
+
+    async def _supervise(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+        """Run a part, and restart it after an unexpected exception."""
+        while True:
+            try:
+                await run()
+            except Exception as exc:
+                emit(TASK_FAILED, part=name, error=repr(exc))
+                self._metrics.count("primrose.tasks.failed", part=name)
+                await asyncio.sleep(RESTART_DELAY_S)
+            else:
+                return
 
     async def prepare_shutdown(self, deadline: float) -> None:
         """Report the node as not ready, and release the term to another node."""
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from primrosepitch import clock
-from primrosepitch.events import TERM_CLAIMED, TERM_LOST, emit
+from primrosepitch.events import TASK_FAILED, TERM_CLAIMED, TERM_LOST, emit
 from primrosepitch.jobs.model import EndpointId, JobId, JobSpec
 from primrosepitch.jobs.records import (
     Cancellation,
@@ -55,6 +55,10 @@
 CLAIM_PAUSE_S = 0.3
 """Pause after a failed claim, in which the winner's record is read."""
 
+FAILURE_PAUSE_S = 3.0
+"""Time after an unexpected exception in which this node claims no term, so that another
+one does."""
+
 COMMIT_TIMEOUT_S = 0.6
 """Timeout of one commit attempt; retries use the same sequence number. A slow store
 answers in 0.3 s; after an outage, the next attempt comes before other nodes claim."""
@@ -121,7 +125,7 @@
         self._heartbeat_at = 0.0
         self._ledger_sequence = 0
         self._runs_sequence = 0
-        self._claiming = False
+        self._claim_not_before = 0.0
         self._claim_nonces: set[int] = set()
         self._stopping = False
         self._endpoint_slots: dict[EndpointId, asyncio.Semaphore] = defaultdict(
@@ -219,6 +223,7 @@
                 self._follower.loaded
                 and self._cfg.version
                 and not self._stopping
+                and clock.monotonic() >= self._claim_not_before
                 and self._may_claim()
                 and observation.should_claim(clock.monotonic())
             ):
@@ -401,15 +406,41 @@
     # Effects
 
     def _dispatch(self, event: ev.Event) -> None:
-        for effect in step(self.state, event):
-            self._effect_handlers[type(effect)](effect)
+        try:
+            for effect in step(self.state, event):
+                self._effect_handlers[type(effect)](effect)
+        except Exception as exc:
+            self._handle_failure(type(event).__name__, exc)
+
+    def _handle_failure(self, source: str, exc: Exception) -> None:
+        """End the term after an unexpected exception.
+
+        The state may be inconsistent, while the next scheduler builds it from the
+        ledger; the process goes on serving callers.
+        """
+        emit(TASK_FAILED, part=f"scheduler: {source}", error=repr(exc))
+        if self.leading:
+            self._claim_not_before = clock.monotonic() + FAILURE_PAUSE_S
+            self._step_down(ef.StepDown(f"unexpected exception: {exc!r}"))
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        task = asyncio.ensure_future(work)
+        name = getattr(work, "__name__", "task")
+        task = asyncio.ensure_future(self._run_in_term(self.state.term, name, work))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return task
 
+    async def _run_in_term(
+        self, term: int, name: str, work: Coroutine[Any, Any, None]
+    ) -> None:
+        try:
+            await work
+        except Exception as exc:
+            if self.state.term == term:
+                self._handle_failure(name, exc)
+            else:
+                emit(TASK_FAILED, part=f"scheduler: {name}", error=repr(exc))
+
     def _dispatch_in_term(self, term: int, event: ev.Event) -> None:
         """Dispatch an event, unless the term it belongs to has ended."""
         if self.state.term == term:
--- /dev/null
+++ b/standins/memory_platform.py
@@ -0,0 +1,75 @@
+"""Stand-in for the platform in memory, for tests of one scheduler."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine, Iterable
+from typing import Any
+
+from primrosepitch.jobs.store import (
+    AppendOutcome,
+    Batch,
+    Fence,
+    KeyedRecord,
+    StoreUnknownError,
+)
+from standins.network import VirtualLoop
+
+__all__ = ["MemoryPartition", "MemoryPlatform", "run_virtually"]
+
+
+class MemoryPartition:
+    """Keyed partition in memory that can lose the response to an append."""
+
+    def __init__(self, records: Iterable[KeyedRecord] = ()) -> None:
+        """Store the first records."""
+        self.records = list(records)
+        self.loses_responses = False
+
+    async def append(
+        self, records: list[KeyedRecord], deadline: float, fence: Fence | None = None
+    ) -> AppendOutcome:
+        """Append records; the response may be lost."""
+        offset = len(self.records)
+        self.records += records
+        if self.loses_responses:
+            raise StoreUnknownError("no response")
+        return AppendOutcome(offset, len(self.records))
+
+    async def read(self, offset: int, wait_s: float, deadline: float) -> Batch:
+        """Return the records from an offset."""
+        end = len(self.records)
+        return Batch(self.records[offset:], end, end)
+
+    async def read_newest(self, deadline: float) -> Batch:
+        """Return all records."""
+        return await self.read(0, 0.0, deadline)
+
+
+class MemoryPlatform:
+    """Platform that has only the partitions a claim uses."""
+
+    def __init__(self, ledger: MemoryPartition) -> None:
+        """Start with an empty partition of runs."""
+        self.ledger = ledger
+        self.runs = MemoryPartition()
+
+    def open_endpoint_feed(self) -> MemoryPlatform:
+        """Return a feed without endpoints."""
+        return self
+
+    async def changes(self, wait_s: float) -> list[Any]:
+        """Return no change."""
+        return []
+
+
+def run_virtually(work: Coroutine[Any, Any, None]) -> None:
+    """Run a coroutine in virtual time, and end the tasks that it has started."""
+    loop = VirtualLoop()
+    try:
+        loop.run_until_complete(work)
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0.01))
+    finally:
+        loop.close()
