Use no records after a restart that the earlier process may have superseded

A queue or key that its earlier process had already seen withdrawn was in use again, for as long as all nodes were cut off. Cause: versions only rise within a process, and a fresh one took whatever came first. It also counted its records as confirmed at its start, so that a 404 or 401 from such records was final for 2.5 s. A node ignores other nodes' records that were confirmed before it started, and answers 503 meanwhile; its own are unconfirmed until they have been read. Evidence: 'A restarted node uses no records from before its earlier process ended' failed before (200 for a withdrawn queue), passes now.

--- a/features/manifest_rollout.feature
+++ b/features/manifest_rollout.feature
@@ -151,6 +151,23 @@
     Then the isolated node answers 200 for the newest queue
     And the isolated node answers 404 for a queue that never existed
 
+  # Guards against a restarted node that uses a queue or key again that its earlier
+  # process had seen withdrawn: the store turns it away while it starts, and all other
+  # nodes have been cut off from the store since before the withdrawal.
+  Scenario: A restarted node uses no records from before its earlier process ended
+    Given 3 nodes with large links, 1 with small ones and 1750 queues
+    And 3 large nodes are cut off from the store from 5 to 19 s, mode silent
+    And queue base00000 is withdrawn at 6 s
+    And 1 small nodes are cut off from all other nodes from 5.6 to 10.6 s
+    And 1 small nodes are restarted from 10 to 10.2 s, and refused from 10.6 to 17 s
+    When 9.5 s have passed
+    Then the restarted node answers 404 for queue base00000
+    When 13 s have passed
+    Then the restarted node answers 503 for queue base00000
+    When 25 s have passed
+    Then the restarted node answers 404 for queue base00000
+    And the restarted node answers 200 for queue base00001
+
   # Guards against a change that costs a node more traffic than the target allows: 940
   # changes a day at 3 KB/s.
   Scenario: A change costs a node with a small link a limited number of bytes
--- a/features/steps/manifest_rollout.py
+++ b/features/steps/manifest_rollout.py
@@ -79,6 +79,31 @@
         context.world.restart(ip, begin, end)
 
 
+@given(
+    "{count:d} {size} nodes are restarted from {begin:g} to {end:g} s, "
+    "and refused from {refused:g} to {served:g} s"
+)
+def step_restart_refused(context, count, size, begin, end, refused, served):
+    for ip in unaffected_nodes(context, count, size):
+        context.world.restart(ip, begin, end)
+        context.world.refuse(ip, refused, served, Refusal.RESET)
+        context.restarted = ip
+
+
+@given(
+    "{count:d} {size} nodes are cut off from all other nodes from {begin:g} to {end:g} s"
+)
+def step_cut_off_from_nodes(context, count, size, begin, end):
+    # Such a node may be affected by another fault, too.
+    for ip in context.world.by_size[size][:count]:
+        context.world.cut_off_from_nodes(ip, begin, end)
+
+
+@given("queue {name} is withdrawn at {seconds:g} s")
+def step_withdraw(context, name, seconds):
+    context.world.call_at(seconds, context.world.withdraw, name)
+
+
 @given("{count:d} {size} nodes are frozen from {begin:g} to {end:g} s")
 def step_freeze(context, count, size, begin, end):
     for ip in unaffected_nodes(context, count, size):
@@ -202,11 +227,11 @@
     assert not behind, f"ledger offsets {behind}, end at {end}"
 
 
-def status_of(context, name):
-    """Return the status of the isolated node's response; 503 must have Retry-After."""
+def status_of(context, ip, name):
+    """Return the status of a node's response; 503 must have Retry-After."""
     world = context.world
     path = f"/{name}/"
-    task = world.network.spawn(CALLERS_IP, world.get(context.isolated, path))
+    task = world.network.spawn(CALLERS_IP, world.get(ip, path))
     response = world.run(task)
     if response.status == 503:
         assert int(response.headers["retry-after"]) > 0, response.headers
@@ -215,13 +240,19 @@
 
 @then("the isolated node answers {status:d} for the newest queue")
 def step_newest_queue(context, status):
-    found = status_of(context, f"v{len(context.world.versions)}")
+    found = status_of(context, context.isolated, f"v{len(context.world.versions)}")
     assert found == status, found
 
 
 @then("the isolated node answers {status:d} for a queue that never existed")
 def step_no_queue(context, status):
-    found = status_of(context, "never")
+    found = status_of(context, context.isolated, "never")
+    assert found == status, found
+
+
+@then("the restarted node answers {status:d} for queue {name}")
+def step_restarted_answers(context, status, name):
+    found = status_of(context, context.restarted, name)
     assert found == status, found
 
 
--- a/primrosepitch/node/operators.py
+++ b/primrosepitch/node/operators.py
@@ -70,7 +70,9 @@
     """Follows the operators' records, and serves them to other nodes.
 
     ``confirmed_at`` is the latest boot-time clock at which the store is known to have
-    contained no other record.
+    contained no other record. Other nodes' records that were confirmed before this
+    process started are not used: an earlier process of this node may have used newer
+    ones.
 
     :param store: partition that operators write; it is never relayed
     :param relay: tracks whether the store serves this node
@@ -88,7 +90,8 @@
         metrics: Metrics,
     ) -> None:
         """Start without records; :meth:`run` reads them."""
-        self.confirmed_at = clock.monotonic()
+        self._started_at = clock.monotonic()
+        self.confirmed_at = self._started_at - MAX_CONFIRMED_AGE_S
         self._store = store
         self._relay = relay
         self._pool = pool
@@ -220,7 +223,9 @@
             started_at = clock.monotonic()
             answer = await self._exchange.fetch(node, self._offset, wait_s)
             self._source = node if answer is not None and answer.reads_store else None
-            if answer is None or answer.offset < self._offset:
+            if answer is None:
+                continue
+            if answer.offset < self._offset or answer.confirmed_at < self._started_at:
                 continue
             self._confirm(answer.confirmed_at)
             if answer.records:
--- a/standins/manifest_world.py
+++ b/standins/manifest_world.py
@@ -113,7 +113,8 @@
         self.programs: dict[str, NodeProcess] = {}
         self._exemptions: dict[str, list[tuple[float, float]]] = {}
         self._refused_until = 0.0
-        self._base = [json.dumps(queue_row(f"base{n:05d}")) for n in range(queues)]
+        names = [f"base{number:05d}" for number in range(queues)]
+        self._base = {name: json.dumps(queue_row(name)) for name in names}
         self.network.add_host(STORE_IP, 4000)
         self.network.add_host(CALLERS_IP, 1000)
         rates = [LARGE_MBIT_PER_S] * large + [SMALL_MBIT_PER_S] * small
@@ -205,11 +206,15 @@
 
     def isolate(self, ip: str, begin: float, end: float) -> None:
         """Cut a node off from all hosts except the callers."""
-        for other in (*self.rates, STORE_IP):
+        self.cut_off(ip, begin, end, CutMode.SILENT.value)
+        self.cut_off_from_nodes(ip, begin, end)
+
+    def cut_off_from_nodes(self, ip: str, begin: float, end: float) -> None:
+        """Cut a node off from all other nodes, but not from the store."""
+        for other in self.rates:
             if other != ip:
                 self.call_at(begin, self.network.cut, ip, other, CutMode.SILENT)
                 self.call_at(end, self.network.heal, ip, other)
-        self._exempt(ip, begin, end)
 
     def refuse(self, ip: str, begin: float, end: float, refusal: Refusal) -> None:
         """Make the store refuse a node."""
@@ -239,7 +244,7 @@
     def manifest(self, number: int) -> bytes:
         """Return a version of the manifest; each one adds a queue."""
         added = [json.dumps(queue_row(f"v{n + 1}")) for n in range(number)]
-        routes = ",".join([*self._base, *added])
+        routes = ",".join([*self._base.values(), *added])
         services = '[{"name":"pressing"}]'
         text = f'{{"version":{number},"routes":[{routes}],"services":{services}}}'
         return text.encode()
@@ -249,6 +254,11 @@
         self.store.write("keyed.op", "config", self.manifest(len(self.versions) + 1))
         self.versions.append(self.now())
 
+    def withdraw(self, name: str) -> None:
+        """Write a version without a queue of the first one."""
+        del self._base[name]
+        self.publish()
+
     def publish_between(self, begin: float, end: float, interval_s: float) -> None:
         """Schedule versions at a fixed interval."""
         count = int((end - begin) / interval_s)
