Ask the store before more nodes when a node does not answer

Cause: it asked its last source and up to four more nodes one after the other, each with a timeout of 0.6 s, before it compared its offset with the store's. The store is asked first now when no node is known to report changes, and after each node that does not answer.

--- a/features/manifest_rollout.feature
+++ b/features/manifest_rollout.feature
@@ -151,6 +151,15 @@
     Then the isolated node answers 200 for the newest queue
     And the isolated node answers 404 for a queue that never existed
 
+  # Guards against a node that asks one node after the other, without an answer from any,
+  # before it reads a version from the store.
+  Scenario: Nodes that reach the store, but no other node
+    Given 3 nodes with large links, 3 with small ones and 1750 queues
+    And versions are confirmed every 4 s from 6 to 20 s
+    And 3 small nodes are cut off from all other nodes from 4.6 to 22 s
+    When 30 s have passed
+    Then no node was late with a version
+
   # Guards against a restarted node that uses a queue or key again that its earlier
   # process had seen withdrawn: the store turns it away while it starts, and all other
   # nodes have been cut off from the store since before the withdrawal.
--- a/primrosepitch/node/operators.py
+++ b/primrosepitch/node/operators.py
@@ -198,6 +198,9 @@
     # Reads from other nodes
 
     async def _read_from_peers(self) -> None:
+        if self._relay.store_reachable and self._source is None:
+            # No node reports changes, and those that are queried next may not answer.
+            await self._check_end()
         changed = await self._query_peers()
         if self._relay.store_reachable:
             await self._check_end()
@@ -223,6 +226,9 @@
             started_at = clock.monotonic()
             answer = await self._exchange.fetch(node, self._offset, wait_s)
             self._source = node if answer is not None and answer.reads_store else None
+            if answer is None and self._relay.store_reachable:
+                # Other nodes may be out of reach, too, so the store is asked first.
+                break
             if answer is None:
                 continue
             if answer.offset < self._offset or answer.confirmed_at < self._started_at:
