--- a/features/steps/manifest_rollout.py
+++ b/features/steps/manifest_rollout.py
@@ -91,7 +91,8 @@
 
 
 @given(
-    "{count:d} {size} nodes are cut off from all other nodes from {begin:g} to {end:g} s"
+    "{count:d} {size} nodes are cut off from all other nodes "
+    "from {begin:g} to {end:g} s"
 )
 def step_cut_off_from_nodes(context, count, size, begin, end):
     # Such a node may be affected by another fault, too.
