Keep a step that prefers one rack in one rack, not on one endpoint

A step whose tasks are slower on several racks was spread over racks as soon as its first endpoint was full, though that rack had capacity. Cause: an endpoint counted as remote if it ran none of the step's tasks; only its rack matters. Evidence: 'The tasks of a step stay in one rack while it has capacity'; before, 30 tasks were placed in 3 racks, now in the 2 that they need.

--- a/features/planning_passes.feature
+++ b/features/planning_passes.feature
@@ -35,3 +35,11 @@
       | 1    |
       | 2    |
       | 3    |
+
+  # Guards against a step that shall stay in one rack, and is spread over racks once
+  # its first endpoint is full.
+  Scenario: The tasks of a step stay in one rack while it has capacity
+    Given 60 endpoints with random load and faults, seed 4
+    When a job of 30 tasks of 4 cores that shall stay in one rack is accepted
+    And the next planning pass is due
+    Then its tasks are placed on more than one endpoint, in 2 racks
--- a/primrosepitch/scheduling/placement.py
+++ b/primrosepitch/scheduling/placement.py
@@ -160,7 +160,7 @@
         spec = self._spec
         remote = bool(spec.rack) and endpoint.rack != spec.rack
         if spec.one_rack and not remote:
-            remote = bool(self._on_endpoint) and endpoint.id not in self._on_endpoint
+            remote = bool(self._in_rack) and endpoint.rack not in self._in_rack
         colocated = 0.0
         if spec.lasting and not spec.one_rack:
             # Spread a step, so that the loss of an endpoint or rack doesn't end all of
