Log and measure how late the scheduler's loop runs

What operators saw: nothing. That a pass of 0.7 s had blocked the scheduler showed only as a gap between log lines. Cause: no log line or metric gave the delay of ticks, and none the orders to start that were sent. Evidence: 'The largest delay of a tick is kept for 10 s' in planning_passes.feature; 8 passed.

--- a/features/planning_passes.feature
+++ b/features/planning_passes.feature
@@ -43,3 +43,11 @@
     When a job of 30 tasks of 4 cores that shall stay in one rack is accepted
     And the next planning pass is due
     Then its tasks are placed on more than one endpoint, in 2 racks
+
+  # Guards against a scheduler that falls behind unnoticed, and against a delay that is
+  # reported for the time in which another node scheduled.
+  Scenario: The largest delay of a tick is kept for 10 s
+    Given ticks at 1.00, 1.02, 1.44, 1.46 s
+    Then the largest delay is 0.40 s at 2 s, and 0 s at 12 s
+    When the node does not schedule until 5 s, and ticks at 5.00, 5.03 s
+    Then the largest delay is 0.01 s at 11.5 s, and 0 s at 16 s
--- a/features/steps/planning_passes.py
+++ b/features/steps/planning_passes.py
@@ -13,6 +13,7 @@
     StepSpec,
     WorkspaceName,
 )
+from primrosepitch.node.tick_delay import TickDelay
 from primrosepitch.scheduling import events as ev
 from primrosepitch.scheduling.ordering import ready_steps
 from primrosepitch.scheduling.placement import StepCandidates
@@ -201,3 +202,27 @@
     assert len({task.endpoint for task in tasks}) > 1
     found = {task.rack for task in tasks}
     assert len(found) == racks, found
+
+
+def record_ticks(context, times):
+    for text in times.split(","):
+        context.tick_delay.record(float(text))
+
+
+@given("ticks at {times} s")
+def step_delays(context, times):
+    context.tick_delay = TickDelay(TICK_S)
+    record_ticks(context, times)
+
+
+@when("the node does not schedule until {until:g} s, and ticks at {times} s")
+def step_not_scheduling(context, until, times):
+    context.tick_delay.reset()
+    record_ticks(context, times)
+
+
+@then("the largest delay is {delay:g} s at {now:g} s, and {later:g} s at {end:g} s")
+def step_largest(context, delay, now, later, end):
+    for seconds, at in ((delay, now), (later, end)):
+        found = round(context.tick_delay.largest_s(at), 2)
+        assert found == seconds, found
--- a/primrosepitch/events.py
+++ b/primrosepitch/events.py
@@ -260,6 +260,12 @@
     logging.INFO,
     "The current term was not renewed; the node claims a new one.",
 )
+SCHEDULER_LATE = event(
+    5104,
+    "scheduler_late",
+    logging.WARNING,
+    "The loop of the scheduler was blocked or paused; heartbeats and answers waited.",
+)
 ENDPOINT_JOINED = event(
     5201, "endpoint_joined", logging.INFO, "An endpoint was seen for the first time."
 )
--- a/primrosepitch/node/node.py
+++ b/primrosepitch/node/node.py
@@ -102,6 +102,10 @@
         metrics.add_gauge(
             "primrose.scheduler.waiting", "1", scheduler.count_waiting_tasks
         )
+        metrics.add_gauge(
+            "primrose.scheduler.starts", "1", scheduler.count_start_orders
+        )
+        metrics.add_gauge("primrose.scheduler.delay", "s", scheduler.tick_delay_s)
         metrics.add_gauge(
             "primrose.endpoints.silent", "1", scheduler.count_unreachable_endpoints
         )
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -11,7 +11,13 @@
 import msgspec
 
 from primrosepitch import clock
-from primrosepitch.events import TASK_FAILED, TERM_CLAIMED, TERM_LOST, emit
+from primrosepitch.events import (
+    SCHEDULER_LATE,
+    TASK_FAILED,
+    TERM_CLAIMED,
+    TERM_LOST,
+    emit,
+)
 from primrosepitch.jobs.model import EndpointId, JobId, JobSpec
 from primrosepitch.jobs.records import (
     Cancellation,
@@ -35,6 +41,7 @@
 from primrosepitch.node.follower import LedgerFollower
 from primrosepitch.node.platform_api import Platform
 from primrosepitch.node.term import TermObservation, claim_delay_s
+from primrosepitch.node.tick_delay import TickDelay
 from primrosepitch.scheduling import effects as ef
 from primrosepitch.scheduling import events as ev
 from primrosepitch.scheduling.configuration import Configuration, WaveSpec
@@ -49,6 +56,9 @@
 TICK_INTERVAL_S = 0.02
 """Interval between ticks of the reducer."""
 
+LATE_TICK_S = 0.25
+"""Delay of a tick that is logged: the interval between two heartbeats."""
+
 WATCH_INTERVAL_S = 0.05
 """Interval at which a node that does not schedule checks whether to claim the term."""
 
@@ -127,6 +137,8 @@
         self._runs_sequence = 0
         self._claim_not_before = 0.0
         self._claim_nonces: set[int] = set()
+        self._tick_delay = TickDelay(TICK_INTERVAL_S)
+        self._start_orders = 0
         self._stopping = False
         self._endpoint_slots: dict[EndpointId, asyncio.Semaphore] = defaultdict(
             lambda: asyncio.Semaphore(MAX_CONCURRENT_ORDERS_PER_ENDPOINT)
@@ -165,6 +177,14 @@
         """Return how many ready tasks wait for capacity."""
         return sum(len(ready.tasks) for ready in ready_steps(self.state))
 
+    def count_start_orders(self) -> int:
+        """Return how many orders to start a run this process has sent."""
+        return self._start_orders
+
+    def tick_delay_s(self) -> float:
+        """Return the largest recent delay of a tick; 0 without a term."""
+        return self._tick_delay.largest_s(clock.monotonic()) if self.leading else 0.0
+
     def count_unreachable_endpoints(self) -> int:
         """Return how many endpoints that answered in this term do not answer now."""
         endpoints = self.state.endpoints.values()
@@ -204,10 +224,10 @@
         jitter_s = claim_delay_s(self._cores, self._rng.random())
         while True:
             if self.leading:
-                wall_ms = round(clock.wall() * 1000)
-                self._dispatch(ev.Tick(clock.monotonic(), wall_ms))
+                self._tick()
                 await asyncio.sleep(TICK_INTERVAL_S)
                 continue
+            self._tick_delay.reset()
             await asyncio.sleep(WATCH_INTERVAL_S)
             observation = TermObservation(
                 self._node,
@@ -229,6 +249,20 @@
             ):
                 await self._claim()
 
+    def _tick(self) -> None:
+        now = clock.monotonic()
+        late_s = self._tick_delay.record(now)
+        if late_s > LATE_TICK_S:
+            jobs, endpoints = len(self.state.jobs), len(self.state.endpoints)
+            emit(
+                SCHEDULER_LATE,
+                term=self.state.term,
+                late_s=round(late_s, 2),
+                jobs=jobs,
+                endpoints=endpoints,
+            )
+        self._dispatch(ev.Tick(now, round(clock.wall() * 1000)))
+
     async def _claim(self) -> None:
         """Claim the next term, which belongs to its first claim in the ledger.
 
@@ -503,6 +537,8 @@
         self._heartbeat_at = clock.monotonic()
 
     def _start_run(self, order: ef.StartRun) -> None:
+        self._start_orders += 1
+
         def answered(outcome: ev.Outcome) -> ev.Event:
             now = clock.monotonic()
             return ev.StartAnswered(order.task, order.run, order.endpoint, outcome, now)
