Let the largest node schedule, and hand its term over to one that returns

Cause: nodes read the last heartbeat up to 0.25 s after each other, and a small one waits only 0.22 s longer than a large one, so it could claim first (1.35 s of silence there, 1.13 s at the large ones). It kept the term to its end. Each node's address in the ledger carries its processor time now. A node that is smaller than the largest one known waits 0.4 s more; nodes of equal size no longer wait. A scheduler on a small node looks every second for a larger node that reads the store and releases its term to it, once orders of an earlier scheduler have expired, and claims none for 3 s. Evidence: in term.feature 'A small node waits for larger ones ...' (before, it claimed after 1.6 s) and 'A scheduler hands its term over ...', which had no counterpart; 41 passed.

--- a/features/steps/claims_of_terms.py
+++ b/features/steps/claims_of_terms.py
@@ -9,7 +9,7 @@
 
 from primrosepitch import clock
 from primrosepitch.jobs.model import ServiceName
-from primrosepitch.jobs.records import Ledger, Term, encode
+from primrosepitch.jobs.records import Ledger, NodeAddress, Term, encode
 from primrosepitch.jobs.store import (
     KeyedRecord,
 )
@@ -21,7 +21,12 @@
 from primrosepitch.scheduling.leases import may_grant_leases, takeover_wait_s
 from primrosepitch.scheduling.reducer import step
 from primrosepitch.scheduling.state import Limits, SchedulerState
-from standins.memory_platform import MemoryPartition, MemoryPlatform, run_virtually
+from standins.memory_platform import (
+    MemoryPartition,
+    MemoryPlatform,
+    find_no_node,
+    run_virtually,
+)
 
 ROUNDING_S = 1e-6
 
@@ -41,6 +46,7 @@
         random.Random(1),
         1.0,
         lambda: True,
+        find_no_node,
     )
     context.follower.loaded = True
     asyncio.run(context.follower.catch_up())
@@ -170,7 +176,14 @@
     follower = LedgerFollower(ledger, lambda record: None)
     follower.loaded = True
     context.runner = SchedulerRunner(
-        "a", platform, follower, Limits(), random.Random(1), 1.0, lambda: True
+        "a",
+        platform,
+        follower,
+        Limits(),
+        random.Random(1),
+        1.0,
+        lambda: True,
+        find_no_node,
     )
     read_newest = platform.runs.read_newest
 
@@ -214,7 +227,14 @@
     follower = LedgerFollower(ledger, lambda record: None)
     follower.loaded = True
     runner = SchedulerRunner(
-        "a", platform, follower, Limits(), random.Random(1), 1.0, lambda: True
+        "a",
+        platform,
+        follower,
+        Limits(),
+        random.Random(1),
+        1.0,
+        lambda: True,
+        find_no_node,
     )
     with loop.as_clock():
         await runner._claim()
@@ -278,3 +298,67 @@
 def step_heartbeat(context):
     keys = {record.key for record in context.commit.shared}
     assert keys >= {"backlog", "term"}, keys
+
+
+@given("a scheduler of {cores:g} cores, and a node of {larger:g} cores that {answers}")
+def step_sizes(context, cores, larger, answers):
+    context.cores, context.larger = cores, larger
+    context.answers = answers == "answers"
+    context.prior_orders_s = 0.0
+
+
+@given("orders of an earlier scheduler that expire in {seconds:g} s")
+def step_prior_orders(context, seconds):
+    context.prior_orders_s = seconds
+
+
+async def schedule_beside_larger(context, seconds):
+    loop = asyncio.get_running_loop()
+    sizes = {"a": context.cores, "b": context.larger}
+    nodes = [NodeAddress(name, f"{name}:1", size) for name, size in sizes.items()]
+    ledger = MemoryPartition([KeyedRecord(*encode(node)) for node in nodes])
+    follower = context.follower = LedgerFollower(ledger, lambda record: None)
+    follower.loaded = True
+
+    async def find_larger_node():
+        await asyncio.sleep(0.1)
+        return "b" if context.answers else ""
+
+    runner = context.runner = SchedulerRunner(
+        "a",
+        MemoryPlatform(ledger),
+        follower,
+        Limits(),
+        random.Random(1),
+        context.cores,
+        lambda: True,
+        find_larger_node,
+    )
+    with loop.as_clock():
+        await runner._claim()
+        assert runner.leading
+        runner.state.prior_orders_until = clock.monotonic() + context.prior_orders_s
+        running = asyncio.ensure_future(runner.run())
+        await asyncio.sleep(seconds)
+        context.leading = runner.leading
+        running.cancel()
+        await follower.catch_up()
+
+
+@when("{seconds:g} s have passed with the scheduler")
+def step_schedule(context, seconds):
+    run_virtually(schedule_beside_larger(context, seconds))
+
+
+@then("the term was released once")
+def step_released(context):
+    assert not context.leading
+    term = context.follower.ledger.term
+    assert (term.number, term.holder) == (1, ""), term
+
+
+@then("the term is held by the first")
+def step_still_held(context):
+    assert context.leading
+    term = context.follower.ledger.term
+    assert (term.number, term.holder) == (1, "a"), term
--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -48,7 +48,12 @@
 from primrosepitch.scheduling.configuration import Configuration, QueueSpec
 from primrosepitch.scheduling.reducer import step
 from primrosepitch.scheduling.state import Limits, SchedulerState
-from standins.memory_platform import MemoryPartition, MemoryPlatform, run_virtually
+from standins.memory_platform import (
+    MemoryPartition,
+    MemoryPlatform,
+    find_no_node,
+    run_virtually,
+)
 
 QUEUE = QueueSpec(QueueName("q"), "h", "/q/", ServiceName("pressing"))
 
@@ -401,7 +406,14 @@
     )
     follower.loaded = True
     context.runner = SchedulerRunner(
-        "a", context.platform, follower, Limits(), random.Random(1), 1.0, lambda: True
+        "a",
+        context.platform,
+        follower,
+        Limits(),
+        random.Random(1),
+        1.0,
+        lambda: True,
+        find_no_node,
     )
     context.runner._cfg = Configuration(version=1)
 
--- a/features/steps/term.py
+++ b/features/steps/term.py
@@ -84,3 +84,22 @@
         context.large_at,
         context.small_at,
     )
+
+
+@given("a node of {cores:g} cores that got a heartbeat {age:g} s ago")
+def step_node_size(context, cores, age):
+    context.cores, context.heartbeat_age = cores, age
+
+
+@given("the largest node in the ledger has {largest:g} cores")
+def step_largest(context, largest):
+    context.observation = TermObservation(
+        "a",
+        Term(3, "b", 1),
+        NOW - context.heartbeat_age,
+        connected_at=NOW - 60,
+        read_at=NOW,
+        latency_s=0.0,
+        jitter_s=claim_delay_s(context.cores, 1.0, largest),
+        configured_at=NOW - 60,
+    )
--- a/features/term.feature
+++ b/features/term.feature
@@ -121,3 +121,40 @@
       | 1.2   | may not order | may grant     |
       | 2.5   | may not order | may not grant |
       | 10    | may not order | may not grant |
+
+  # Guards against a small node that schedules because it read the last heartbeat up to
+  # 0.25 s before the large ones did, while they have 0.22 s less to wait.
+  Scenario Outline: A small node waits for larger ones that read the last heartbeat later
+    Given a node of <cores> cores that got a heartbeat <age> s ago
+    And the largest node in the ledger has <largest> cores
+    Then the node <claims> the next term
+
+    Examples:
+      | cores | largest | age  | claims         |
+      | 2.15  | 2.15    | 1.2  | claims         |
+      | 0.52  | 2.15    | 1.6  | does not claim |
+      | 0.52  | 2.15    | 1.9  | claims         |
+      | 0.52  | 0.52    | 1.2  | claims         |
+      | 1.07  | 1.07    | 1.2  | claims         |
+      | 1.07  | 2.15    | 1.45 | does not claim |
+
+  # Guards against a day that a small node schedules to its end, since all large ones
+  # were away for a moment.
+  Scenario Outline: A scheduler hands its term over to a larger node that answers
+    Given a scheduler of <cores> cores, and a node of 2.15 cores that <answers>
+    When 4 s have passed with the scheduler
+    Then the term <ends>
+
+    Examples:
+      | cores | answers         | ends                   |
+      | 0.52  | answers         | was released once      |
+      | 0.52  | does not answer | is held by the first   |
+      | 2.15  | answers         | is held by the first   |
+
+  # Guards against a gap in which nobody schedules: a release waits until the orders of
+  # an earlier scheduler have expired.
+  Scenario: A term is not handed over before orders of an earlier scheduler have expired
+    Given a scheduler of 0.52 cores, and a node of 2.15 cores that answers
+    And orders of an earlier scheduler that expire in 6 s
+    When 4 s have passed with the scheduler
+    Then the term is held by the first
--- a/primrosepitch/events.py
+++ b/primrosepitch/events.py
@@ -260,6 +260,12 @@
     logging.INFO,
     "The current term was not renewed; the node claims a new one.",
 )
+TERM_HANDED_OVER = event(
+    5105,
+    "term_handed_over",
+    logging.INFO,
+    "The term is released, since a larger node can schedule.",
+)
 SCHEDULER_LATE = event(
     5104,
     "scheduler_late",
--- a/primrosepitch/jobs/records.py
+++ b/primrosepitch/jobs/records.py
@@ -138,10 +138,12 @@
     """Address at which a node serves the other nodes.
 
     :param address: ``IP:PORT``
+    :param cores: processor time available to the node; 0 if it is not known
     """
 
     name: str
     address: str
+    cores: float = 0.0
 
 
 Record = (
@@ -248,7 +250,7 @@
         self.jobs: dict[JobId, JobEntry] = {}
         self.term = Term(0, "", 0)
         self.waves: dict[int, WaveProgress] = {}
-        self.nodes: dict[str, str] = {}
+        self.nodes: dict[str, NodeAddress] = {}
         self.backlog = Backlog({})
 
     def apply(self, key: str, value: bytes) -> Record | None:
@@ -268,6 +270,10 @@
             found = self.jobs[job] = JobEntry()
         return found
 
+    def largest_node_cores(self) -> float:
+        """Return the processor time of the largest node; 0 if no node is known."""
+        return max((node.cores for node in self.nodes.values()), default=0.0)
+
     def accepted_entry(self, job: JobId) -> JobEntry | None:
         """Return a job's entry if its acceptance has been read, or else ``None``."""
         found = self.jobs.get(job)
@@ -339,7 +345,7 @@
         ledger.nodes.pop(key[len(NODE_PREFIX) :], None)
         return None
     node: NodeAddress = _decode(value, NodeAddress)
-    ledger.nodes[node.name] = node.address
+    ledger.nodes[node.name] = node
     return node
 
 
--- a/primrosepitch/node/node.py
+++ b/primrosepitch/node/node.py
@@ -24,6 +24,7 @@
 from primrosepitch.node.platform_api import Platform
 from primrosepitch.node.relay import StoreRelay
 from primrosepitch.node.scheduler import SchedulerRunner
+from primrosepitch.node.term import larger_nodes
 from primrosepitch.scheduling.configuration import Configuration, WaveSpec
 from primrosepitch.scheduling.state import Limits
 
@@ -43,9 +44,9 @@
 class Node:
     """A node of the deployment.
 
-    :param identity: address, and the unique name that also identifies a term's holder
+    :param identity: address, size, and the unique name that also identifies a term's
+        holder
     :param pool: connections to the other nodes
-    :param cores: processor time available to the node, in cores
     :param link_bytes_per_s: bandwidth of the node's link
     """
 
@@ -58,7 +59,6 @@
         limits: Limits,
         rng: random.Random,
         metrics: Metrics,
-        cores: float,
         link_bytes_per_s: float,
     ) -> None:
         """Compose the parts; nothing runs before :meth:`run`."""
@@ -76,8 +76,9 @@
             self._follower,
             limits,
             rng,
-            cores,
+            identity.cores,
             lambda: relay.store_reachable,
+            self._find_larger_node,
         )
         self._operators = OperatorRecordsFollower(
             platform.operators,
@@ -87,7 +88,7 @@
             self._apply_operator_records,
             metrics,
         )
-        pool.set_address_source(lambda: self._follower.ledger.nodes)
+        pool.set_address_source(self._addresses)
         self._register_gauges(metrics)
 
     def _register_gauges(self, metrics: Metrics) -> None:
@@ -168,6 +169,11 @@
             else:
                 return
 
+    async def _find_larger_node(self) -> str:
+        """Return the name of a larger node that answers, or an empty string."""
+        larger = larger_nodes(self._follower.ledger.nodes, self._identity.cores)
+        return await self._operators.find_store_reader(larger)
+
     async def prepare_shutdown(self, deadline: float) -> None:
         """Report the node as not ready, and release the term to another node."""
         self.stopping = True
@@ -183,9 +189,8 @@
     async def _publish_address(self) -> None:
         """Write this node's address to the ledger until it is found there."""
         record = KeyedRecord(*encode(self._identity))
-        while self._follower.ledger.nodes.get(self._identity.name) != (
-            self._identity.address
-        ):
+        name = self._identity.name
+        while self._follower.ledger.nodes.get(name) != self._identity:
             await asyncio.sleep(ADDRESS_RETRY_S)
             if self._follower.loaded:
                 # The loop retries; the follower logs that the store is unavailable.
@@ -193,6 +198,10 @@
                     deadline = clock.monotonic() + ADDRESS_RETRY_S
                     await self._appender.append(record, deadline)
 
+    def _addresses(self) -> dict[str, str]:
+        nodes = self._follower.ledger.nodes.values()
+        return {node.name: node.address for node in nodes}
+
     def _handle_record(self, record: Record) -> None:
         if isinstance(record, JobSpec):
             self.intake.forget_accepted(record.job)
--- a/primrosepitch/node/operators.py
+++ b/primrosepitch/node/operators.py
@@ -243,6 +243,19 @@
                 break
         return False
 
+    async def find_store_reader(self, names: set[str]) -> str:
+        """Return the name of a node that answers and reads the store itself.
+
+        :param names: nodes to choose from; two of them are asked
+        :returns: an empty string if neither is one
+        """
+        nodes = [node for node in self._pool.ranked_peers() if node.name in names]
+        for node in nodes[:2]:
+            answer = await self._exchange.fetch(node, self._offset, 0.0)
+            if answer is not None and answer.reads_store:
+                return node.name
+        return ""
+
     # Updates from either source
 
     def _confirm(self, at: float) -> None:
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -15,6 +15,7 @@
     SCHEDULER_LATE,
     TASK_FAILED,
     TERM_CLAIMED,
+    TERM_HANDED_OVER,
     TERM_LOST,
     emit,
 )
@@ -40,7 +41,7 @@
 from primrosepitch.node.dependency import DependencyMonitor
 from primrosepitch.node.follower import LedgerFollower
 from primrosepitch.node.platform_api import Platform
-from primrosepitch.node.term import TermObservation, claim_delay_s
+from primrosepitch.node.term import TermObservation, claim_delay_s, is_small
 from primrosepitch.node.tick_delay import TickDelay
 from primrosepitch.scheduling import effects as ef
 from primrosepitch.scheduling import events as ev
@@ -69,6 +70,12 @@
 """Time after an unexpected exception in which this node claims no term, so that another
 one does."""
 
+HANDOVER_CHECK_INTERVAL_S = 1.0
+"""Interval at which a scheduler on a small node looks for a larger one."""
+
+HANDOVER_PAUSE_S = 3.0
+"""Time after a handover in which this node claims no term, so that another one does."""
+
 COMMIT_TIMEOUT_S = 0.6
 """Timeout of one commit attempt; retries use the same sequence number. A slow store
 answers in 0.3 s; after an outage, the next attempt comes before other nodes claim."""
@@ -108,6 +115,8 @@
     :param cores: processor time available to this node, in cores; larger nodes claim
         first
     :param may_claim: whether the store serves this node directly
+    :param find_larger_node: returns the name of a larger node that answers and reads
+        the store, or an empty string
     """
 
     def __init__(
@@ -119,6 +128,7 @@
         rng: random.Random,
         cores: float,
         may_claim: Callable[[], bool],
+        find_larger_node: Callable[[], Awaitable[str]],
     ) -> None:
         """Start without a term."""
         self.state = SchedulerState(node=node, limits=limits)
@@ -129,6 +139,9 @@
         self._rng = rng
         self._cores = cores
         self._may_claim = may_claim
+        self._find_larger_node = find_larger_node
+        self._handover: asyncio.Task[None] | None = None
+        self._handover_check_at = 0.0
         self._cfg = Configuration()
         self._waves: dict[int, WaveSpec] = {}
         self._configured_at = 0.0
@@ -221,10 +234,11 @@
 
     async def run(self) -> None:
         """Watch the term, claim it and schedule until cancelled."""
-        jitter_s = claim_delay_s(self._cores, self._rng.random())
+        jitter = self._rng.random()
         while True:
             if self.leading:
                 self._tick()
+                self._check_handover()
                 await asyncio.sleep(TICK_INTERVAL_S)
                 continue
             self._tick_delay.reset()
@@ -236,7 +250,7 @@
                 self._follower.connected_at,
                 self._follower.read_at,
                 self._follower.latency_s,
-                jitter_s,
+                claim_delay_s(self._cores, jitter, self._largest_cores()),
                 self._configured_at,
             )
             if (
@@ -388,6 +402,30 @@
         self._dispatch(event)
         self._spawn(self._read_reports(term.number))
 
+    def _largest_cores(self) -> float:
+        return self._follower.ledger.largest_node_cores()
+
+    def _check_handover(self) -> None:
+        """Look for a larger node from time to time, and hand the term over to it."""
+        now = clock.monotonic()
+        if now < max(self._handover_check_at, self.state.prior_orders_until):
+            return
+        self._handover_check_at = now + HANDOVER_CHECK_INTERVAL_S
+        under_way = self._handover is not None and not self._handover.done()
+        if self._stopping or under_way:
+            return
+        if is_small(self._cores, self._largest_cores()):
+            self._handover = self._spawn(self._hand_over(self.state.term))
+
+    async def _hand_over(self, term: int) -> None:
+        """Release the term if a larger node can claim it."""
+        name = await self._find_larger_node()
+        if not name or self.state.term != term or self._stopping:
+            return
+        emit(TERM_HANDED_OVER, term=term, to=name, cores=self._cores)
+        self._claim_not_before = clock.monotonic() + HANDOVER_PAUSE_S
+        await self._release(f"{name} is larger")
+
     async def _read_reports(self, term: int) -> None:
         """Read the endpoints' reports while the term lasts."""
         feed = self._platform.open_endpoint_feed()
@@ -415,14 +453,20 @@
         scheduler may order the same instances at once.
         """
         self._stopping = True
-        if not self.leading:
-            return
-        while self.state.committing and self.leading:
-            await asyncio.sleep(TICK_INTERVAL_S)
+        if self._handover is not None and not self._handover.done():
+            await asyncio.wait([self._handover])
+        if self.leading:
+            await self._release("the process is stopping")
+
+    async def _release(self, reason: str) -> None:
         number = self.state.term
+        while self.state.committing and self.state.term == number:
+            await asyncio.sleep(TICK_INTERVAL_S)
+        if self.state.term != number:
+            return
         # Those of the term before may still be under way, too.
         orders_until = self.state.prior_orders_until
-        self._step_down(ef.StepDown("the process is stopping"))
+        self._step_down(ef.StepDown(reason))
         if self._instance_orders:
             await asyncio.wait(self._instance_orders)
         await asyncio.sleep(max(0.0, orders_until - clock.monotonic()))
--- a/primrosepitch/node/term.py
+++ b/primrosepitch/node/term.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
-from primrosepitch.jobs.records import Term
+from primrosepitch.jobs.records import NodeAddress, Term
 
-__all__ = ["CLAIM_SILENCE_S", "TermObservation", "claim_delay_s"]
+__all__ = [
+    "CLAIM_SILENCE_S",
+    "TermObservation",
+    "claim_delay_s",
+    "is_small",
+    "larger_nodes",
+]
 
 CLAIM_SILENCE_S = 1.1
 """Time without a heartbeat of the scheduler after which a node claims. The scheduler
@@ -89,11 +96,37 @@
 the instance with the job intake."""
 
 
-def claim_delay_s(cores: float, jitter_fraction: float) -> float:
+LARGER_FIRST_S = 0.4
+"""Delay of a node that is smaller than the largest one known: nodes read the last
+heartbeat up to 0.25 s after each other, and check every 0.05 s whether to claim."""
+
+SIMILAR_SIZE = 0.9
+"""Fraction of the largest node's processor time from which a node counts as equal."""
+
+
+def claim_delay_s(
+    cores: float, jitter_fraction: float, largest_cores: float = 0.0
+) -> float:
     """Return how long a node waits in addition to the silence that permits a claim.
 
     :param cores: CPU share times the number of cores
     :param jitter_fraction: random number from 0 to 1
+    :param largest_cores: size of the largest node in the ledger; 0 if none is known
     """
-    shortfall = 1.0 - min(1.0, cores / LARGE_NODE_CORES)
-    return MAX_JITTER_S * jitter_fraction + SMALL_NODE_DELAY_S * shortfall
+    reference = min(LARGE_NODE_CORES, largest_cores or LARGE_NODE_CORES)
+    shortfall = 1.0 - min(1.0, cores / reference)
+    delay_s = MAX_JITTER_S * jitter_fraction + SMALL_NODE_DELAY_S * shortfall
+    return delay_s + (LARGER_FIRST_S if is_small(cores, largest_cores) else 0.0)
+
+
+def is_small(cores: float, largest_cores: float) -> bool:
+    """Return whether a larger node should schedule in place of a node.
+
+    :param largest_cores: size of the largest node; 0 if none is known
+    """
+    return cores < SIMILAR_SIZE * min(LARGE_NODE_CORES, largest_cores)
+
+
+def larger_nodes(nodes: Mapping[str, NodeAddress], cores: float) -> set[str]:
+    """Return the names of the nodes that should schedule in place of a node."""
+    return {name for name, node in nodes.items() if is_small(cores, node.cores)}
--- a/standins/memory_platform.py
+++ b/standins/memory_platform.py
@@ -15,7 +15,12 @@
 )
 from standins.network import VirtualLoop
 
-__all__ = ["MemoryPartition", "MemoryPlatform", "run_virtually"]
+__all__ = ["MemoryPartition", "MemoryPlatform", "find_no_node", "run_virtually"]
+
+
+async def find_no_node() -> str:
+    """Return an empty string, as if no larger node answered."""
+    return ""
 
 
 class MemoryPartition:
