Append nothing for callers while the store is known to answer no node

A caller can't repeat a request whose outcome is unknown. Cause: a node that could reach the store neither directly nor through others tried a direct append all the same, which ends without an answer. Such an append is refused now, so callers get 503 with Retry-After at once. The scheduler's appends, which carry an epoch, are still tried directly; reads find out when the store is back. Evidence: 'Nothing is appended for callers while the store is known to be silent' failed before, passes now.

--- a/features/steps/store_relay.py
+++ b/features/steps/store_relay.py
@@ -166,6 +166,15 @@
     context.batch = context.nodes.run(store.read(offset, 0.0, 0.0))
 
 
+@when("{name:w} finds that it can't read")
+def step_read_fails(context, name):
+    try:
+        step_read(context, name, 0)
+    except StoreUnavailableError:
+        return
+    raise AssertionError(f"{name} can read")
+
+
 @when("{name:w} reads the newest records")
 def step_read_newest(context, name):
     context.batch = context.nodes.run(context.nodes.stores[name].read_newest(0.0))
--- a/features/store_relay.feature
+++ b/features/store_relay.feature
@@ -32,6 +32,20 @@
     Then a gets a refusal
     And the ledger holds x 0 times
 
+  # Guards against an unknown outcome of a call that was sent although the store was
+  # known to be silent: the caller can't repeat such a request.
+  Scenario: Nothing is appended for callers while the store is known to be silent
+    Given nodes a and b
+    When the store's responses to node a are lost
+    And the store's responses to node b are lost
+    And a finds that it can't read
+    And b finds that it can't read
+    And a appends record x
+    Then a gets a refusal
+    And the ledger holds x 0 times
+    When a appends record y under epoch 1
+    Then a gets an unknown outcome
+
   # Guards against nodes that do not notice that the store is available again.
   Scenario: The store is used directly again when it serves the node
     Given nodes a and b
--- a/primrosepitch/node/relay.py
+++ b/primrosepitch/node/relay.py
@@ -333,6 +333,10 @@
             return done
         if failure is not None:
             raise failure
+        if fence is None:
+            # Reads find out when the store serves this node again. An append without an
+            # answer would leave the caller in doubt whether the job runs.
+            raise StoreUnavailableError("the store answers no node, as far as is known")
         limit = max(deadline, clock.monotonic() + DIRECT_TIMEOUT_S)
         done = await self._direct.append(records, limit, fence)
         self._relay.mark_reachable()
