--- a/features/steps/scheduler_rules.py
+++ b/features/steps/scheduler_rules.py
@@ -75,8 +75,7 @@
 
 
 def find_worker(context, number, job):
-    key = TaskKey(JobId(job), 0, 0, number)
-    return next(w for w in context.world.workers.values() if key in w.runs)
+    return context.world.worker_running(TaskKey(JobId(job), 0, 0, number))
 
 
 def find_node(context, name):
--- a/standins/scheduler_world.py
+++ b/standins/scheduler_world.py
@@ -98,6 +98,7 @@
     """A simulated endpoint that follows the platform's rules.
 
     :param slow_clock: fraction by which its clock runs slow
+    :param mute: whether it gets orders and polls while its answers are lost
     :param unhealthy: whether it refuses starts, even repeats of those carried out
     :param slower: factor on the duration of new runs; infinite if they never end
     :param highest_runs: highest run number ordered, by task
@@ -125,6 +126,7 @@
         self.slow_clock = 0.0
         self.up = True
         self.cut = False
+        self.mute = False
         self.draining = False
         self.draining_since = 0.0
         self.fails_all = False
@@ -467,6 +469,10 @@
         self.rack_of[instance] = rack
         return instance
 
+    def worker_running(self, key: TaskKey) -> Worker:
+        """Return an endpoint that runs a task."""
+        return next(w for w in self.workers.values() if key in w.runs)
+
     def _announce(self, worker: Worker) -> None:
         for node in self.nodes:
             node.feed(ev.EndpointReported(worker.report(), self.now))
@@ -838,7 +844,7 @@
                 self.call_later(ORDER_TIMEOUT_S, lambda: answered(ev.Outcome.UNKNOWN))
                 return
             outcome = take(worker, order)
-            if self.rng.random() < self.answer_loss_rate:
+            if worker.mute or self.rng.random() < self.answer_loss_rate:
                 self.call_later(ORDER_TIMEOUT_S, lambda: answered(ev.Outcome.UNKNOWN))
             else:
                 self.call_later(LATENCY_S, lambda: answered(outcome))
@@ -869,11 +875,14 @@
             if worker.poll(order) is ev.Outcome.FENCED:
                 self._do_stepdown(node, ef.StepDown("fenced by an endpoint"))
                 return
+            if worker.mute:
+                self.call_later(order.wait_ms / 1000 + POLL_TIMEOUT_S, failed)
+                return
             waits = order.wait_ms and not worker.unacked_ends
             answered = [False]
 
             def answer() -> None:
-                if not answered[0] and worker.up and not worker.cut:
+                if not answered[0] and worker.up and not (worker.cut or worker.mute):
                     answered[0] = True
                     lists = worker.poll_response(sent)
                     delay_s = LATENCY_S + self.poll_delay_s
