Count arriving work besides lasting tasks when a pool's need is estimated

Cause: the need was the larger of the capacity in use and the arriving work. Lasting tasks use their part all the time, so arriving work was invisible until it exceeded them, or waited. Evidence: 'Arriving work counts besides lasting tasks' failed before.

--- a/primrosepitch/scheduling/lending.py
+++ b/primrosepitch/scheduling/lending.py
@@ -207,12 +207,19 @@
 
     Waiting work is added to the arrival rate: a pool that only keeps up with the
     arrivals of a burst never clears the backlog from before its instances joined.
+    Arriving work needs capacity besides that of the lasting tasks.
     """
     demand: dict[ServiceName, float] = defaultdict(float)
+    lasting: dict[ServiceName, float] = defaultdict(float)
     for endpoint in state.endpoints.values():
-        demand[endpoint.report.service] += endpoint.used.cpu
+        service = endpoint.report.service
+        demand[service] += endpoint.used.cpu
+        lasting[service] += sum(
+            t.spec.needs.cpu for t in endpoint.tasks.values() if t.spec.lasting
+        )
     for service in state.arrival_rates:
-        demand[service] = max(demand[service], expected_cpu(state, service))
+        arriving = lasting[service] + expected_cpu(state, service)
+        demand[service] = max(demand[service], arriving)
     for ready in ready_steps(state):
         waiting = len(ready.tasks) * ready.step.spec.needs.cpu
         in_time = ready.rank[0] <= PriorityClass.IN_TIME
