Lend a switched-off instance again as soon as its move has ended

Cause: no endpoint joins the spare pool, so a move there counted as under way for 4.5 s, and the state of the instance came from a list that is read every 3 s. The move itself takes 1.5 s. A move to the spare pool whose order was carried out ends after its duration and 0.2 s now. If the platform finds the instance busy, it says so, as before. Evidence: 'A switched-off instance is lent again when its move has ended' failed before; an unanswered move still ends by the list only.

--- a/primrosepitch/scheduling/lending.py
+++ b/primrosepitch/scheduling/lending.py
@@ -78,6 +78,9 @@
 """Fraction of the waiting work that counts as demand once it is late: its value hardly
 exceeds the cost of the capacity."""
 
+MOVE_SLACK_S = 0.2
+"""Time beyond the duration of a move after which an instance can be ordered again."""
+
 JOIN_SLACK_S = 3.0
 """Time beyond the duration of a move after which the new endpoint is no longer
 expected."""
@@ -122,7 +125,7 @@
         effects.append(ListInstances())
     if state.listed_at < state.term_started_at:
         return effects
-    _drop_finished_moves(state)
+    _drop_finished_moves(state, spare)
     effects += _repeat_moves(state)
     pools = _evaluate_pools(state)
     idle = _surplus_endpoints(state, pools)
@@ -159,7 +162,12 @@
     return [WriteLog(POOLS_REPORTED, {**fields, "list_age_s": age_s})]
 
 
-def _drop_finished_moves(state: SchedulerState) -> None:
+def _drop_finished_moves(state: SchedulerState, spare: ServiceName) -> None:
+    """Forget the moves that have ended.
+
+    No endpoint joins the spare pool, so the end of such a move is computed. Otherwise
+    an instance could be lent again only after the next listing, seconds later.
+    """
     joined = {
         e.report.instance: e.report.service
         for e in state.endpoints.values()
@@ -167,6 +175,9 @@
     }
     for instance, move in list(state.moves.items()):
         expired = state.now > move.expected_by and not move.uncertain
+        if move.pool == spare and state.now >= move.ends_at:
+            state.set_instance_state(instance, InstanceState.UP)
+            expired = True
         if joined.get(instance) == move.pool or expired:
             del state.moves[instance]
 
@@ -369,6 +380,8 @@
         move.uncertain = False
     if event.outcome is Outcome.DONE:
         state.set_instance_state(event.instance, InstanceState.MOVING, event.pool)
+        if move is not None:
+            move.ends_at = event.now + state.limits.migration_s + MOVE_SLACK_S
         return effects
     state.moves.pop(event.instance, None)
     if event.outcome is Outcome.BUSY:
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from math import inf
 from typing import NamedTuple
 
 import msgspec
@@ -279,12 +280,15 @@
     :param uncertain: whether an order was sent and not answered, so that the move may
         have begun or may still begin
     :param repeat: whether the order is to be sent again
+    :param ends_at: boot-time clock at which a move whose order was carried out has
+        ended; infinite before
     """
 
     pool: ServiceName
     expected_by: float
     uncertain: bool = False
     repeat: bool = False
+    ends_at: float = inf
 
 
 class ArrivalRate(msgspec.Struct, eq=False):
