Turn callers away sooner from a node that can store nothing

Cause: the age of the last read was the only sign, although the node knew after 1.1 s that the store does not answer it, and soon after that no other node helps. While the store does not serve a node directly, the bound is 1.5 s now; a read through another node succeeds within 1.4 s, so helped nodes stay ready. Evidence: 'A node that can store nothing is not ready, and one that others help is' failed before.

--- a/features/manifest_rollout.feature
+++ b/features/manifest_rollout.feature
@@ -184,3 +184,18 @@
     And versions are confirmed every 4 s from 6 to 26 s
     When 30 s have passed
     Then a small node received at most 275744 bytes for each version
+
+  # Guards against callers that are sent for seconds to nodes of a zone which is cut off:
+  # the platform sends them to other zones only when no node of this one is ready.
+  Scenario: A node that can store nothing is not ready, and one that others help is
+    Given 3 nodes with large links, 2 with small ones and 50 queues
+    And 1 small nodes are isolated from 6 to 11 s
+    And 1 small nodes are cut off from the store from 6 to 11 s, mode silent
+    When 7.6 s have passed
+    Then the isolated node is not ready
+    And the other nodes are ready
+    When 10.9 s have passed
+    Then the isolated node is not ready
+    And the other nodes are ready
+    When 12.6 s have passed
+    Then all nodes are ready
--- a/features/steps/manifest_rollout.py
+++ b/features/steps/manifest_rollout.py
@@ -262,3 +262,19 @@
     programs = context.world.programs
     waiting = [ip for ip, program in programs.items() if not program.node.ready]
     assert not waiting, waiting
+
+
+@then("the isolated node is not ready")
+def step_isolated_not_ready(context):
+    assert not context.world.programs[context.isolated].node.ready
+
+
+@then("the other nodes are ready")
+def step_others_ready(context):
+    programs = context.world.programs
+    waiting = [
+        ip
+        for ip, program in programs.items()
+        if ip != context.isolated and not program.node.ready
+    ]
+    assert not waiting, waiting
--- a/primrosepitch/node/node.py
+++ b/primrosepitch/node/node.py
@@ -40,6 +40,10 @@
 """Age of the last ledger read beyond which the node reports itself not ready, so that
 callers are sent to another node."""
 
+MAX_UNREACHABLE_READ_AGE_S = 1.5
+"""The same while the store is known not to serve this node directly. A read through
+another node succeeds within 1.4 s of the last direct one."""
+
 
 class Node:
     """A node of the deployment.
@@ -65,6 +69,7 @@
         self.cfg: Configuration | None = None
         self.stopping = False
         self._metrics = metrics
+        self._relay = relay
         self._identity = identity
         self._platform = platform
         self._follower = LedgerFollower(platform.ledger, self._handle_record)
@@ -124,7 +129,12 @@
     @property
     def ready(self) -> bool:
         """Return whether callers should be sent to this node."""
-        fresh = clock.monotonic() - self._follower.read_at < MAX_READ_AGE_S
+        max_age_s = (
+            MAX_READ_AGE_S
+            if self._relay.store_reachable
+            else MAX_UNREACHABLE_READ_AGE_S
+        )
+        fresh = clock.monotonic() - self._follower.read_at < max_age_s
         usable = self.cfg is not None and not self.outdated
         return usable and not self.stopping and fresh
 
