Grant no later lease to an endpoint that did not answer the last poll

Cause: until two polls had failed, each repeated poll and each start order granted a new lease, which a lost endpoint can't have got but the scheduler had to wait for. New tasks were placed on it meanwhile, too. An endpoint that did not answer keeps the lease that it had, and gets no new tasks, until it answers; then the next poll extends the lease as before. Evidence: 'Work of an endpoint that is lost starts elsewhere after one lease' (four rows) failed before, and one row of 'An endpoint that did not answer gets no new tasks'.

--- a/features/silent_endpoints.feature
+++ b/features/silent_endpoints.feature
@@ -90,3 +90,43 @@
       | 0.5     |
       | 2       |
       | 8       |
+
+  # Guards against leases that are extended by polls which a lost endpoint can't answer:
+  # its tasks waited up to 0.9 s longer than the lease that it surely had. The bound is
+  # 3.8 s on a clock that is 2 % slow, 0.1 s for timers and 0.25 s until the next pass.
+  Scenario Outline: Work of an endpoint that is lost starts elsewhere after one lease
+    Given a scheduler with 4 endpoints and seed <seed>
+    When job j1 of steps 8x6000 is accepted
+    And <after> seconds pass
+    And the endpoint of task 0 of j1 is silent, both ways, for 60 seconds
+    And 4.3 seconds pass
+    Then task 0 of j1 runs elsewhere
+    When 20 seconds pass
+    Then job j1 is completed
+    And no rule was broken
+
+    Examples:
+      | seed | after |
+      | 1    | 0.5   |
+      | 2    | 0.63  |
+      | 3    | 0.76  |
+      | 4    | 0.89  |
+
+  # Guards against placing tasks on an endpoint that did not answer the last poll while
+  # others do.
+  Scenario Outline: An endpoint that did not answer gets no new tasks, <after> s later
+    Given a scheduler with 4 endpoints
+    When job j1 of steps 4x6000 is accepted
+    And 0.5 seconds pass
+    And the endpoint of task 0 of j1 is silent, both ways, for 60 seconds
+    And <after> seconds pass
+    And job j2 of steps 4x500 is accepted
+    And 2.5 seconds pass
+    Then job j2 is completed
+    And no rule was broken
+
+    Examples:
+      | after |
+      | 0.65  |
+      | 0.7   |
+      | 0.8   |
--- a/features/steps/silent_endpoints.py
+++ b/features/steps/silent_endpoints.py
@@ -56,3 +56,10 @@
         if task.failed
     ]
     assert not recorded, recorded
+
+
+@then("task {number:d} of {job} runs elsewhere")
+def step_runs_elsewhere(context, number, job):
+    key = TaskKey(JobId(job), 0, 0, number)
+    running = [w for w in context.world.workers.values() if key in w.runs and not w.cut]
+    assert running, "no endpoint that answers runs it"
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -150,6 +150,7 @@
     endpoint.contacted = endpoint.reachable = False
     endpoint.processed_end = endpoint.acked_end = 0
     endpoint.clock_ms, endpoint.clock_read_at = 0, 0.0
+    endpoint.lease_until_ms = 0
     endpoint.next_poll_at = 0.0
     endpoint.evacuation_reason = ""
     state.committing_acks.pop(endpoint.id, None)
@@ -202,13 +203,18 @@
     """Return the end of a lease granted now, on the endpoint's clock.
 
     ``leases_expire_at`` is raised to the latest time by which the lease expires, given
-    that the endpoint's clock may run slow.
+    that the endpoint's clock may run slow. An endpoint that has not answered the last
+    poll gets no later end: it may be down, and its tasks can start elsewhere only when
+    every lease that it may have got has expired.
     """
+    if endpoint.failed_polls and endpoint.lease_until_ms:
+        return endpoint.lease_until_ms
     elapsed_s = state.now - endpoint.clock_read_at
     until_ms = endpoint.clock_ms + int((elapsed_s + state.limits.lease_s) * 1000)
     span_s = (until_ms - endpoint.clock_ms) / 1000 / (1 - state.limits.clock_error)
     expires_at = endpoint.clock_read_at + span_s + EXPIRY_SLACK_S
     endpoint.leases_expire_at = max(endpoint.leases_expire_at, expires_at)
+    endpoint.lease_until_ms = until_ms
     return until_ms
 
 
@@ -225,14 +231,15 @@
     endpoint.polling = True
     # Leases on unreachable endpoints may expire, so that the tasks can run elsewhere.
     extend_leases = endpoint.contacted and endpoint.reachable and bool(endpoint.tasks)
-    extend_leases = extend_leases and may_grant_leases(state)
-    long_poll = extend_leases and not endpoint.failed_polls
+    extend_leases = (
+        extend_leases and may_grant_leases(state) and not endpoint.failed_polls
+    )
     return PollEndpoint(
         endpoint.id,
         endpoint.report.address,
         grant_lease(state, endpoint) if extend_leases else 0,
         endpoint.acked_end,
-        POLL_WAIT_MS if long_poll else 0,
+        POLL_WAIT_MS if extend_leases else 0,
         state.term,
     )
 
--- a/primrosepitch/scheduling/placement.py
+++ b/primrosepitch/scheduling/placement.py
@@ -39,10 +39,10 @@
     """
 
     def __init__(self, state: SchedulerState) -> None:
-        """Group the usable endpoints by pool."""
+        """Group the usable endpoints by pool, but for those that may be lost."""
         self.pools: dict[ServiceName, list[Endpoint]] = defaultdict(list)
         for endpoint in state.endpoints.values():
-            if usable(state, endpoint):
+            if usable(state, endpoint) and not endpoint.failed_polls:
                 self.pools[endpoint.report.service].append(endpoint)
         self.full: set[tuple[ServiceName, Resources, str]] = set()
         self.capped: set[object] = set()
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -184,6 +184,7 @@
     :param clock_ms: newest reading of its clock
     :param clock_read_at: boot-time clock of that reading
     :param leases_expire_at: boot-time clock by which all its leases have expired
+    :param lease_until_ms: newest end of a lease granted to it, on its own clock
     :param processed_end: number of the newest run end applied to the state
     :param acked_end: number of the newest run end whose effect is durable
     :param polling: whether a poll is in progress
@@ -205,6 +206,7 @@
     clock_ms: int = 0
     clock_read_at: float = 0.0
     leases_expire_at: float = 0.0
+    lease_until_ms: int = 0
     processed_end: int = 0
     acked_end: int = 0
     polling: bool = False
