Let a restarted scheduler order instances without waiting for its own orders

Cause: where fencing tokens are not checked a successor waits 2.6 s from the last heartbeat that it read, for a restarted process from its start, also when the term before was held by an earlier process of its own node. The orders of that process ended with its connections. Such a process waits only until orders of the scheduler before the earlier process have expired: that one claimed before this process started, 0.8 s or more after the last heartbeat, which gives 1.8 s from the start.

--- a/features/instance_orders.feature
+++ b/features/instance_orders.feature
@@ -46,6 +46,15 @@
       | does not check | 2.6     |
       | checks         | 1.8     |
 
+  # Guards against waiting for the orders of a process that has ended: after a restart of
+  # all nodes no pool grew for 3 s. Orders of the scheduler before that process may still be
+  # under way: its last heartbeat came 0.8 s or more before this process started.
+  Scenario: A restarted scheduler waits for the orders of the scheduler before it only
+    Given the platform does not check fencing tokens
+    And a scheduler a whose last heartbeat is 0.2 s old
+    When node a claims the next term
+    Then a orders no instance before 2.0 s after that heartbeat
+
   # Guards against a takeover wait after a release, which follows the last order.
   Scenario: A successor of a released term orders instances after the settling time
     Given the platform does not check fencing tokens
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -41,7 +41,12 @@
 from primrosepitch.node.dependency import DependencyMonitor
 from primrosepitch.node.follower import LedgerFollower
 from primrosepitch.node.platform_api import Platform
-from primrosepitch.node.term import TermObservation, claim_delay_s, is_small
+from primrosepitch.node.term import (
+    CLAIM_RECONNECTED_SILENCE_S,
+    TermObservation,
+    claim_delay_s,
+    is_small,
+)
 from primrosepitch.node.tick_delay import TickDelay
 from primrosepitch.scheduling import effects as ef
 from primrosepitch.scheduling import events as ev
@@ -148,6 +153,7 @@
         self._heartbeat_at = 0.0
         self._ledger_sequence = 0
         self._runs_sequence = 0
+        self._started_at = clock.monotonic()
         self._claim_not_before = 0.0
         self._claim_nonces: set[int] = set()
         self._tick_delay = TickDelay(TICK_INTERVAL_S)
@@ -385,10 +391,17 @@
         waves = {number: w.begun for number, w in ledger.waves.items()}
         # A release follows the answers to all orders. Where fencing tokens are checked,
         # a late order of an earlier scheduler is refused.
-        if previous.number and previous.holder and not self._limits.fencing_required:
-            prior_orders_until = instance_orders_expire_at(heartbeat_at)
-        else:
+        if not previous.holder or self._limits.fencing_required:
             prior_orders_until = now
+        elif holder_ended:
+            # The orders of the earlier process ended with its connections. Those of the
+            # scheduler before it expire by the time that it had to wait for: it claimed
+            # before this process started, after a silence.
+            prior_orders_until = instance_orders_expire_at(
+                self._started_at - CLAIM_RECONNECTED_SILENCE_S
+            )
+        else:
+            prior_orders_until = instance_orders_expire_at(heartbeat_at)
         event = ev.TermTaken(
             now,
             claimed_at,
--- a/primrosepitch/node/term.py
+++ b/primrosepitch/node/term.py
@@ -8,6 +8,7 @@
 from primrosepitch.jobs.records import NodeAddress, Term
 
 __all__ = [
+    "CLAIM_RECONNECTED_SILENCE_S",
     "CLAIM_SILENCE_S",
     "TermObservation",
     "claim_delay_s",
