Count instances that are down when a wave drains busy ones

Cause: the number of busy instances that must be drained to be in time is worked out from the whole 8 s that one is drained and down, but only drained ones were counted. Evidence: 'Instances that are drained or down' (three rows) failed before: 9, 15 and 11 instances out of service where 5, 9 and 5 are allowed; all pass now, and all instances are maintained over 3 s before the due time.

--- a/primrosepitch/scheduling/maintenance.py
+++ b/primrosepitch/scheduling/maintenance.py
@@ -178,9 +178,8 @@
         max_idle -= _down_count(state, wave)
     busy = [i for i in candidates if i not in idle]
     draining = [i for i in wave.selected if not _is_idle(state, state.instances[i])]
-    max_busy = _concurrent_drains(state, wave, len(busy) + len(draining)) - len(
-        draining
-    )
+    max_busy = _concurrent_drains(state, wave, len(busy) + len(draining))
+    max_busy -= len(draining) + _down_count(state, wave)
     effects: list[Effect] = []
     for instance in idle[: max(0, max_idle)] + busy[: max(0, max_busy)]:
         wave.selected.add(instance)
@@ -197,7 +196,10 @@
 
 
 def _concurrent_drains(state: SchedulerState, wave: WaveRun, busy_count: int) -> int:
-    """Return how many busy instances must be drained at a time to finish in time."""
+    """Return how many busy instances must be drained or down at a time.
+
+    :param busy_count: busy instances that have not been maintained
+    """
     time_s = max(0.1, wave.spec.due - DEADLINE_MARGIN_S - state.now)
     each_s = DRAIN_DURATION_S + state.limits.maintenance_s
     return min(math.ceil(busy_count * each_s / time_s), 2 * wave.spec.most_at_once)
