Count a caller's timeout from before the pause in which its request arrived

A request that is read within 0.5 s after a pause may have waited for as long as the pause; that time is taken off its timeout, and one whose time is over is refused as not run. The reducer gets the time with the event, so recorded traces replay as before.

--- a/features/not_run_is_true.feature
+++ b/features/not_run_is_true.feature
@@ -16,6 +16,22 @@
       | 1.5   | answered | 1    |
       | 2.5   | not-run  | 0    |
 
+  # Guards against running a request whose caller has stopped waiting: an entry that was
+  # paused reads it late. The caller's timeout is 2 s.
+  Scenario Outline: A request was read after <unread> s, when the entry was paused
+    Given a fleet with seed 1
+    And endpoints respond after 0.3 s
+    When entry e0 reads request X <unread> s after it arrived
+    And 2 s pass
+    Then request X has outcome <outcome> and ran <runs> times
+
+    Examples:
+      | unread | outcome  | runs |
+      | 0.8    | answered | 1    |
+      | 1.9    | unknown  | 1    |
+      | 2.5    | not-run  | 0    |
+      | 6      | not-run  | 0    |
+
   # Guards against "not run" for a request whose bytes may have reached an endpoint that
   # is lost before it responds.
   Scenario Outline: The endpoint is <fault> the response
--- a/features/steps/request_path.py
+++ b/features/steps/request_path.py
@@ -33,6 +33,11 @@
     send(context, entry, request_id)
 
 
+@when("entry {entry} reads request {request_id} {seconds:g} s after it arrived")
+def step_request_unread(context, entry, request_id, seconds):
+    send(context, entry, request_id, unread_s=seconds)
+
+
 @when("entry {entry} receives {request_id} without a caller's id")
 def step_request_without_id(context, entry, request_id):
     send(context, entry, request_id, caller_id=False)
--- a/features/steps/wire.py
+++ b/features/steps/wire.py
@@ -440,3 +440,25 @@
     assert [a.status for a in context.answers] == [400] * 4
     assert all(a.json()["code"] == "PRP-2402" for a in context.answers)
     assert context.count == 1
+
+
+@when("a caller with a timeout of 4 s is read {seconds:g} s after a pause of 5 s")
+def step_read_after_pause(context, seconds):
+    async def body():
+        async with running_site() as (_, _, process):
+            process._last_iteration -= 5
+            if seconds:
+                process.handle(process.tick())
+                await asyncio.sleep(seconds)
+            headers = {"Primrose-Timeout-Ms": "4000"}
+            context.answer = await call(
+                process.http_address(), "GET", "/q/quotes/1", headers=headers
+            )
+
+    run(body())
+
+
+@then("it is answered with {code}")
+def step_answered_with(context, code):
+    found = context.answer.headers.get("primrose-code", "none")
+    assert found == code, (found, context.answer.status)
--- a/features/wire.feature
+++ b/features/wire.feature
@@ -182,6 +182,16 @@
     When the event loop of an entry was paused for 5 seconds
     Then the reducer got Resumed before the next tick
 
+  # Guards against counting a caller's timeout from the end of a pause.
+  Scenario Outline: A request is read <seconds> s after a pause of the event loop
+    When a caller with a timeout of 4 s is read <seconds> s after a pause of 5 s
+    Then it is answered with <code>
+
+    Examples:
+      | seconds | code     |
+      | 0.0     | PRP-2203 |
+      | 0.6     | none     |
+
   # Guards against a command with which an operator could overdraw a count, such as a
   # SliceGive.
   Scenario: Operators can append only operators' records
--- a/primrosepitch/bin/daemon.py
+++ b/primrosepitch/bin/daemon.py
@@ -83,6 +83,9 @@
 """Gap between two iterations of the loop that counts as a pause of the process; without
 a pause the loop runs at least every ``PAUSE_CHECK_INTERVAL_S``."""
 
+PAUSE_BACKLOG_S = 0.5
+"""Time after a pause in which the messages that arrived during it are read."""
+
 STATUS_INTERVAL_S = 1.0
 SESSION_CLOSE_TIMEOUT_S = 5.0
 """Timeout for the last record of a session to be read back from the log."""
@@ -130,6 +133,8 @@
         self._queue: deque[Any] = deque()
         self._handling = False
         self._last_iteration = clock.monotonic()
+        self._resumed_at = float("-inf")
+        self._pause_s = 0.0
         self._finished = asyncio.Event()
         self._wake = asyncio.Event()
         self._close_session = False
@@ -243,9 +248,20 @@
         self._last_iteration = now
         if gap > MIN_PAUSE_S:
             emit(PROCESS_RESUMED, gap_s=round(gap, 3))
+            self._resumed_at, self._pause_s = now, gap
             self.tail.require_check()
             self._queue.append(self.events.Resumed(now=now, gap=gap))
 
+    def unread_s(self) -> float:
+        """Return for how long a message that is read now may have waited.
+
+        It is the length of the newest pause while the messages that arrived during it
+        are read, and 0 otherwise.
+        """
+        self._detect_pause()
+        reading = clock.monotonic() - self._resumed_at < PAUSE_BACKLOG_S
+        return self._pause_s if reading else 0.0
+
     def _run_queue(self) -> None:
         if self._handling:
             return
--- a/primrosepitch/bin/entry.py
+++ b/primrosepitch/bin/entry.py
@@ -270,6 +270,7 @@
             urgent=header_flag(request.headers, b"primrose-urgent"),
             repeat=header_flag(request.headers, b"primrose-repeat"),
             timeout_s=header_timeout_s(request.headers),
+            unread_s=self.unread_s(),
             size=len(request.body),
         )
         self.calls[call] = CallRecord(exchange, request_id, now)
--- a/primrosepitch/request/events.py
+++ b/primrosepitch/request/events.py
@@ -106,6 +106,8 @@
     :param caller_id: whether the caller chose the id
     :param repeat: whether the caller marked the request as a repeat
     :param timeout_s: timeout set by the caller; 0 if it set none
+    :param unread_s: seconds for which the request may have waited to be read, because
+        the process was paused
     :param size: length of the body in bytes
     """
 
@@ -120,6 +122,7 @@
     urgent: bool = False
     repeat: bool = False
     timeout_s: float = 0.0
+    unread_s: float = 0.0
     size: int = 0
 
 
--- a/primrosepitch/request/reducer.py
+++ b/primrosepitch/request/reducer.py
@@ -132,6 +132,10 @@
         return
     cfg = state.settings
     timeout_s = min(event.timeout_s or cfg.default_request_s, cfg.max_request_s)
+    timeout_s -= event.unread_s
+    if timeout_s <= 0:
+        answers.refuse_unadmitted(state, event, DeadlinePassedError.code)
+        return
     wait_s = queueing.expected_wait_s(state, event.queue, admission.team)
     if wait_s:
         wait_s += queueing.service_time_s(state, event.queue)
