Repeat an unanswered claim, and let nodes wait that came second

The store was 49 times as slow as usual from 12 to 16 s. Cause, from the logs of all nodes: the first claim of term 2 at 15.4 s was not answered within 0.6 s, so its node gave the term up. The store had taken it, carried it out at 17.5 s, and refused all other claims of this number meanwhile. 34 nodes sent 135 of those, each 0.36 s after its last one, into a partition that carries out 20 appends a second. A claim is repeated under its sequence number until it is answered or its record is read, for 2.5 s at most: a store rejects what would wait for over 2 s. A node whose claim came second claims again after 1.1 s, as if it had read a heartbeat then. Evidence: two rows of 'A claim that waits in the store is won by its node' and 'A node whose claim was refused waits for the record of the first claim' failed before; 45 scenarios of term.feature pass.

--- a/features/steps/claims_of_terms.py
+++ b/features/steps/claims_of_terms.py
@@ -10,13 +10,12 @@
 from primrosepitch import clock
 from primrosepitch.jobs.model import ServiceName
 from primrosepitch.jobs.records import Ledger, NodeAddress, Term, encode
-from primrosepitch.jobs.store import (
-    KeyedRecord,
-)
+from primrosepitch.jobs.store import Fence, KeyedRecord
 from primrosepitch.node.follower import LedgerFollower
 from primrosepitch.node.scheduler import SchedulerRunner
 from primrosepitch.node.term import TermObservation, claim_delay_s
 from primrosepitch.scheduling import events as ev
+from primrosepitch.scheduling.configuration import Configuration
 from primrosepitch.scheduling.effects import Commit, MoveInstance
 from primrosepitch.scheduling.leases import may_grant_leases, takeover_wait_s
 from primrosepitch.scheduling.reducer import step
@@ -24,6 +23,7 @@
 from standins.memory_platform import (
     MemoryPartition,
     MemoryPlatform,
+    QueuedPartition,
     find_no_node,
     run_virtually,
 )
@@ -362,3 +362,70 @@
     assert context.leading
     term = context.follower.ledger.term
     assert (term.number, term.holder) == (1, "a"), term
+
+
+def build_runner(ledger):
+    follower = LedgerFollower(ledger, lambda record: None)
+    follower.loaded = True
+    return SchedulerRunner(
+        "a",
+        MemoryPlatform(ledger),
+        follower,
+        Limits(),
+        random.Random(1),
+        1.0,
+        lambda: True,
+        find_no_node,
+    )
+
+
+@given("a store in which a claim waits for {seconds:g} s")
+def step_queued_claims(context, seconds):
+    context.wait_s = seconds
+
+
+@when("node a claims the next term there")
+def step_claim_queued(context):
+    async def body():
+        loop = asyncio.get_running_loop()
+        runner = build_runner(QueuedPartition(context.wait_s))
+        with loop.as_clock():
+            began = loop.time()
+            await runner._claim()
+            context.took_s = loop.time() - began
+            context.leading = runner.leading
+
+    run_virtually(body())
+
+
+@then("it schedules after at most {seconds:g} s")
+def step_schedules_by(context, seconds):
+    assert context.leading
+    assert context.took_s <= seconds, context.took_s
+
+
+@when("node c claims the next term there, and node a watches it")
+def step_watch_claim(context):
+    async def body():
+        loop = asyncio.get_running_loop()
+        ledger = QueuedPartition(context.wait_s)
+        with loop.as_clock():
+            runner = build_runner(ledger)
+            runner.configure(Configuration(version=1))
+            claim = KeyedRecord(*encode(Term(1, "c", 7)))
+            asyncio.ensure_future(ledger.append([claim], inf, Fence(1, 5)))
+            await asyncio.sleep(0.01)
+            ledger.appends = 0
+            parts = [runner.run(), runner._follower.run()]
+            running = [asyncio.ensure_future(part) for part in parts]
+            await asyncio.sleep(context.wait_s)
+            for task in running:
+                task.cancel()
+            context.appends = ledger.appends
+
+    run_virtually(body())
+
+
+@then("node a has claimed at most twice in 3 s")
+def step_few_claims(context):
+    assert 1 <= context.appends <= 2, context.appends
--- a/features/term.feature
+++ b/features/term.feature
@@ -158,3 +158,23 @@
     And orders of an earlier scheduler that expire in 6 s
     When 4 s have passed with the scheduler
     Then the term is held by the first
+
+  # Guards against a term that nobody takes: a slow store carried a claim out after its
+  # node had given it up, and refused those of all other nodes meanwhile.
+  Scenario Outline: A claim that waits in the store is won by its node
+    Given a store in which a claim waits for <wait> s
+    When node a claims the next term there
+    Then it schedules after at most <by> s
+
+    Examples:
+      | wait | by  |
+      | 0.1  | 0.3 |
+      | 0.9  | 1.2 |
+      | 1.9  | 2.3 |
+
+  # Guards against claims that fill the queue of a slow store: it refuses them as long
+  # as the claim that came first waits there.
+  Scenario: A node whose claim was refused waits for the record of the first claim
+    Given a store in which a claim waits for 3 s
+    When node c claims the next term there, and node a watches it
+    Then node a has claimed at most twice in 3 s
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -43,6 +43,7 @@
 from primrosepitch.node.platform_api import Platform
 from primrosepitch.node.term import (
     CLAIM_RECONNECTED_SILENCE_S,
+    CLAIM_SILENCE_S,
     TermObservation,
     claim_delay_s,
     is_small,
@@ -85,6 +86,10 @@
 """Timeout of one commit attempt; retries use the same sequence number. A slow store
 answers in 0.3 s; after an outage, the next attempt comes before other nodes claim."""
 
+CLAIM_REPEAT_S = 2.5
+"""Time for which an unanswered claim is repeated: the store carries out what waits for
+up to 2 s, and rejects more."""
+
 CLAIM_RUNS_TIMEOUT_S = 0.8
 """Time for which the claim of the runs partition is retried; other nodes claim the next
 term after 1.1 s."""
@@ -308,10 +313,14 @@
         record = KeyedRecord(*encode(term))
         claimed_at = clock.monotonic()
         try:
-            deadline = claimed_at + COMMIT_TIMEOUT_S
-            outcome = await self._platform.ledger.append([record], deadline, fence)
-            await self._follower.catch_up(outcome.offset + 1)
-        except (StoreUnavailableError, StoreUnknownError, StoreFencedError) as exc:
+            await self._append_claim(record, fence)
+        except StoreFencedError as exc:
+            # The record of the claim that came first may take long to appear. If its
+            # node has failed, the next claim is due after a silence.
+            emit(TERM_LOST, term=number, reason=str(exc))
+            self._claim_not_before = clock.monotonic() + CLAIM_SILENCE_S
+            return
+        except (StoreUnavailableError, StoreUnknownError) as exc:
             emit(TERM_LOST, term=number, reason=str(exc))
             await asyncio.sleep(CLAIM_PAUSE_S)
             return
@@ -336,6 +345,32 @@
         self._ledger_sequence = self._runs_sequence = fence.sequence
         self._begin_term(term, previous, runs, claimed_at)
 
+    async def _append_claim(self, record: KeyedRecord, fence: Fence) -> None:
+        """Append a claim, and read the ledger up to it.
+
+        A claim that was not answered is repeated, since no other node can win this
+        term if the store has taken it. A repeat with the same sequence number gets the
+        answer to the first.
+
+        :raises StoreFencedError: if the store has taken another claim
+        :raises StoreUnavailableError: if nothing was appended
+        :raises StoreUnknownError: if no answer came within ``CLAIM_REPEAT_S``
+        """
+        repeat_until = clock.monotonic() + CLAIM_REPEAT_S
+        sent = False
+        while self._follower.ledger.term.number < fence.epoch:
+            try:
+                deadline = clock.monotonic() + COMMIT_TIMEOUT_S
+                outcome = await self._platform.ledger.append([record], deadline, fence)
+                sent = True
+                await self._follower.catch_up(outcome.offset + 1)
+                return
+            except (StoreUnavailableError, StoreUnknownError) as exc:
+                sent = sent or isinstance(exc, StoreUnknownError)
+                if not sent or clock.monotonic() > repeat_until:
+                    raise
+                await asyncio.sleep(COMMIT_RETRY_DELAY_S)
+
     async def _claim_runs(
         self, record: KeyedRecord, fence: Fence
     ) -> dict[JobId, Progress]:
--- a/standins/memory_platform.py
+++ b/standins/memory_platform.py
@@ -11,11 +11,18 @@
     Batch,
     Fence,
     KeyedRecord,
+    StoreFencedError,
     StoreUnknownError,
 )
 from standins.network import VirtualLoop
 
-__all__ = ["MemoryPartition", "MemoryPlatform", "find_no_node", "run_virtually"]
+__all__ = [
+    "MemoryPartition",
+    "MemoryPlatform",
+    "QueuedPartition",
+    "find_no_node",
+    "run_virtually",
+]
 
 
 async def find_no_node() -> str:
@@ -51,6 +58,38 @@
         return await self.read(0, 0.0, deadline)
 
 
+class QueuedPartition(MemoryPartition):
+    """Partition whose appends wait; the newest epoch counts from its first append.
+
+    :param wait_s: time from the first append of an epoch until it is carried out
+    """
+
+    def __init__(self, wait_s: float) -> None:
+        """Start without records."""
+        super().__init__()
+        self.wait_s = wait_s
+        self.appends = 0
+        self._newest = Fence(0, 0)
+        self._carried_out_at = 0.0
+
+    async def append(
+        self, records: list[KeyedRecord], deadline: float, fence: Fence | None = None
+    ) -> AppendOutcome:
+        """Append records once they are due; a repeat gets the answer to the first."""
+        self.appends += 1
+        loop = asyncio.get_running_loop()
+        if fence is None or fence.epoch > self._newest.epoch:
+            self._newest = fence or self._newest
+            self._carried_out_at = loop.time() + self.wait_s
+            loop.call_later(self.wait_s, self.records.extend, records)
+        elif fence != self._newest:
+            raise StoreFencedError('{"reason":"seq"}')
+        await asyncio.sleep(min(self._carried_out_at, deadline) - loop.time())
+        if self._carried_out_at > deadline:
+            raise StoreUnknownError("no response before the deadline")
+        return AppendOutcome(len(self.records) - 1, len(self.records))
+
+
 class MemoryPlatform:
     """Platform that has only the partitions a claim uses."""
 
