Wait for slow appends: with claims, and before an append is repeated

Cause: the scheduler's heartbeats waited with everybody's appends in the queue of one partition (0.4 to 2.8 s, append_ms of job_accepted), while nodes judged by the response time of reads. Appends were given up after 1 s and sent again; the first attempts were carried out as well, so the queue got twice the load. A claim now waits for two durations of this node's own appends more, and an append attempt for three recent durations, up to 2.4 s.

--- a/features/steps/claims_of_terms.py
+++ b/features/steps/claims_of_terms.py
@@ -95,6 +95,7 @@
             connected_at=now - 60,
             read_at=now,
             latency_s=0.0,
+            append_s=0.0,
             jitter_s=delay_s,
             configured_at=now - 60,
         )
--- a/features/steps/term.py
+++ b/features/steps/term.py
@@ -26,6 +26,7 @@
         term,
         *context.observed_at,
         latency_s=latency_s,
+        append_s=getattr(context, "append_s", 0.0),
         jitter_s=0.05,
         configured_at=NOW - 60,
     )
@@ -36,6 +37,11 @@
     context.latency_s = seconds
 
 
+@given("a store whose appends take {seconds:g} s")
+def step_append_latency(context, seconds):
+    context.append_s = seconds
+
+
 @then("instances of {first:g}, {second:g} and {third:g} cores claim in this order")
 def step_larger_first(context, first, second, third):
     latest = [claim_delay_s(cores, 1.0) for cores in (first, second)]
@@ -56,7 +62,7 @@
     for tick in range(1, 1000):
         now = started + tick * 0.01
         observation = TermObservation(
-            "a", Term(0, "", 0), 0.0, started, now, 0.0, delay_s, configured_at
+            "a", Term(0, "", 0), 0.0, started, now, 0.0, 0.0, delay_s, configured_at
         )
         if now >= configured_at and observation.should_claim(now):
             return now
@@ -100,6 +106,7 @@
         connected_at=NOW - 60,
         read_at=NOW,
         latency_s=0.0,
+        append_s=0.0,
         jitter_s=claim_delay_s(context.cores, 1.0, largest),
         configured_at=NOW - 60,
     )
--- a/features/term.feature
+++ b/features/term.feature
@@ -44,6 +44,22 @@
     And the term's holder is other
     Then the node does not claim the next term
 
+  # Guards against claiming the term of a scheduler whose heartbeats wait in the queue of
+  # a slow store, as all appends do. The claim would wait there, too.
+  Scenario Outline: Slow appends delay a claim
+    Given a store whose appends take <append> s
+    And a node that got a heartbeat <silent> s ago, connected to the store 60 s ago and read it 0.3 s ago
+    And the term's holder is other
+    Then the node <claims> the next term
+
+    Examples:
+      | append | silent | claims         |
+      | 0.0    | 1.2    | claims         |
+      | 0.02   | 1.25   | claims         |
+      | 0.6    | 1.5    | does not claim |
+      | 1.2    | 3.0    | does not claim |
+      | 1.2    | 3.7    | claims         |
+
   # Guards against electing the smallest instance as scheduler while larger ones are
   # available.
   Scenario: Larger instances claim before smaller ones
--- a/primrosepitch/node/follower.py
+++ b/primrosepitch/node/follower.py
@@ -43,9 +43,19 @@
 LONG_POLL_S = 0.5
 """Time for which a read waits for a new record."""
 
+LATENCY_VALID_S = 2.0
+"""Time for which the duration of an append tells how long the next one may take."""
+
 APPEND_TIMEOUT_S = 1.0
 """Timeout of one append attempt; the store answers in 4 ms, or 240 ms when slow."""
 
+LATENCIES_PER_TIMEOUT = 3.0
+"""Number of recent append durations that an attempt waits for, if that is longer. One
+that waits in a slow store is still carried out, and its repeat waits behind it."""
+
+MAX_APPEND_TIMEOUT_S = 2.4
+"""Maximum timeout of one append attempt; the store rejects what would wait for 2 s."""
+
 MAX_APPEND_BYTES = 128 * 1024
 """Maximum size of an append of several records; 0.2 s on a link of 5 Mbit/s."""
 
@@ -184,6 +194,19 @@
         self._wake = asyncio.Event()
         self.last_success_at = 0.0
         self.failing_since = 0.0
+        self._sending_since = 0.0
+        self._last_took_s = 0.0
+
+    def latency_s(self) -> float:
+        """Return how long appends take now.
+
+        It is the age of the append in progress, or the time that the newest one took
+        if that was answered less than ``LATENCY_VALID_S`` ago.
+        """
+        now = clock.monotonic()
+        pending_s = now - self._sending_since if self._sending_since else 0.0
+        recent = now - self.last_success_at < LATENCY_VALID_S
+        return max(pending_s, self._last_took_s if recent else 0.0)
 
     async def append(self, record: KeyedRecord, deadline: float) -> None:
         """Append a record.
@@ -245,16 +268,20 @@
         self, batch: list[tuple[KeyedRecord, asyncio.Future[None]]]
     ) -> None:
         error: Exception | None = None
+        timeout_s = max(APPEND_TIMEOUT_S, LATENCIES_PER_TIMEOUT * self.latency_s())
+        self._sending_since = clock.monotonic()
+        deadline = self._sending_since + min(timeout_s, MAX_APPEND_TIMEOUT_S)
         try:
-            await self._store.append(
-                [record for record, _ in batch], clock.monotonic() + APPEND_TIMEOUT_S
-            )
+            await self._store.append([record for record, _ in batch], deadline)
             self.last_success_at = clock.monotonic()
+            self._last_took_s = self.last_success_at - self._sending_since
             self.failing_since = 0.0
         except (StoreUnavailableError, StoreUnknownError) as exc:
             error = exc
         except StoreFencedError as exc:
             error = StoreUnavailableError(str(exc))
+        finally:
+            self._sending_since = 0.0
         if error is not None and not self.failing_since:
             self.failing_since = clock.monotonic()
         for _, fut in batch:
--- a/primrosepitch/node/node.py
+++ b/primrosepitch/node/node.py
@@ -84,6 +84,7 @@
             identity.cores,
             lambda: relay.store_reachable,
             self._find_larger_node,
+            self._appender.latency_s,
         )
         self._operators = OperatorRecordsFollower(
             platform.operators,
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -127,6 +127,7 @@
     :param may_claim: whether the store serves this node directly
     :param find_larger_node: returns the name of a larger node that answers and reads
         the store, or an empty string
+    :param append_latency: returns how many seconds this node's appends take now
     """
 
     def __init__(
@@ -139,6 +140,7 @@
         cores: float,
         may_claim: Callable[[], bool],
         find_larger_node: Callable[[], Awaitable[str]],
+        append_latency: Callable[[], float] = lambda: 0.0,
     ) -> None:
         """Start without a term."""
         self.state = SchedulerState(node=node, limits=limits)
@@ -150,6 +152,7 @@
         self._cores = cores
         self._may_claim = may_claim
         self._find_larger_node = find_larger_node
+        self._append_latency = append_latency
         self._handover: asyncio.Task[None] | None = None
         self._handover_check_at = 0.0
         self._cfg = Configuration()
@@ -261,6 +264,7 @@
                 self._follower.connected_at,
                 self._follower.read_at,
                 self._follower.latency_s,
+                self._append_latency(),
                 claim_delay_s(self._cores, jitter, self._largest_cores()),
                 self._configured_at,
             )
--- a/primrosepitch/node/term.py
+++ b/primrosepitch/node/term.py
@@ -25,6 +25,10 @@
 """Number of store latencies between two heartbeats that a node receives: of an append,
 its answer, a read and the next read. A slow store delays each of them."""
 
+APPENDS_PER_HEARTBEAT = 2.0
+"""Number of append durations between two heartbeats that a node receives: the scheduler
+appends one after the answer to the one before, and all wait in the same queue."""
+
 CLAIM_RECONNECTED_SILENCE_S = 0.8
 """Time without a heartbeat after which a node claims if it has received none since the
 store became available again; a scheduler that reaches the store retries its append
@@ -47,6 +51,7 @@
     :param connected_at: boot-time clock since which the ledger can be read
     :param read_at: boot-time clock of the last read
     :param latency_s: response time of the store
+    :param append_s: time that this node's appends take now
     :param jitter_s: delay that differs between nodes, so that they rarely claim at once
     :param configured_at: boot-time clock since which the node has a configuration
     """
@@ -57,6 +62,7 @@
     connected_at: float
     read_at: float
     latency_s: float
+    append_s: float
     jitter_s: float
     configured_at: float
 
@@ -80,9 +86,9 @@
         wait_s = (
             CLAIM_SILENCE_S if seen_since_reconnect else CLAIM_RECONNECTED_SILENCE_S
         )
-        return (
-            silent_s > wait_s + LATENCIES_PER_HEARTBEAT * self.latency_s + self.jitter_s
-        )
+        wait_s += LATENCIES_PER_HEARTBEAT * self.latency_s
+        wait_s += APPENDS_PER_HEARTBEAT * self.append_s
+        return silent_s > wait_s + self.jitter_s
 
 
 MAX_JITTER_S = 0.06
