--- a/features/steps/wire_http.py
+++ b/features/steps/wire_http.py
@@ -108,6 +108,7 @@
         if kind == "truncated":
             writer.write_eof()
         context.remaining = await reader.read()
+        writer.close()
         context.answer = await healthy.request(HELLO, 5)
         context.connections = healthy.connections_opened
         healthy.close()
