--- a/features/steps/wire_calls.py
+++ b/features/steps/wire_calls.py
@@ -1,6 +1,7 @@
 """Steps for calls over pooled connections."""
 
 import asyncio
+from contextlib import suppress
 
 from behave import given, then, when
 
@@ -93,14 +94,17 @@
     def __init__(self, seconds, stops=False):
         self.seconds, self.stops = seconds, stops
         self.tasks = []
+        self.writers = []
 
     async def serve(self, reader, writer):
         self.tasks.append(asyncio.current_task())
+        self.writers.append(writer)
         await reader.readuntil(b"\r\n\r\n")
         size = len(ANSWER)
         for number in range(size // 2 if self.stops else size):
             writer.write(ANSWER[number : number + 1])
             await asyncio.sleep(self.seconds / size)
+        writer.close()
 
 
 async def _call_once(service, timeout_s):
@@ -110,8 +114,13 @@
     started = clock.monotonic()
     result = await _call(client, address, timeout_s)
     took_s = clock.monotonic() - started
+    client.close()
     await asyncio.gather(*service.tasks)
     server.close()
+    for writer in service.writers:
+        # The client may have reset the connection.
+        with suppress(ConnectionError):
+            await writer.wait_closed()
     return result, took_s
 
 
