--- a/primrosepitch/scheduling/maintenance.py
+++ b/primrosepitch/scheduling/maintenance.py
@@ -52,9 +52,8 @@
 """Estimated time to drain an endpoint: the longest common tasks take 4 s, and often
 only one task of a lasting step may be unavailable at a time."""
 
-DEADLINE_MARGIN_S = 10.0
-"""Time before its due time by which a wave should be complete. Nobody schedules around
-a takeover for some seconds, and the successor orders no maintenance for 3 s."""
+DEADLINE_MARGIN_S = 5.0
+"""Time before its due time by which a wave should be complete."""
 
 URGENCY_FACTOR = 2.0
 """Factor on the minimum duration of the rest of a wave, in the test whether it is
@@ -179,8 +178,9 @@
         max_idle -= _down_count(state, wave)
     busy = [i for i in candidates if i not in idle]
     draining = [i for i in wave.selected if not _is_idle(state, state.instances[i])]
-    max_busy = _concurrent_drains(state, wave, len(busy) + len(draining))
-    max_busy -= len(draining) + _down_count(state, wave)
+    max_busy = _concurrent_drains(state, wave, len(busy) + len(draining)) - len(
+        draining
+    )
     effects: list[Effect] = []
     for instance in idle[: max(0, max_idle)] + busy[: max(0, max_busy)]:
         wave.selected.add(instance)
@@ -197,10 +197,7 @@
 
 
 def _concurrent_drains(state: SchedulerState, wave: WaveRun, busy_count: int) -> int:
-    """Return how many busy instances must be drained or down at a time.
-
-    :param busy_count: busy instances that have not been maintained
-    """
+    """Return how many busy instances must be drained at a time to finish in time."""
     time_s = max(0.1, wave.spec.due - DEADLINE_MARGIN_S - state.now)
     each_s = DRAIN_DURATION_S + state.limits.maintenance_s
     return min(math.ceil(busy_count * each_s / time_s), 2 * wave.spec.most_at_once)
