--- a/features/steps/claims_of_terms.py
+++ b/features/steps/claims_of_terms.py
@@ -31,6 +31,22 @@
 ROUNDING_S = 1e-6
 
 
+def build_runner(platform):
+    """Return a scheduler of node a that follows the ledger of a platform."""
+    follower = LedgerFollower(platform.ledger, lambda record: None)
+    follower.loaded = True
+    return SchedulerRunner(
+        "a",
+        platform,
+        follower,
+        Limits(),
+        random.Random(1),
+        1.0,
+        lambda: True,
+        find_no_node,
+    )
+
+
 @given("a scheduler {name:w} whose last heartbeat is {age:g} s old")
 def step_scheduler(context, name, age):
     ledger = MemoryPartition([KeyedRecord(*encode(Term(1, name, 5)))])
@@ -174,18 +190,7 @@
     loop = asyncio.get_running_loop()
     ledger = MemoryPartition()
     platform = MemoryPlatform(ledger)
-    follower = LedgerFollower(ledger, lambda record: None)
-    follower.loaded = True
-    context.runner = SchedulerRunner(
-        "a",
-        platform,
-        follower,
-        Limits(),
-        random.Random(1),
-        1.0,
-        lambda: True,
-        find_no_node,
-    )
+    context.runner = build_runner(platform)
     read_newest = platform.runs.read_newest
 
     async def read_late(deadline):
@@ -225,18 +230,7 @@
     loop = asyncio.get_running_loop()
     ledger = MemoryPartition()
     platform = context.platform = SlowInstances(ledger, answer_s)
-    follower = LedgerFollower(ledger, lambda record: None)
-    follower.loaded = True
-    runner = SchedulerRunner(
-        "a",
-        platform,
-        follower,
-        Limits(),
-        random.Random(1),
-        1.0,
-        lambda: True,
-        find_no_node,
-    )
+    runner = build_runner(platform)
     with loop.as_clock():
         await runner._claim()
         assert runner.leading
@@ -365,21 +359,6 @@
     assert (term.number, term.holder) == (1, "a"), term
 
 
-def build_runner(ledger):
-    follower = LedgerFollower(ledger, lambda record: None)
-    follower.loaded = True
-    return SchedulerRunner(
-        "a",
-        MemoryPlatform(ledger),
-        follower,
-        Limits(),
-        random.Random(1),
-        1.0,
-        lambda: True,
-        find_no_node,
-    )
-
-
 @given("a store in which a claim waits for {seconds:g} s")
 def step_queued_claims(context, seconds):
     context.wait_s = seconds
@@ -389,7 +368,7 @@
 def step_claim_queued(context):
     async def body():
         loop = asyncio.get_running_loop()
-        runner = build_runner(QueuedPartition(context.wait_s))
+        runner = build_runner(MemoryPlatform(QueuedPartition(context.wait_s)))
         with loop.as_clock():
             began = loop.time()
             await runner._claim()
@@ -411,7 +390,7 @@
         loop = asyncio.get_running_loop()
         ledger = QueuedPartition(context.wait_s)
         with loop.as_clock():
-            runner = build_runner(ledger)
+            runner = build_runner(MemoryPlatform(ledger))
             runner.configure(Configuration(version=1))
             claim = KeyedRecord(*encode(Term(1, "c", 7)))
             asyncio.ensure_future(ledger.append([claim], inf, Fence(1, 5)))
