Keep the runs of an endpoint's incarnation that its report does not show yet

An endpoint that restarts while it is cut off from the store has tasks of its new incarnation, which the scheduler knows from polls. A successor reads the old report first, and the new incarnation with the first poll: it took that for a restart, counted the runs as lost and started them again while they went on (TWICE), then stopped them as orphans.

Cause: a restart lost all tasks of the endpoint, also those that the ledger places on the incarnation that it has now. Only tasks of earlier incarnations are lost.

Before the fix the new scenario failed: 16 starts for 8 tasks, 8 of them stopped ("ASSERT FAILED: Counter({'looks': 30, 'starts': 16, 'stopped': 8, 'done': 8})").

--- a/features/scheduler_rules.feature
+++ b/features/scheduler_rules.feature
@@ -83,6 +83,21 @@
     Then job j1 is completed
     And no rule was broken
 
+  # Guards against a second run of tasks that a predecessor started on an endpoint after
+  # its restart, while the store still has the report from before the restart.
+  Scenario: A successor keeps runs of an incarnation that the store does not show yet
+    Given a scheduler with 2 endpoints
+    When every endpoint restarts with the same id, cut off from the store
+    And 11 seconds pass
+    And job j1 of steps 8x6000 is accepted
+    And 1 seconds pass
+    And node a is killed after 0 seconds
+    And node b takes the term after 2 seconds
+    And 8 seconds pass
+    Then job j1 is completed
+    And 8 runs were started
+    And no rule was broken
+
   # Guards against a second run of a task when the response to its start order is lost,
   # or when the order is carried out late.
   Scenario Outline: Orders without a response never run a task twice
--- a/features/steps/scheduler_rules.py
+++ b/features/steps/scheduler_rules.py
@@ -413,6 +413,15 @@
         worker.restart()
 
 
+@when("every endpoint restarts with the same id, cut off from the store")
+def step_restart_all_unreported(context):
+    for worker in context.world.workers.values():
+        report = worker.report()
+        worker.report = lambda report=report: report
+        worker.crash()
+        worker.restart()
+
+
 @when("the store persists only the {part} part of commits")
 def step_partial_commits(context, part):
     context.world.only_partition = part
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -146,7 +146,9 @@
         WriteLog(ENDPOINT_RESTARTED, {"endpoint": endpoint.id, "born": born})
     ]
     for task in list(endpoint.tasks.values()):
-        effects += run_lost(state, task, "endpoint restarted")
+        # A successor may know the incarnation of a run before that of its endpoint.
+        if task.born < born:
+            effects += run_lost(state, task, "endpoint restarted")
     endpoint.contacted = endpoint.reachable = False
     endpoint.processed_end = endpoint.acked_end = 0
     endpoint.clock_ms, endpoint.clock_read_at = 0, 0.0
