Let a pool grow for lasting tasks that no endpoint has room for

Callers' lasting tasks could wait without end while instances were switched off: a pool whose memory is full and whose processors are half used never asked for an instance.

Cause: the need of a pool counted processor time only, and 0.7 of what waits, as the rest starts when running work ends. No running work ends that makes room for a lasting task. The need is now at least the endpoints that hold lasting tasks, plus those that the waiting ones fill, as far as their workspace's upper limit admits them.

Before the fix both new scenarios failed ("ASSERT FAILED: []": no instance was moved).

--- a/features/pool_growth.feature
+++ b/features/pool_growth.feature
@@ -26,3 +26,21 @@
     And 5 idle instances whose move to the spare pool was not answered at 10 s
     When jobs of 320 cores for 1 s arrive at 11.8 s
     Then no instance is moved before 13 s
+
+  # Guards against lasting tasks that wait without end in a pool whose memory is full
+  # while its processors are not: only processor time counted as demand.
+  Scenario: A pool grows for lasting tasks that wait for memory
+    Given a pool of 4 endpoints whose lasting tasks use 32 cores
+    And 12 idle instances whose move to the spare pool was carried out at 10 s
+    When a lasting job of 24 tasks of 1 core and 8000 MB is accepted at 12 s
+    And 1 second passes
+    Then 2 instances have been moved to the pool
+
+  # Guards against instances that are moved to a pool for tasks that may not start.
+  Scenario: A pool does not grow for lasting tasks beyond their workspace's limit
+    Given a pool of 4 endpoints whose lasting tasks use 32 cores
+    And 12 idle instances whose move to the spare pool was carried out at 10 s
+    And the workspace has an upper limit of 50 cores
+    When a lasting job of 24 tasks of 1 core and 8000 MB is accepted at 12 s
+    And 1 second passes
+    Then 1 instance has been moved to the pool
--- a/features/steps/pool_growth.py
+++ b/features/steps/pool_growth.py
@@ -9,11 +9,13 @@
     JobId,
     JobSpec,
     QueueName,
+    Resources,
     ServiceName,
     StepSpec,
     WorkspaceName,
 )
 from primrosepitch.scheduling import events as ev
+from primrosepitch.scheduling.configuration import WorkspaceSpec
 from primrosepitch.scheduling.effects import Commit, MoveInstance
 from primrosepitch.scheduling.lending import _evaluate_pools
 from primrosepitch.scheduling.reducer import step
@@ -127,6 +129,35 @@
     return _evaluate_pools(context.state)[POOL].need
 
 
+@given("the workspace has an upper limit of {cores:d} cores")
+def step_limit(context, cores):
+    team = WorkspaceName("team")
+    limit = Resources(cores * 1000)
+    context.state.cfg.workspaces[team] = WorkspaceSpec(team, limit=limit)
+
+
+@when(
+    "a lasting job of {tasks:d} tasks of {cores:d} core and {memory:d} MB "
+    "is accepted at {at:g} s"
+)
+def step_lasting_job(context, tasks, cores, memory, at):
+    tick_until(context, at)
+    spec = StepSpec(tasks, cpu=1000 * cores, memory=memory, lasting=True)
+    accept(context, "e" * 16, spec)
+
+
+@when("{seconds:d} second passes")
+def step_wait(context, seconds):
+    tick_until(context, context.state.now + seconds)
+
+
+@then("{count:d} instances have been moved to the pool")
+@then("{count:d} instance has been moved to the pool")
+def step_moved_so_far(context, count):
+    moved = {instance for _, instance in context.moves}
+    assert len(moved) == count, context.moves
+
+
 @then("the pool needs at least {endpoints:d} endpoints")
 def step_need(context, endpoints):
     context.need = need(context)
--- a/primrosepitch/jobs/model.py
+++ b/primrosepitch/jobs/model.py
@@ -77,6 +77,13 @@
             and self.gpu <= available.gpu
         )
 
+    def count_fitting(self, needs: Resources, most: int) -> int:
+        """Return how often ``needs`` fits into these amounts, ``most`` at most."""
+        counts = [
+            have // need for need, have in zip(needs, self, strict=True) if need > 0
+        ]
+        return min([most, *counts])
+
 
 class StepSpec(msgspec.Struct, frozen=True, omit_defaults=True, dict=True):
     """One step of a job.
--- a/primrosepitch/scheduling/lending.py
+++ b/primrosepitch/scheduling/lending.py
@@ -32,6 +32,7 @@
     move_order,
 )
 from primrosepitch.scheduling.leases import unreachable_zones, usable
+from primrosepitch.scheduling.limits import count_within_limit
 from primrosepitch.scheduling.ordering import PriorityClass, ready_steps
 from primrosepitch.scheduling.state import (
     SMALL_JOB_COUNT,
@@ -194,6 +195,7 @@
 
 def _evaluate_pools(state: SchedulerState) -> dict[ServiceName, Pool]:
     demand = _current_demand(state)
+    waiting = _endpoints_for_waiting(state)
     largest = max((v.capacity.cpu for v in state.instances.values()), default=0)
     pools = {}
     for service in state.cfg.services.values():
@@ -207,7 +209,13 @@
         size = max((e.report.capacity.cpu for e in endpoints), default=largest)
         cores = demand.get(service.name, 0.0) * DEMAND_HEADROOM_FACTOR
         need = math.ceil(cores / size) if size else 1
-        need = max(need, _min_endpoints(state, service.name), MIN_ENDPOINTS)
+        with_lasting = sum(_has_lasting(endpoint) for endpoint in endpoints)
+        need = max(
+            need,
+            with_lasting + math.ceil(waiting[service.name]),
+            _min_endpoints(state, service.name),
+            MIN_ENDPOINTS,
+        )
         incoming = sum(move.pool == service.name for move in state.moves.values())
         pools[service.name] = Pool(service.name, need, incoming, endpoints)
     return pools
@@ -239,6 +247,39 @@
     return demand
 
 
+def _has_lasting(endpoint: Endpoint) -> bool:
+    return any(task.spec.lasting for task in endpoint.tasks.values())
+
+
+def _endpoints_for_waiting(state: SchedulerState) -> dict[ServiceName, float]:
+    """Return how many empty endpoints the waiting lasting tasks of each pool fill.
+
+    The planning pass before has found no room for them, be it processor time or memory,
+    and no running work ends that would make any.
+    """
+    found: dict[ServiceName, float] = defaultdict(float)
+    for ready in ready_steps(state):
+        spec = ready.step.spec
+        if not spec.lasting or ready.tasks[0].key[:3] in state.advice_pending:
+            continue
+        job = ready.job.spec
+        startable = count_within_limit(
+            state, job.workspace, spec.quota_request, len(ready.tasks)
+        )
+        most = spec.most_per_endpoint or len(ready.tasks)
+        fitting = max(
+            (
+                view.capacity.count_fitting(spec.needs, most)
+                for view in state.instances.values()
+                if not spec.label or spec.label in view.labels
+            ),
+            default=0,
+        )
+        if fitting > 0:
+            found[job.service] += startable / fitting
+    return found
+
+
 def _min_endpoints(state: SchedulerState, service: ServiceName) -> int:
     """Return the number of endpoints over which lasting steps must be spread."""
     least = 1
--- a/primrosepitch/scheduling/limits.py
+++ b/primrosepitch/scheduling/limits.py
@@ -5,7 +5,7 @@
 from primrosepitch.jobs.model import Resources, WorkspaceName
 from primrosepitch.scheduling.state import SchedulerState
 
-__all__ = ["within_limit"]
+__all__ = ["count_within_limit", "within_limit"]
 
 
 def within_limit(
@@ -23,3 +23,19 @@
         limit <= 0 or amount <= limit
         for limit, amount in zip(spec.limit, total, strict=True)
     )
+
+
+def count_within_limit(
+    state: SchedulerState, workspace: WorkspaceName, each: Resources, most: int
+) -> int:
+    """Return how many of ``most`` tasks that use ``each`` the upper limit admits."""
+    spec = state.cfg.workspaces.get(workspace)
+    if spec is None:
+        return most
+    used = state.usage.get(workspace, Resources())
+    counts = [
+        max(0, limit - amount) // need
+        for limit, amount, need in zip(spec.limit, used, each, strict=True)
+        if limit > 0 and need > 0
+    ]
+    return min([most, *counts])
--- a/primrosepitch/scheduling/placement.py
+++ b/primrosepitch/scheduling/placement.py
@@ -308,10 +308,9 @@
 
 
 def _count_fitting(ready: ReadyStep, endpoint: Endpoint) -> int:
-    needs, free = ready.step.spec.needs, endpoint.free()
-    counts = [have // need for need, have in zip(needs, free, strict=True) if need > 0]
-    most = ready.step.spec.most_per_endpoint or len(ready.tasks)
-    return min([most, *counts])
+    spec = ready.step.spec
+    most = spec.most_per_endpoint or len(ready.tasks)
+    return endpoint.free().count_fitting(spec.needs, most)
 
 
 def _log_unplaceable(state: SchedulerState, ready: ReadyStep) -> list[Effect]:
