Log why lasting tasks wait

Every 2 s the scheduler now writes 'lasting_tasks_waiting' for the ten longest waits of over 2 s, with what stopped the planning pass and the endpoints of the pool by the first reason that excludes each. The reasons come from the code that decides, 'exclusion' and 'StepCandidates.refusal', so that the line cannot differ from the decision.

--- /dev/null
+++ b/features/lasting_tasks.feature
@@ -0,0 +1,43 @@
+Feature: Lasting tasks run while there is room, and the log says why they wait
+  Endpoints have 16 cores and serve queue q; node a holds the term. A task has 2 cores.
+
+  # Guards against a lasting task that does not run while no log line says why.
+  Scenario Outline: The log names what keeps lasting tasks waiting
+    Given a scheduler with 4 endpoints
+    When job j1 of <first> lasting tasks on separate endpoints with an availability budget of 1 is accepted
+    And 1 seconds pass
+    And <event>
+    And <seconds> seconds pass
+    Then the log says that lasting tasks wait because of <obstacle>, with endpoints <reasons>
+
+    Examples:
+      | first | event                                  | seconds | obstacle    | reasons                           |
+      | 5     | 0 seconds pass                         | 4       | no endpoint | most per endpoint 4               |
+      | 4     | job j2 of 40 lasting tasks is accepted | 4       | no endpoint | no room 4                         |
+      | 4     | the endpoint of task 0 of j1 drains    | 4       | no endpoint | draining 1, most per endpoint 3   |
+      | 4     | the endpoint of task 0 of j1 is cut off | 9       | no endpoint | unreachable 1, most per endpoint 3 |
+
+  # Guards against a log line that blames the endpoints for a workspace's upper limit.
+  Scenario: The log names an upper limit that keeps lasting tasks waiting
+    Given a scheduler with 4 endpoints
+    And workspace w has an upper limit of 4000 millicores
+    When job j1 of 3 lasting tasks is accepted
+    And 4 seconds pass
+    Then the log says that lasting tasks wait because of upper limit, with endpoints usable 4
+
+  # Guards against a log line that does not tell missing advice from missing room.
+  Scenario: The log names missing advice that keeps lasting tasks waiting
+    Given a scheduler with 2 endpoints
+    And queue q requires placement advice
+    When job j1 of 12 lasting tasks is accepted
+    And 5 seconds pass
+    Then the log says that lasting tasks wait because of advice, with endpoints no room 1, usable 1
+
+  # Guards against a log that is filled with the waits of lasting tasks.
+  Scenario: Waits of lasting tasks are logged every 2 s, for ten steps at most
+    Given a scheduler with 2 endpoints
+    When 20 jobs of 9 lasting tasks are accepted
+    And 2 seconds pass
+    Then 0 lines on waits of lasting tasks were logged
+    When 8 seconds pass
+    Then 40 lines on waits of lasting tasks were logged
--- a/primrosepitch/events.py
+++ b/primrosepitch/events.py
@@ -250,6 +250,15 @@
 RUN_PACED = event(
     5017, "run_paced", logging.INFO, "The rate of a best-effort task was changed."
 )
+LASTING_TASKS_WAITING = event(
+    5018,
+    "lasting_tasks_waiting",
+    logging.WARNING,
+    "Lasting tasks of a step have waited for over 2 s; written every 2 s, for the "
+    "longest waits: what stopped the planning pass, and the endpoints of the pool by "
+    "the first reason that excludes each.",
+    "see 'A lasting task does not run' in OPERATIONS.md",
+)
 TERM_TAKEN = event(5101, "term_taken", logging.INFO, "This node became the scheduler.")
 TERM_LOST = event(
     5102, "term_lost", logging.WARNING, "This node is no longer the scheduler."
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -55,6 +55,7 @@
     "poll_failed",
     "takeover_wait_s",
     "start_order",
+    "exclusion",
     "expire_leases",
     "usable",
 ]
@@ -179,17 +180,24 @@
     return {zone for zone, balance in count.items() if balance < 0}
 
 
+def exclusion(state: SchedulerState, endpoint: Endpoint) -> str:
+    """Return why no tasks may be placed on an endpoint, or an empty string."""
+    if not endpoint.listed and state.now - endpoint.unlisted_at >= RELIST_GRACE_S:
+        return "not listed"
+    if not endpoint.contacted:
+        return "not contacted"
+    if not endpoint.reachable:
+        return "unreachable"
+    if endpoint.report.draining:
+        return "draining"
+    if endpoint.evacuation_reason:
+        return f"evacuated for {endpoint.evacuation_reason}"
+    return "ejected" if state.now < endpoint.ejected_until else ""
+
+
 def usable(state: SchedulerState, endpoint: Endpoint) -> bool:
     """Return whether tasks may be placed on an endpoint."""
-    listed = endpoint.listed or state.now - endpoint.unlisted_at < RELIST_GRACE_S
-    return (
-        listed
-        and endpoint.contacted
-        and endpoint.reachable
-        and not endpoint.report.draining
-        and not endpoint.evacuation_reason
-        and state.now >= endpoint.ejected_until
-    )
+    return not exclusion(state, endpoint)
 
 
 def may_grant_leases(state: SchedulerState) -> bool:
--- a/primrosepitch/scheduling/ordering.py
+++ b/primrosepitch/scheduling/ordering.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from primrosepitch.jobs.model import JobId
 from primrosepitch.scheduling.state import (
     JobRun,
     Phase,
@@ -59,6 +60,11 @@
     number: int
     tasks: list[Task]
 
+    @property
+    def key(self) -> tuple[JobId, int, int]:
+        """Return the job, occurrence and number of the step."""
+        return self.tasks[0].key[:3]
+
 
 def ready_steps(state: SchedulerState) -> list[ReadyStep]:
     """Return the steps with waiting tasks whose dependencies are done, in order."""
--- a/primrosepitch/scheduling/placement.py
+++ b/primrosepitch/scheduling/placement.py
@@ -5,7 +5,7 @@
 from collections import Counter, defaultdict
 
 from primrosepitch.events import JOB_UNPLACEABLE
-from primrosepitch.jobs.model import JobId, Resources, ServiceName
+from primrosepitch.jobs.model import Resources, ServiceName
 from primrosepitch.scheduling.effects import Effect, RequestAdvice, WriteLog
 from primrosepitch.scheduling.leases import usable
 from primrosepitch.scheduling.limits import within_limit
@@ -13,7 +13,7 @@
 from primrosepitch.scheduling.runs import EJECTION_FAULT_SCORE, place_task
 from primrosepitch.scheduling.state import Endpoint, SchedulerState, Task
 
-__all__ = ["start_waiting"]
+__all__ = ["StepCandidates", "start_waiting"]
 
 MAX_PLACEMENTS = 250
 """Number of placements after which a planning pass is cut short. They take 20 to 40 ms
@@ -57,6 +57,7 @@
     effects: list[Effect] = []
     capacity = PlanningCapacity(state)
     state.pass_cut_short = False
+    state.passed_over.clear()
     for ready in ready_steps(state):
         if len(effects) >= MAX_PLACEMENTS:
             state.pass_cut_short = True
@@ -75,18 +76,22 @@
     service = ready.job.spec.service
     demand = (service, spec.needs, spec.label)
     if demand in capacity.full and not spec.most_per_endpoint:
+        _pass_over(state, ready, "pool full")
         return []
     workspace = ready.job.spec.workspace
     effects: list[Effect] = []
-    pool = capacity.pools.get(service, [])
-    pool, requests = _restrict_to_advised(state, ready, pool)
+    whole_pool = capacity.pools.get(service, [])
+    pool, requests = _restrict_to_advised(state, ready, whole_pool)
     effects += requests
     candidates = StepCandidates(ready, pool)
     for task in ready.tasks:
         if not within_limit(state, workspace, spec.quota_request):
+            _pass_over(state, ready, "upper limit")
             break
         endpoint = candidates.choose(task)
         if endpoint is None:
+            advised = pool is not whole_pool
+            _pass_over(state, ready, "advice" if advised else "no endpoint")
             if not requests:
                 capacity.full.add(demand)
             effects += _log_unplaceable(state, ready)
@@ -98,6 +103,12 @@
     return effects
 
 
+def _pass_over(state: SchedulerState, ready: ReadyStep, obstacle: str) -> None:
+    """Record what keeps a lasting step waiting in this pass, for its log line."""
+    if ready.step.spec.lasting:
+        state.passed_over[ready.key] = obstacle
+
+
 def _decision_fields(
     state: SchedulerState, endpoint: Endpoint, pool: list[Endpoint], ready: ReadyStep
 ) -> dict[str, object]:
@@ -192,16 +203,20 @@
 
     def _admits(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint has the capacity for a task and may run it."""
+        return not self.refusal(endpoint)
+
+    def refusal(self, endpoint: Endpoint) -> str:
+        """Return why an endpoint may not run a task, or an empty string."""
         spec = self._spec
         if not endpoint.has_room(spec.needs):
-            return False
+            return "no room"
         if endpoint.fault_score >= EJECTION_FAULT_SCORE and endpoint.tasks:
-            # On probation after an ejection, an endpoint gets one task at a time.
-            return False
+            # After an ejection, an endpoint gets one task at a time.
+            return "on probation"
         if spec.label and spec.label not in endpoint.report.labels:
-            return False
+            return "no label"
         most = spec.most_per_endpoint
-        return not most or self._on_endpoint[endpoint.id] < most
+        return "most per endpoint" if 0 < most <= self._on_endpoint[endpoint.id] else ""
 
 
 def _start_gang(
@@ -209,15 +224,17 @@
 ) -> list[Effect]:
     """Place all members of a gang under one run number, or none."""
     spec = ready.step.spec
-    pool, effects = _restrict_to_advised(
-        state, ready, capacity.pools.get(ready.job.spec.service, [])
-    )
+    whole_pool = capacity.pools.get(ready.job.spec.service, [])
+    pool, effects = _restrict_to_advised(state, ready, whole_pool)
     each = spec.quota_request
     total = Resources(*(amount * len(ready.tasks) for amount in each))
     if not within_limit(state, ready.job.spec.workspace, total):
+        _pass_over(state, ready, "upper limit")
         return effects
     chosen = _gang_endpoints(ready, pool)
     if chosen is None:
+        advised = pool is not whole_pool
+        _pass_over(state, ready, "advice" if advised else "no endpoint")
         return [*effects, *_log_unplaceable(state, ready)]
     run = max(task.run for task in ready.step.tasks)
     checkpoint = max((task.checkpoint for task in ready.step.tasks), default="")
@@ -279,8 +296,7 @@
     queue = state.cfg.queues.get(ready.job.spec.queue)
     if queue is None or queue.advice is None:
         return pool, []
-    first = ready.tasks[0].key
-    step: tuple[JobId, int, int] = first[:3]
+    step = ready.key
     tickets = state.tickets.get(step, {})
     limit = state.now + TICKET_MARGIN_S
     allowed = [
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -66,6 +66,7 @@
     Ticket,
 )
 from primrosepitch.scheduling.throttling import throttle_best_effort
+from primrosepitch.scheduling.waiting import log_lasting_waits
 
 __all__ = ["step"]
 
@@ -280,6 +281,7 @@
         effects += _evict_from_draining(state)
         effects += evict_stalled(state)
         effects += start_waiting(state)
+        effects += log_lasting_waits(state)
         effects += advance_waves(state)
         effects += lend_instances(state)
         effects += throttle_best_effort(state)
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -348,6 +348,10 @@
     :param replan: whether a planning pass is due without waiting for the idle interval
     :param pass_cut_short: whether the newest planning pass left waiting tasks to the
         next one
+    :param passed_over: lasting steps that the newest planning pass left waiting, and
+        what stopped it
+    :param lasting_waits_logged_at: boot-time clock at which the waits of lasting tasks
+        were last examined for the log
     :param waits: estimated waits by pool, as last published to the other nodes
     :param waits_sent_at: boot-time clock of that publication
     :param listing_pending: whether a listing of the instances is in progress
@@ -400,6 +404,8 @@
     planned_at: float = 0.0
     replan: bool = False
     pass_cut_short: bool = False
+    passed_over: dict[tuple[JobId, int, int], str] = msgspec.field(default_factory=dict)
+    lasting_waits_logged_at: float = 0.0
     waits: dict[ServiceName, int] = msgspec.field(default_factory=dict)
     waits_sent_at: float = 0.0
     waves: dict[int, WaveRun] = msgspec.field(default_factory=dict)
--- /dev/null
+++ b/primrosepitch/scheduling/waiting.py
@@ -0,0 +1,73 @@
+"""Logs why lasting tasks wait."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from primrosepitch.events import LASTING_TASKS_WAITING
+from primrosepitch.scheduling.effects import Effect, WriteLog
+from primrosepitch.scheduling.leases import exclusion
+from primrosepitch.scheduling.ordering import ReadyStep, ready_steps
+from primrosepitch.scheduling.placement import StepCandidates
+from primrosepitch.scheduling.state import Endpoint, SchedulerState, Task
+
+__all__ = ["log_lasting_waits"]
+
+LOG_INTERVAL_S = 2.0
+"""Interval between two log lines about a step, and the wait from which it is logged."""
+
+MAX_LOG_LINES = 10
+"""Maximum number of steps that are logged at a time."""
+
+
+def log_lasting_waits(state: SchedulerState) -> list[Effect]:
+    """Log why the lasting tasks that have waited longest are not placed."""
+    if state.now - state.lasting_waits_logged_at < LOG_INTERVAL_S:
+        return []
+    state.lasting_waits_logged_at = state.now
+    if not any(job.spec.lasting for job in state.jobs.values()):
+        return []
+    waits = [
+        (max(_waited_s(state, task) for task in ready.tasks), ready)
+        for ready in ready_steps(state)
+        if ready.step.spec.lasting
+    ]
+    long = [wait for wait in waits if wait[0] > LOG_INTERVAL_S]
+    long.sort(key=lambda wait: -wait[0])
+    return [
+        _log_line(state, ready, waited_s, len(long))
+        for waited_s, ready in long[:MAX_LOG_LINES]
+    ]
+
+
+def _waited_s(state: SchedulerState, task: Task) -> float:
+    return state.now - (task.unavailable_since or task.phase_since)
+
+
+def _log_line(
+    state: SchedulerState, ready: ReadyStep, waited_s: float, steps_waiting: int
+) -> WriteLog:
+    job = ready.job.spec
+    pool = [e for e in state.endpoints.values() if e.report.service == job.service]
+    candidates = StepCandidates(ready, pool)
+    reasons = Counter(_reason(state, candidates, endpoint) for endpoint in pool)
+    fields = {
+        "job": job.job,
+        "step": ready.number,
+        "tasks": len(ready.tasks),
+        "longest_s": round(waited_s, 1),
+        "needs": list(ready.step.spec.needs),
+        "stopped_by": state.passed_over.get(ready.key, "pass cut short"),
+        "endpoints": dict(reasons),
+        "steps_waiting": steps_waiting,
+    }
+    return WriteLog(LASTING_TASKS_WAITING, fields)
+
+
+def _reason(
+    state: SchedulerState, candidates: StepCandidates, endpoint: Endpoint
+) -> str:
+    """Return the first reason that excludes an endpoint; ``usable`` without any."""
+    poll_failed = "poll failed" if endpoint.failed_polls else ""
+    excluded = exclusion(state, endpoint) or poll_failed
+    return excluded or candidates.refusal(endpoint) or "usable"
--- a/standins/scheduler_world.py
+++ b/standins/scheduler_world.py
@@ -407,6 +407,7 @@
         self._waves: dict[int, WaveSpec] = {}
         self.wave_completed: dict[int, bool] = {}
         self.events: Counter[int] = Counter()
+        self.newest_fields: dict[int, dict[str, Any]] = {}
         self._timers: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = 0
 
@@ -752,6 +753,7 @@
 
     def _do_writelog(self, node: Node, effect: ef.WriteLog) -> None:
         self.events[effect.event.number] += 1
+        self.newest_fields[effect.event.number] = effect.fields
 
     def _do_stepdown(self, node: Node, effect: ef.StepDown) -> None:
         node.state = SchedulerState(node=node.name, limits=self.limits)
