Refuse deeply nested messages as unreadable in every reader

With one entry nested 100,000 deep among the endpoints' reports, nobody scheduled as long as it stood: each node in turn claimed a term, read the entry and stepped down. A caller's submission of that shape got 504, and a record of the ledger or of the operators ended the part that read it.

msgspec raises RecursionError for such bytes, and UnicodeDecodeError for some others. The readers caught DecodeError only.

--- a/features/malformed_messages.feature
+++ b/features/malformed_messages.feature
@@ -92,3 +92,42 @@
   Scenario: A request whose handling fails is answered as unknown
     Given an intake that raises an unexpected error
     Then a submission is answered with 504
+
+  # Guards against a deeply nested message that ends the part of a node that reads it, or
+  # the term of each scheduler in turn: the decoder raises an error of its own for it.
+  Scenario Outline: A deeply nested message is refused by every reader
+    Given <reader> with <shape> nested 100,000 deep
+    Then it is refused as unreadable
+
+    Examples:
+      | reader                          | shape   |
+      | a report of an endpoint         | lists   |
+      | a report of an endpoint         | objects |
+      | a configuration                 | lists   |
+      | a wave                          | objects |
+      | the lists of an endpoint        | lists   |
+      | the list of machines            | objects |
+      | the advice                      | lists   |
+      | a refusal of an endpoint        | lists   |
+      | the newest records of the store | lists   |
+      | the answer to an append         | objects |
+      | a record of the ledger          | lists   |
+      | a record of the ledger          | objects |
+      | packed records of a node        | objects |
+      | a submission of a caller        | lists   |
+      | a submission of a caller        | objects |
+
+  # Guards against an odd entry among the endpoints' reports that ends the term of each
+  # scheduler in turn, so that nobody schedules as long as the entry stands.
+  Scenario Outline: A deeply nested entry among the reports ends no term
+    Given a node that schedules for one endpoint
+    When <entry> <stands>
+    Then the node holds its first term, and the job runs on the endpoint
+    And the endpoint is known as it was, and no other one is
+
+    Examples:
+      | entry                                | stands                                        |
+      | an unknown field nested 100,000 deep | stands under the key x when its term begins   |
+      | an unknown field nested 100,000 deep | comes under the key x during its term         |
+      | an unknown field nested 100,000 deep | comes under the key w1 during its term        |
+      | labels nested 100,000 deep           | stands under the key x when its term begins   |
--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -4,9 +4,11 @@
 import json
 import random
 import struct
+import zlib
 from types import SimpleNamespace
 
 import msgspec
+from adapter.directory import decode_operator_record, decode_report
 from adapter.intake import HttpIntake
 from adapter.services import PlatformClient
 from adapter.settings import (
@@ -26,8 +28,11 @@
 from primrosepitch.jobs.model import (
     EndpointId,
     JobId,
+    JobSpec,
     QueueName,
     ServiceName,
+    StepSpec,
+    TaskKey,
     WorkspaceName,
 )
 from primrosepitch.jobs.records import Ledger, encode
@@ -39,9 +44,11 @@
 )
 from primrosepitch.metrics import Metrics
 from primrosepitch.net.http_messages import HttpRequest, HttpResponse
+from primrosepitch.net.http_pool import NotSentError
 from primrosepitch.node import node as node_module
 from primrosepitch.node.follower import LedgerFollower
 from primrosepitch.node.node import Node
+from primrosepitch.node.packing import PackedRecordsError, unpack
 from primrosepitch.node.scheduler import SchedulerRunner
 from primrosepitch.scheduling import effects as ef
 from primrosepitch.scheduling import events as ev
@@ -515,3 +522,309 @@
     exchange = SimpleNamespace(request=request, respond=responses.append)
     asyncio.run(context.http_intake._answer(exchange))
     assert [r.status for r in responses] == [status], responses
+
+
+# Deep nesting
+
+DEPTH = 100_000
+NESTED_JSON = {
+    "lists": b"[" * DEPTH + b"]" * DEPTH,
+    "objects": b'{"a":' * DEPTH + b"1" + b"}" * DEPTH,
+}
+NESTED_MSGPACK = {
+    "lists": b"\x91" * DEPTH + b"\xc0",
+    "objects": b"\x81\xa1a" * DEPTH + b"\xc0",
+}
+REPORT = {
+    "service": "pressing",
+    "address": "10.0.0.1:8000",
+    "zone": "hall",
+    "state": "ready",
+    "capacity": {"cpu": 4000, "memory_request_mb": 4000},
+    "labels": [],
+    "machine": "m1",
+    "born": 1_700_000_000_000,
+    "clock_ms": 1000,
+}
+MANIFEST = {"version": 1}
+WAVE = {"wave": 1, "machines": ["m1"], "duration_s": 5}
+
+
+def is_none(value):
+    return value is None
+
+
+def raises(error):
+    return lambda work: isinstance(work, error)
+
+
+def caught(check, *args):
+    """Return the result of a decoder, or the typed error that it raised."""
+    try:
+        return check(*args)
+    except (msgspec.DecodeError, StoreUnavailableError, PackedRecordsError) as exc:
+        return exc
+
+
+def poll_outcome(body):
+    order = ef.PollEndpoint(EndpointId("w1"), "a:1", 0, 0, 0, 1)
+    return asyncio.run(platform_client(body).poll_endpoint(order))
+
+
+def refused_order(body):
+    order = ef.StopRun(EndpointId("w1"), "a:1", TaskKey(JobId("0" * 16), 0, 0, 0), 1, 1)
+    return asyncio.run(platform_client(body, 409).stop_run(order))
+
+
+def advice_of(body):
+    request = ef.RequestAdvice((JobId("0" * 16), 0, 0), (EndpointId("w1"),), 1.0)
+    return asyncio.run(platform_client(body).request_advice(request)).allowed
+
+
+def newest_records(body):
+    partition = KeyedPartition(ScriptedClient(200, body), "a:1", "jobs", 0, 64)
+    return asyncio.run(partition.read_newest(clock.monotonic() + 1))
+
+
+def appended(body):
+    partition = KeyedPartition(ScriptedClient(200, body), "a:1", "jobs", 0, 64)
+    work = partition.append([KeyedRecord("k", b"v")], clock.monotonic() + 1)
+    try:
+        return asyncio.run(work)
+    except StoreUnknownError as exc:
+        return exc
+
+
+def submission_status(body):
+    cfg = Configuration(version=1)
+    cfg.queues[QUEUE.name] = msgspec.structs.replace(QUEUE, open=True)
+    active = SimpleNamespace(cfg=cfg, outdated=False)
+    intake = HttpIntake(SimpleNamespace(submit=raise_error), active, Metrics())
+    request = HttpRequest(b"POST", b"/q/" + b"1" * 16, [(b"host", b"h")], body)
+    responses = []
+    exchange = SimpleNamespace(request=request, respond=responses.append)
+    asyncio.run(intake._answer(exchange))
+    return responses[0].status
+
+
+def followed(body):
+    """Return the jobs of a ledger that has an unreadable record and one job."""
+    ledger = MemoryPartition(
+        [KeyedRecord("j/" + "1" * 16, body), KeyedRecord(*encode(decode(ONE_TASK)))]
+    )
+    follower = LedgerFollower(ledger, lambda record: None)
+    follower.loaded = True
+    asyncio.run(follower.catch_up())
+    return list(follower.ledger.jobs)
+
+
+ONE_TASK = b'{"steps": [{"count": 1}]}'
+
+
+def operator_record(key):
+    return lambda body: decode_operator_record(KeyedRecord(key, body), 0.0)
+
+
+JSON_READERS = {
+    "a report of an endpoint": (
+        REPORT,
+        lambda body: decode_report(KeyedRecord("w1", body), 0.0),
+        is_none,
+    ),
+    "a configuration": (MANIFEST, operator_record("config"), is_none),
+    "a wave": (WAVE, operator_record("wave/1"), is_none),
+    "the lists of an endpoint": (
+        {"clock_ms": 1, "running": [], "ended": []},
+        poll_outcome,
+        lambda answer: answer is ev.Outcome.REFUSED,
+    ),
+    "a refusal of an endpoint": (
+        {"reason": "fence"},
+        refused_order,
+        lambda answer: answer is ev.Outcome.REFUSED,
+    ),
+    "the list of machines": (
+        {"machines": []},
+        lambda body: asyncio.run(platform_client(body).list_instances()),
+        is_none,
+    ),
+    "the advice": ({"allowed": []}, advice_of, is_none),
+    "the newest records of the store": (
+        {"items": [], "end_offset": 0},
+        newest_records,
+        raises(StoreUnavailableError),
+    ),
+    "the answer to an append": (
+        {"offset": 1, "end_offset": 2},
+        appended,
+        raises(StoreUnknownError),
+    ),
+    "a submission of a caller": (
+        {"steps": [{"count": 1}]},
+        submission_status,
+        lambda status: status == 400,
+    ),
+}
+
+
+MSGPACK_READERS = {
+    "a record of the ledger": (
+        b"\x81\xa1x%b",
+        followed,
+        lambda jobs: jobs == [JobId("1" * 16)],
+    ),
+    "packed records of a node": (
+        b"%b",
+        lambda body: unpack(zlib.compress(body)),
+        raises(PackedRecordsError),
+    ),
+}
+
+
+@given("{reader} with {shape:w} nested 100,000 deep")
+def step_nested_message(context, reader, shape):
+    if reader in MSGPACK_READERS:
+        wire, context.check, context.expected = MSGPACK_READERS[reader]
+        context.body = wire % NESTED_MSGPACK[shape]
+        return
+    value, context.check, context.expected = JSON_READERS[reader]
+    wire = json.dumps(value).encode()
+    context.body = wire[:-1] + b', "x": %b}' % NESTED_JSON[shape]
+
+
+@then("it is refused as unreadable")
+def step_refused_as_unreadable(context):
+    found = caught(context.check, context.body)
+    assert context.expected(found), found
+
+
+# A scheduler, one real endpoint and one odd entry of another writer
+
+
+class OneEndpoint:
+    """HTTP client of a platform with one endpoint, which runs what it is told to."""
+
+    def __init__(self):
+        self.started = []
+
+    async def call(self, address, request, deadline, send_by=0.0):
+        if address != REPORT["address"]:
+            raise NotSentError(f"cannot connect to {address}")
+        if request.target == b"/run-start":
+            order = json.loads(request.body)
+            self.started.append([order["task"], order["run"], None, 0])
+        if request.target != b"/hold":
+            return HttpResponse(200, [], b"{}")
+        lists = {
+            "clock_ms": round(clock.monotonic() * 1000),
+            "running": self.started,
+            "ended": [],
+            "born": REPORT["born"],
+        }
+        return HttpResponse(200, [], json.dumps(lists).encode())
+
+
+ODD_ENTRIES = {
+    "an unknown field nested 100,000 deep": json.dumps(REPORT).encode()[:-1]
+    + b', "x": %b}' % NESTED_JSON["lists"],
+    "labels nested 100,000 deep": json.dumps(REPORT | {"labels": "DEEP"})
+    .encode()
+    .replace(b'"DEEP"', NESTED_JSON["lists"]),
+}
+
+
+def scheduling_node(context):
+    """Compose a scheduler whose platform client is the real one."""
+    address = "127.0.0.1:1"
+    settings_of_node = PlatformSettings(
+        node_name="a",
+        ip_address="127.0.0.1",
+        zone="hall",
+        listen_addresses=Addresses(address),
+        platform=StoreSettings(address),
+        bounds=Bounds(fencing_required=True),
+    )
+    partitions = context.partitions = {
+        name: MemoryPartition() for name in ("jobs", "runs", "servers", "status")
+    }
+    context.client = OneEndpoint()
+    platform = PlatformClient(
+        settings_of_node, context.client, Metrics(), lambda name, s, p: partitions[name]
+    )
+    follower = context.follower = LedgerFollower(
+        platform.ledger, lambda record: context.runner.handle_record(record)
+    )
+    follower.loaded = True
+    context.runner = SchedulerRunner(
+        "a",
+        platform,
+        follower,
+        Limits(),
+        random.Random(1),
+        1.0,
+        lambda: True,
+        find_no_node,
+    )
+    context.runner._cfg = Configuration(version=1)
+
+
+async def schedule_with(context, entry, key, at_start):
+    servers = context.partitions["servers"].records
+    good = KeyedRecord("w1", json.dumps(REPORT).encode())
+    odd = KeyedRecord(key, ODD_ENTRIES[entry])
+    with asyncio.get_running_loop().as_clock():
+        asyncio.ensure_future(context.follower.run())
+        asyncio.ensure_future(context.runner.run())
+        servers += [good, odd] if at_start else [good]
+        await asyncio.sleep(3.0)
+        if not at_start:
+            servers.append(odd)
+        await asyncio.sleep(1.0)
+        spec = JobSpec(
+            JobId("1" * 16),
+            QUEUE.name,
+            QUEUE.service,
+            WorkspaceName("w"),
+            "",
+            (StepSpec(1, cpu=1000),),
+            0,
+        )
+        context.partitions["jobs"].records.append(KeyedRecord(*encode(spec)))
+        await asyncio.sleep(5.0)
+        context.term = context.follower.ledger.term.number
+        context.leading = context.runner.leading
+        context.known = {
+            name: endpoint.report
+            for name, endpoint in context.runner.state.endpoints.items()
+        }
+
+
+@given("a node that schedules for one endpoint")
+def step_node_with_endpoint(context):
+    scheduling_node(context)
+
+
+@when("{entry} stands under the key {key} when its term begins")
+def step_odd_entry_at_start(context, entry, key):
+    run_virtually(schedule_with(context, entry, key, True))
+
+
+@when("{entry} comes under the key {key} during its term")
+def step_odd_entry_in_term(context, entry, key):
+    run_virtually(schedule_with(context, entry, key, False))
+
+
+@then("the node holds its first term, and the job runs on the endpoint")
+def step_job_runs(context):
+    assert context.leading, context.term
+    assert context.term == 1, context.term
+    assert [row[1] for row in context.client.started] == [1], context.client.started
+    assert context.known["w1"].born == REPORT["born"], context.known
+
+
+@then("the endpoint is known as it was, and no other one is")
+def step_endpoint_unchanged(context):
+    assert list(context.known) == ["w1"], context.known
+    known = context.known["w1"]
+    assert known.address == REPORT["address"], known
+    assert (known.capacity.cpu, known.draining) == (4000, False), known
--- a/primrosepitch/node/follower.py
+++ b/primrosepitch/node/follower.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from primrosepitch import clock
+from primrosepitch.decoding import unreadable_as_decode_error
 from primrosepitch.events import (
     LEDGER_RECORD_UNREADABLE,
     STORE_AVAILABLE,
@@ -154,7 +155,8 @@
     def _apply(self, records: list[KeyedRecord]) -> None:
         for key, value in records:
             try:
-                changed = self.ledger.apply(key, value)
+                with unreadable_as_decode_error():
+                    changed = self.ledger.apply(key, value)
             except msgspec.DecodeError as exc:
                 emit(LEDGER_RECORD_UNREADABLE, key=key, error=str(exc))
                 continue
--- a/primrosepitch/node/packing.py
+++ b/primrosepitch/node/packing.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from primrosepitch.decoding import decode_msgpack
 from primrosepitch.jobs.store import KeyedRecord
 
 __all__ = ["PackedRecordsError", "pack", "unpack"]
@@ -40,7 +41,7 @@
             raise PackedRecordsError(
                 f"packed records are truncated or exceed {MAX_UNPACKED_BYTES} bytes"
             )
-        rows = msgspec.msgpack.decode(raw, type=list[tuple[str, bytes]])
+        rows = decode_msgpack(raw, list[tuple[str, bytes]])
     except (zlib.error, msgspec.DecodeError) as exc:
         raise PackedRecordsError(str(exc)) from exc
     return [KeyedRecord(key, value) for key, value in rows]
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from primrosepitch import clock
+from primrosepitch.decoding import unreadable_as_decode_error
 from primrosepitch.events import (
     SCHEDULER_LATE,
     TASK_FAILED,
@@ -392,7 +393,8 @@
         batch = await self._platform.runs.read_newest(
             clock.monotonic() + READ_RUNS_TIMEOUT_S
         )
-        return decode_runs(batch.records)
+        with unreadable_as_decode_error():
+            return decode_runs(batch.records)
 
     def _heartbeat_age_s(self) -> float:
         return clock.monotonic() - max(self._heartbeat_at, self._follower.connected_at)
