Count a call to an address that can't be used as not sent

A report, a node's record or a setting may name port 99999, no port, a word, or a host that is no name. Each call to it raised an error that the callers of the client don't expect, so a scheduler ended its term with it.

The client turned OSError and timeouts of a connection attempt into NotSentError, while int() and the resolver raise ValueError, UnicodeError and OverflowError for such addresses. Nothing is sent in any of these cases, so all of them are NotSentError now, which every caller handles.

--- a/features/malformed_messages.feature
+++ b/features/malformed_messages.feature
@@ -131,3 +131,24 @@
       | an unknown field nested 100,000 deep | comes under the key x during its term         |
       | an unknown field nested 100,000 deep | comes under the key w1 during its term        |
       | labels nested 100,000 deep           | stands under the key x when its term begins   |
+
+  # Guards against the address of a peer, written by another process, that raises an
+  # unexpected error in each call, and so ends the caller's term.
+  Scenario Outline: A call to an address that can't be used is not sent
+    When a node calls a peer whose address has <oddity>
+    Then the call is not sent
+
+    Examples:
+      | oddity                       |
+      | port 99999                   |
+      | port -1                      |
+      | port 0                       |
+      | no port                      |
+      | an empty port                |
+      | a word as port               |
+      | a port of 5,000 digits       |
+      | a host of 300 letters        |
+      | a host with an empty label   |
+      | a host with a null character |
+      | a surrogate in the host      |
+      | nothing                      |
--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -44,7 +44,7 @@
 )
 from primrosepitch.metrics import Metrics
 from primrosepitch.net.http_messages import HttpRequest, HttpResponse
-from primrosepitch.net.http_pool import NotSentError
+from primrosepitch.net.http_pool import NotSentError, PooledHttpClient
 from primrosepitch.node import node as node_module
 from primrosepitch.node.follower import LedgerFollower
 from primrosepitch.node.node import Node
@@ -828,3 +828,51 @@
     known = context.known["w1"]
     assert known.address == REPORT["address"], known
     assert (known.capacity.cpu, known.draining) == (4000, False), known
+
+
+# Addresses and names of peers
+
+ODD_ADDRESSES = {
+    "port 99999": "127.0.0.1:99999",
+    "port -1": "127.0.0.1:-1",
+    "port 0": "127.0.0.1:0",
+    "no port": "127.0.0.1",
+    "an empty port": "127.0.0.1:",
+    "a word as port": "127.0.0.1:http",
+    "a port of 5,000 digits": "127.0.0.1:" + "1" * 5000,
+    "a host of 300 letters": "h" * 300 + ":8000",
+    "a host with an empty label": "a..b:8000",
+    "a host with a null character": "a\x00b:8000",
+    "a surrogate in the host": "a\ud800:8000",
+    "nothing": "",
+}
+
+
+async def call_peer(address):
+    """Call a server that answers each request; return the error of the call."""
+
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    client = PooledHttpClient()
+    request = HttpRequest(b"GET", b"/", [])
+    try:
+        await client.call(address, request, clock.monotonic() + 1)
+    except Exception as exc:
+        return exc
+    finally:
+        client.close()
+        server.close()
+
+
+@when("a node calls a peer whose address has {oddity}")
+def step_call_odd_address(context, oddity):
+    address = ODD_ADDRESSES[oddity] or ":"
+    context.error = asyncio.run(call_peer(address))
+
+
+@then("the call is not sent")
+def step_call_not_sent(context):
+    assert isinstance(context.error, NotSentError), repr(context.error)
--- a/primrosepitch/net/http_pool.py
+++ b/primrosepitch/net/http_pool.py
@@ -130,8 +130,10 @@
         try:
             async with asyncio.timeout(timeout_s):
                 _, conn = await loop.create_connection(_Connection, host, int(port))
-        except (OSError, TimeoutError) as exc:
-            raise NotSentError(f"cannot connect to {address}") from exc
+        except (OSError, TimeoutError, ValueError, OverflowError) as exc:
+            # The address may come from a record of another process: its port may be
+            # out of range, and its host no valid name.
+            raise NotSentError(f"cannot connect to {address}: {exc!r}") from exc
         conn.set_socket_options(self._user_timeout_ms)
         return conn
 
