Count a call with an invalid header as not sent

The key of an endpoint's entry is sent back to it in a header of each poll and order. A key with a line end, a null character or a blank at its begin raised h11.LocalProtocolError in the client, which no caller catches: the term of the scheduler ended with the first poll.

h11 validates a request before any byte of it is written, so the call is NotSentError now, and the endpoint counts as one that does not answer.

--- a/features/malformed_messages.feature
+++ b/features/malformed_messages.feature
@@ -152,3 +152,15 @@
       | a host with a null character |
       | a surrogate in the host      |
       | nothing                      |
+
+  # Guards against the key of an entry, sent back in a header, that raises an unexpected
+  # error in each call.
+  Scenario Outline: A call with a name that no header can hold is not sent
+    When a node names in a header of a call a peer whose key has <oddity>
+    Then the call is not sent
+
+    Examples:
+      | oddity               |
+      | a line end           |
+      | a blank at its begin |
+      | a null character     |
--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -848,7 +848,7 @@
 }
 
 
-async def call_peer(address):
+async def call_peer(address, headers=()):
     """Call a server that answers each request; return the error of the call."""
 
     async def answer(reader, writer):
@@ -856,8 +856,10 @@
         writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
 
     server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
     client = PooledHttpClient()
-    request = HttpRequest(b"GET", b"/", [])
+    request = HttpRequest(b"GET", b"/", list(headers))
+    address = address or f"127.0.0.1:{port}"
     try:
         await client.call(address, request, clock.monotonic() + 1)
     except Exception as exc:
@@ -873,6 +875,19 @@
     context.error = asyncio.run(call_peer(address))
 
 
+ODD_NAMES = {
+    "a line end": b"a\nb",
+    "a blank at its begin": b" a",
+    "a null character": b"a\x00",
+}
+
+
+@when("a node names in a header of a call a peer whose key has {oddity}")
+def step_call_odd_name(context, oddity):
+    headers = [(b"x-expected", ODD_NAMES[oddity])]
+    context.error = asyncio.run(call_peer("", headers))
+
+
 @then("the call is not sent")
 def step_call_not_sent(context):
     assert isinstance(context.error, NotSentError), repr(context.error)
--- a/primrosepitch/net/http_pool.py
+++ b/primrosepitch/net/http_pool.py
@@ -188,9 +188,12 @@
         if self._transport is None or self._transport.is_closing():
             raise NotSentError("connection is closed")
         self.reusable = False
-        head = h11.Request(
-            method=request.method, target=request.target, headers=headers
-        )
+        try:
+            head = h11.Request(
+                method=request.method, target=request.target, headers=headers
+            )
+        except h11.LocalProtocolError as exc:
+            raise NotSentError(f"not a valid request: {exc}") from exc
         data = self._h11.send(head) or b""
         if request.body:
             data += self._h11.send(h11.Data(data=request.body)) or b""
