Share only a lack of room between steps of a planning pass

Callers saw lasting tasks, and any others, wait beside free endpoints as long as an earlier step with the same needs and label waited. A step that found no endpoint was recorded as 'full' for all steps with its needs, even if only its own restriction had stopped it: most_per_endpoint reached on each endpoint, or advice that allows no other. Steps of lasting jobs rank first and wait without end, so they held up the others in each pass; one without advice had to wait for the next request for tickets. The demand is now recorded only if every endpoint of the pool refuses it for room, probation or label, none of which depends on the step. That holds for steps with most_per_endpoint as well, so these are skipped too.

--- a/features/lasting_tasks.feature
+++ b/features/lasting_tasks.feature
@@ -41,3 +41,35 @@
     Then 0 lines on waits of lasting tasks were logged
     When 8 seconds pass
     Then 40 lines on waits of lasting tasks were logged
+
+  # Guards against a step that waits for its own restriction, at most one task on an
+  # endpoint, and keeps all steps with the same needs from the room that there is.
+  Scenario: A step with too many tasks on separate endpoints does not hold up others
+    Given a scheduler with 4 endpoints
+    When job j1 of 5 lasting tasks on separate endpoints with an availability budget of 1 is accepted
+    And 1 seconds pass
+    And job j2 of 4 lasting tasks is accepted
+    And 3 seconds pass
+    Then 4 lasting tasks of j1 are running
+    And 4 lasting tasks of j2 are running
+    And no rule was broken
+
+  # Guards against a step that waits for advice, and keeps steps of queues without
+  # advice from the endpoints that it must not use.
+  Scenario: A step that waits for advice does not hold up others
+    Given a scheduler with 2 endpoints
+    And queue q requires placement advice
+    And queue p of the same pool requires none
+    When job j1 of 12 lasting tasks is accepted
+    And 2 seconds pass
+    And job j2 of 4 lasting tasks is accepted in queue p
+    And 0.5 seconds pass
+    Then 8 lasting tasks of j1 are running
+    And 4 lasting tasks of j2 are running
+
+  # Guards against ranking a full pool again for each of the steps that wait for it.
+  Scenario: A full pool is known to be full after the first step that waits for it
+    Given a scheduler with 2 endpoints
+    When 20 jobs of 9 lasting tasks are accepted
+    And 4 seconds pass
+    Then the log says that lasting tasks wait because of pool full, with endpoints no room 2
--- a/features/steps/lasting_tasks.py
+++ b/features/steps/lasting_tasks.py
@@ -1,8 +1,17 @@
 """Steps for lasting tasks that wait, in virtual time."""
 
-from behave import then, when
+from behave import given, then, when
 
 from primrosepitch.events import LASTING_TASKS_WAITING
+from primrosepitch.jobs.model import (
+    JobId,
+    JobSpec,
+    QueueName,
+    ServiceName,
+    StepSpec,
+    WorkspaceName,
+)
+from primrosepitch.scheduling.configuration import QueueSpec
 
 
 @when("{count:d} jobs of {tasks:d} lasting tasks are accepted")
@@ -32,3 +41,24 @@
 def step_logged_lines(context, count):
     found = context.world.events[LASTING_TASKS_WAITING.number]
     assert found == count, found
+
+
+@given("queue {name} of the same pool requires none")
+def step_plain_queue(context, name):
+    queue = QueueSpec(QueueName(name), "h", f"/{name}/", ServiceName("s"))
+    context.world.cfg.queues[queue.name] = queue
+
+
+@when("job {name} of {count:d} lasting tasks is accepted in queue {queue}")
+def step_accept_in_queue(context, name, count, queue):
+    world = context.world
+    spec = JobSpec(
+        JobId(name),
+        QueueName(queue),
+        ServiceName("s"),
+        WorkspaceName("w"),
+        "p",
+        (StepSpec(count, 2000, 512, lasting=True),),
+        world.wall_ms,
+    )
+    world.submit(spec)
--- a/primrosepitch/scheduling/placement.py
+++ b/primrosepitch/scheduling/placement.py
@@ -5,7 +5,7 @@
 from collections import Counter, defaultdict
 
 from primrosepitch.events import JOB_UNPLACEABLE
-from primrosepitch.jobs.model import Resources, ServiceName
+from primrosepitch.jobs.model import Resources, ServiceName, StepSpec
 from primrosepitch.scheduling.effects import Effect, RequestAdvice, WriteLog
 from primrosepitch.scheduling.leases import usable
 from primrosepitch.scheduling.limits import within_limit
@@ -75,7 +75,7 @@
     spec = ready.step.spec
     service = ready.job.spec.service
     demand = (service, spec.needs, spec.label)
-    if demand in capacity.full and not spec.most_per_endpoint:
+    if demand in capacity.full:
         _pass_over(state, ready, "pool full")
         return []
     workspace = ready.job.spec.workspace
@@ -92,7 +92,9 @@
         if endpoint is None:
             advised = pool is not whole_pool
             _pass_over(state, ready, "advice" if advised else "no endpoint")
-            if not requests:
+            # A step may also wait because of its advice or its most_per_endpoint, which
+            # do not concern other steps.
+            if not requests and all(_common_refusal(spec, e) for e in whole_pool):
                 capacity.full.add(demand)
             effects += _log_unplaceable(state, ready)
             break
@@ -207,16 +209,22 @@
 
     def refusal(self, endpoint: Endpoint) -> str:
         """Return why an endpoint may not run a task, or an empty string."""
-        spec = self._spec
-        if not endpoint.has_room(spec.needs):
-            return "no room"
-        if endpoint.fault_score >= EJECTION_FAULT_SCORE and endpoint.tasks:
-            # After an ejection, an endpoint gets one task at a time.
-            return "on probation"
-        if spec.label and spec.label not in endpoint.report.labels:
-            return "no label"
-        most = spec.most_per_endpoint
-        return "most per endpoint" if 0 < most <= self._on_endpoint[endpoint.id] else ""
+        most = self._spec.most_per_endpoint
+        over_most = 0 < most <= self._on_endpoint[endpoint.id]
+        own_refusal = "most per endpoint" if over_most else ""
+        return _common_refusal(self._spec, endpoint) or own_refusal
+
+
+def _common_refusal(spec: StepSpec, endpoint: Endpoint) -> str:
+    """Return why an endpoint refuses all tasks with a step's needs and label."""
+    if not endpoint.has_room(spec.needs):
+        return "no room"
+    if endpoint.fault_score >= EJECTION_FAULT_SCORE and endpoint.tasks:
+        # On probation after an ejection, an endpoint gets one task at a time.
+        return "on probation"
+    if spec.label and spec.label not in endpoint.report.labels:
+        return "no label"
+    return ""
 
 
 def _start_gang(
