Keep runs whose start order may have reached a restarted endpoint

Callers saw a task run twice, or 16 starts for 8 tasks: an endpoint that had restarted under its id got a start order that was meant for its earlier incarnation, and started the run. When the scheduler learned of the restart, it counted the run as lost and started it elsewhere while it went on, until a poll listed it as an orphan.

Cause: a restart lost all runs of an endpoint. Only those that a poll has listed ran in the earlier incarnation for certain. Of the others, one whose start was answered is kept if the next poll lists it; one whose order may still arrive is stopped first. No order is repeated there, as the run may be what crashed the endpoint.

--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -35,11 +35,13 @@
 from primrosepitch.scheduling.runs import (
     charge_duplicate,
     find_task,
+    mark_dirty,
     release_duplicates,
     reserve_capacity,
     run_ended,
     run_lost,
     stop_order,
+    stop_task,
 )
 from primrosepitch.scheduling.stalls import record_progress
 from primrosepitch.scheduling.state import Endpoint, Limits, Phase, SchedulerState, Task
@@ -148,8 +150,19 @@
     ]
     for task in list(endpoint.tasks.values()):
         # A successor may know the incarnation of a run before that of its endpoint.
-        if task.born < born:
+        if task.born >= born:
+            continue
+        if task.listed or task.phase is Phase.COMMITTING:
             effects += run_lost(state, task, "endpoint restarted")
+        else:
+            effects += _await_restarted(state, task, born)
+    if endpoint.tasks:
+        # A lease given on the clock of the earlier incarnation ends late on the new
+        # one, which shortens it to the maximum.
+        span_s = state.limits.max_lease_s / (1 - state.limits.clock_error)
+        endpoint.leases_expire_at = max(
+            endpoint.leases_expire_at, state.now + span_s + EXPIRY_SLACK_S
+        )
     endpoint.contacted = endpoint.reachable = False
     endpoint.processed_end = endpoint.acked_end = 0
     endpoint.clock_ms, endpoint.clock_read_at = 0, 0.0
@@ -160,6 +173,21 @@
     return effects
 
 
+def _await_restarted(state: SchedulerState, task: Task, born: int) -> list[Effect]:
+    """Keep a run that no poll has listed: the new incarnation may have got its order.
+
+    A run whose start was answered exists there if the next poll lists it. An order that
+    may still arrive is stopped first; it is not repeated, as the run may have crashed
+    the endpoint.
+    """
+    task.born = born
+    mark_dirty(state, state.jobs[task.key.job])
+    if task.order_tries < 0 or (task.phase is Phase.RUNNING and not task.unanswered):
+        return []
+    task.started_at = 0.0
+    return stop_task(state, task, "endpoint restarted")
+
+
 def endpoint_removed(state: SchedulerState, event: EndpointRemoved) -> list[Effect]:
     """Handle the removal of an endpoint's report."""
     endpoint = state.endpoints.get(event.endpoint)
@@ -361,6 +389,7 @@
 
 
 def _update_run(state: SchedulerState, task: Task, row: ActiveRun) -> None:
+    task.listed = True
     if task.phase is Phase.STARTING:
         task.phase = Phase.RUNNING
         task.started_at = task.phase_since = state.now
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -94,6 +94,7 @@
     :param order_tries: number of unanswered or refused start orders; -1 after a
         takeover, if the earlier scheduler may not have sent the order
     :param unanswered: whether a start order for this run remained unanswered
+    :param listed: whether a poll of its endpoint has listed this run
     :param near_target_at: last time that a serving task on its endpoint was near its
         latency target
     :param throttled_at: time of the last change of ``rate_percent``
@@ -123,6 +124,7 @@
     avoid_endpoint: EndpointId = EndpointId("")
     order_tries: int = 0
     unanswered: bool = False
+    listed: bool = False
     near_target_at: float = 0.0
     throttled_at: float = 0.0
 
@@ -310,6 +312,7 @@
     """Parameters of the deployment that the scheduler must respect.
 
     :param lease_s: duration of the leases that a poll extends
+    :param max_lease_s: duration to which endpoints shorten longer leases
     :param clock_error: largest fraction by which an endpoint's clock may run slow
     :param migration_s: duration of an instance's move to another pool
     :param maintenance_s: duration of an instance's maintenance
@@ -320,6 +323,7 @@
     """
 
     lease_s: float = 3.8
+    max_lease_s: float = 6.0
     clock_error: float = 0.02
     migration_s: float = 1.5
     maintenance_s: float = 2.0
--- a/standins/scheduler_world.py
+++ b/standins/scheduler_world.py
@@ -222,11 +222,16 @@
         spec = self.world.step_spec(order.task)
         if not self.used_resources().add(spec.needs).fits(self.capacity):
             return ev.Outcome.NO_ROOM
-        self.lease_expiry_ms = max(self.lease_expiry_ms, order.until_ms)
+        self.extend_leases(order.until_ms)
         self.highest_runs[order.task] = order.run
         self.runs[order.task] = self.world.start_run(self, order, spec)
         return ev.Outcome.DONE
 
+    def extend_leases(self, until_ms: int) -> None:
+        """Extend the leases of all runs, at most to the maximum duration."""
+        latest_ms = self.clock_ms() + int(self.world.limits.max_lease_s * 1000)
+        self.lease_expiry_ms = max(self.lease_expiry_ms, min(until_ms, latest_ms))
+
     def stop(self, order: ef.StopRun) -> ev.Outcome:
         """Carry out a stop order."""
         if order.token < self.fencing_token:
@@ -246,7 +251,7 @@
         if order.token < self.fencing_token:
             return ev.Outcome.FENCED
         self.fencing_token = order.token
-        self.lease_expiry_ms = max(self.lease_expiry_ms, order.until_ms)
+        self.extend_leases(order.until_ms)
         if order.acked_end > self.acked_end:
             self.acked_end = order.acked_end
             for ended in self.unacked_ends:
