Let lasting runs end the probation of their endpoint

Lasting tasks waited for good beside free endpoints after all endpoints of a pool had failed runs, or refused starts, for some seconds. An endpoint whose fault score has reached the limit takes a task only while it has none, and the score fell only when a run ended as done. A lasting run never does, so the first one held its endpoint on probation with one task for ever; refused starts raised the score without bound, and it outlived a restart of the endpoint. A lasting run that started after the newest failure now ends the probation: after 1.5 s at its full rate, or 5 s below it. Runs from before prove nothing and don't count against the one task of a probation. The score stays within the limit, so that one success ends a probation, and a restart resets it.

--- a/features/lasting_tasks.feature
+++ b/features/lasting_tasks.feature
@@ -73,3 +73,53 @@
     When 20 jobs of 9 lasting tasks are accepted
     And 4 seconds pass
     Then the log says that lasting tasks wait because of pool full, with endpoints no room 2
+
+  # Guards against an endpoint that stays on probation for good, with one task, since only
+  # runs that end count as a success and a lasting one never ends.
+  Scenario Outline: Endpoints that have recovered take all lasting tasks
+    Given a scheduler with 3 endpoints
+    And every endpoint <fault>
+    When job j1 of 12 lasting tasks is accepted
+    And 6 seconds pass
+    And every endpoint <recovery>
+    And 12 seconds pass
+    Then 12 lasting tasks of j1 are running
+    And no rule was broken
+
+    Examples:
+      | fault                   | recovery             |
+      | fails its runs          | runs its tasks again |
+      | refuses starts at first | accepts starts again |
+
+  # Guards against a fault score that outlives the process which it was about.
+  Scenario: An endpoint that restarts is not on probation
+    Given a scheduler with 1 endpoints
+    And every endpoint fails its runs
+    When job j1 of 6 lasting tasks is accepted
+    And 4 seconds pass
+    And every endpoint runs its tasks again
+    And every endpoint is replaced by a process with the same id
+    And 3 seconds pass
+    Then 6 lasting tasks of j1 are running
+
+  # Guards against an endpoint that fails its runs and gets lasting tasks one after the
+  # other, as its fault score falls while they start.
+  Scenario: An endpoint that fails all its runs gets few lasting tasks
+    Given a scheduler with 4 endpoints
+    And endpoint e1 fails its runs
+    When job j1 of 12 lasting tasks is accepted
+    And 30 seconds pass
+    Then 12 lasting tasks of j1 are running
+    And endpoint e1 started at most 10 runs
+
+  # Guards against lasting tasks from before that vouch for an endpoint which fails every
+  # run that it starts.
+  Scenario: An endpoint with lasting tasks that fails all new runs gets few of them
+    Given a scheduler with 4 endpoints
+    When job j1 of 4 lasting tasks on separate endpoints with an availability budget of 1 is accepted
+    And 3 seconds pass
+    And endpoint e1 begins to fail its runs
+    And 100 jobs of steps 6x500 are accepted over 10 seconds
+    And 10 seconds pass
+    Then 4 lasting tasks of j1 are running
+    And endpoint e1 started at most 13 runs
--- a/features/steps/lasting_tasks.py
+++ b/features/steps/lasting_tasks.py
@@ -62,3 +62,34 @@
         world.wall_ms,
     )
     world.submit(spec)
+
+
+@given("every endpoint refuses starts at first")
+def step_refuse_first(context):
+    for worker in context.world.workers.values():
+        worker.unhealthy = True
+
+
+@when("every endpoint runs its tasks again")
+def step_all_sound(context):
+    for worker in context.world.workers.values():
+        worker.fails_all = False
+
+
+@when("every endpoint is replaced by a process with the same id")
+def step_replace_all(context):
+    for worker in context.world.workers.values():
+        worker.crash()
+        worker.restart()
+        context.world.publish_report(worker)
+
+
+@then("endpoint {name} started at most {count:d} runs")
+def step_max_started(context, name, count):
+    found = context.world.workers[name].end_count
+    assert found <= count, found
+
+
+@when("endpoint {name} begins to fail its runs")
+def step_begins_to_fail(context, name):
+    context.world.workers[name].fails_all = True
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -34,6 +34,7 @@
 )
 from primrosepitch.scheduling.runs import (
     charge_duplicate,
+    confirm_soundness,
     find_task,
     mark_dirty,
     release_duplicates,
@@ -169,6 +170,7 @@
     endpoint.lease_until_ms = 0
     endpoint.next_poll_at = 0.0
     endpoint.evacuation_reason = ""
+    endpoint.fault_score = endpoint.ejected_until = 0.0
     state.committing_acks.pop(endpoint.id, None)
     return effects
 
@@ -370,6 +372,7 @@
         row = listed.pop(task.key, None)
         if row is not None and row.run == task.run:
             _update_run(state, task, row)
+            confirm_soundness(state, endpoint, task)
         elif _confirmed_absent(task, event.sent_at):
             effects += run_lost(state, task, "not listed by its endpoint")
     for row in listed.values():
--- a/primrosepitch/scheduling/placement.py
+++ b/primrosepitch/scheduling/placement.py
@@ -219,8 +219,11 @@
     """Return why an endpoint refuses all tasks with a step's needs and label."""
     if not endpoint.has_room(spec.needs):
         return "no room"
-    if endpoint.fault_score >= EJECTION_FAULT_SCORE and endpoint.tasks:
-        # On probation after an ejection, an endpoint gets one task at a time.
+    if endpoint.fault_score >= EJECTION_FAULT_SCORE and any(
+        not task.started_at or task.started_at > endpoint.last_fault_at
+        for task in endpoint.tasks.values()
+    ):
+        # After its newest failure, an endpoint gets one task at a time.
         return "on probation"
     if spec.label and spec.label not in endpoint.report.labels:
         return "no label"
--- a/primrosepitch/scheduling/runs.py
+++ b/primrosepitch/scheduling/runs.py
@@ -48,18 +48,25 @@
     "stop_task",
     "reserve_capacity",
     "mark_dirty",
+    "confirm_soundness",
 ]
 
 EJECTION_FAULT_SCORE = 3.0
 """Fault score at which an endpoint is ejected. Each failure adds 1 to the score, each
 success subtracts 1. Single failures are normal, as up to 3 % of the tasks of some jobs
-fail."""
+fail. The score never exceeds it, so that one success ends the probation."""
 
 EJECTION_S = 4.0
 """Duration of an ejection after failures; about that of the grey failures that the
 platform documents."""
 
 
+LASTING_PROOF_S = 1.5
+"""Time after which a lasting run at its full rate proves its endpoint sound."""
+
+SLOW_LASTING_PROOF_S = 5.0
+"""Time after which a lasting run below its full rate, as a throttled one, does so."""
+
 REFUSAL_EJECTION_S = 0.4
 """Duration of an ejection after a refused start. Capacity is freed when a run ends, and
 a stop takes at most ``stop_ms``."""
@@ -388,7 +395,7 @@
         endpoint.fault_score = max(0.0, endpoint.fault_score - 1.0)
     if kind is not EndKind.FAILED:
         return []
-    endpoint.fault_score += 1.0
+    _add_fault(state, endpoint)
     if endpoint.fault_score < EJECTION_FAULT_SCORE:
         return []
     endpoint.ejected_until = state.now + EJECTION_S
@@ -400,6 +407,29 @@
     return [WriteLog(ENDPOINT_EJECTED, fields)]
 
 
+def _add_fault(state: SchedulerState, endpoint: Endpoint) -> None:
+    endpoint.fault_score = min(EJECTION_FAULT_SCORE, endpoint.fault_score + 1.0)
+    endpoint.last_fault_at = state.now
+
+
+def confirm_soundness(state: SchedulerState, endpoint: Endpoint, task: Task) -> None:
+    """End an endpoint's probation if a lasting run there proves that it is sound.
+
+    Lasting runs have no end that counts as a success. One that had started before the
+    newest failure proves nothing about later starts.
+    """
+    if not task.spec.lasting or endpoint.fault_score < EJECTION_FAULT_SCORE:
+        return
+    proof_s = LASTING_PROOF_S if task.at_full_rate else SLOW_LASTING_PROOF_S
+    if (
+        task.phase is Phase.RUNNING
+        and task.started_at > endpoint.last_fault_at
+        and state.now - task.started_at >= proof_s
+    ):
+        endpoint.fault_score = EJECTION_FAULT_SCORE - 1.0
+        state.replan = True
+
+
 def settle_job(state: SchedulerState, job: JobRun) -> list[Effect]:
     """Finish a job if it is complete, or cancelled or failing with all tasks stopped.
 
@@ -481,7 +511,7 @@
         task.unanswered = task.unanswered or outcome is Outcome.UNKNOWN
         return []
     if outcome is Outcome.UNHEALTHY:
-        endpoint.fault_score += 1.0
+        _add_fault(state, endpoint)
     if outcome in (Outcome.UNHEALTHY, Outcome.NO_ROOM, Outcome.REFUSED):
         endpoint.ejected_until = state.now + REFUSAL_EJECTION_S
         task.avoid_endpoint = endpoint.id
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -196,6 +196,7 @@
     :param evacuation_reason: reason for which it is drained: it gets no new tasks and
         its tasks are moved away; empty if it is not
     :param fault_score: recent failures, reduced by successes
+    :param last_fault_at: boot-time clock of the newest of these failures
     :param ejected_until: boot-time clock until which it gets no tasks
     :param unlisted_at: boot-time clock at which its report was last removed
     :param idle_since: boot-time clock since which it has no tasks
@@ -218,6 +219,7 @@
     tasks: dict[TaskKey, Task] = msgspec.field(default_factory=dict)
     evacuation_reason: str = ""
     fault_score: float = 0.0
+    last_fault_at: float = 0.0
     ejected_until: float = 0.0
     unlisted_at: float = 0.0
     idle_since: float = 0.0
