Let the first answer to a stop prove that a run cannot start any more

Callers saw a lasting task that did not run although its pool had room (LOST): the task stayed in "stopping" for a run that did not exist, on an endpoint that answered.

Cause: a start order without an answer, whose repeat was refused (no room, unhealthy), is followed by a stop, after which a poll that does not list the run proves that it is not there. The stop was repeated every 50 ms even when it had been answered, and each answer moved the time that a poll must have been sent after. Polls of an endpoint with tasks wait for 0.3 s, so no poll was ever new enough. Only the end of another run cut a poll short; an endpoint with lasting tasks alone has no ends, so the task waited for good. A stop that was answered stays valid: only the first answer counts now.

--- a/features/scheduler_rules.feature
+++ b/features/scheduler_rules.feature
@@ -83,6 +83,21 @@
     Then job j1 is completed
     And no rule was broken
 
+  # Guards against a task that waits for the end of a run that does not exist: its stop
+  # was repeated, and each answer made the polls sent before it void.
+  Scenario: A stopped run that never started does not hold its task for ever
+    Given a scheduler with 2 endpoints
+    And 0 of the responses to orders are lost and 1 of orders are carried out late
+    When job j1 of 4 lasting tasks is accepted
+    And 0.1 seconds pass
+    And every endpoint refuses starts
+    And orders are carried out in time again
+    And 1 seconds pass
+    And every endpoint accepts starts again
+    And 7 seconds pass
+    Then 4 lasting tasks of j1 are running
+    And no rule was broken
+
   # Guards against a second run of tasks that a predecessor started on an endpoint after
   # its restart, while the store still has the report from before the restart.
   Scenario: A successor keeps runs of an incarnation that the store does not show yet
--- a/features/steps/scheduler_rules.py
+++ b/features/steps/scheduler_rules.py
@@ -205,6 +205,11 @@
     context.world.answer_loss_rate = 0.0
 
 
+@when("orders are carried out in time again")
+def step_orders_in_time(context):
+    context.world.late_order_rate = 0.0
+
+
 @when("responses to polls are no longer delayed")
 def step_polls_not_delayed(context):
     context.world.poll_delay_s = 0.0
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -227,8 +227,9 @@
         return []
     if task.run != event.run or task.phase is not Phase.STOPPING:
         return []
-    # From now on, a poll that doesn't list the run proves that it has ended.
-    task.started_at = event.now
+    if not task.started_at:
+        # From now on, a poll that doesn't list the run proves that it has ended.
+        task.started_at = event.now
     endpoint = state.endpoints.get(event.endpoint)
     if endpoint is not None and endpoint.processed_end <= endpoint.acked_end:
         endpoint.next_poll_at = min(endpoint.next_poll_at, event.now)
