Test that lasting tasks run again after random faults

No test asked whether a lasting task that waits has room: the scenarios name the faults and their order. The new one draws overlapping faults from a seed (endpoints that restart, stop, drain, fail, refuse starts, stall, fall silent or change their capacity; lost and late answers and orders; missing reports; a slow or silent store; takeovers; a wave) in one pool, or in two that lend each other instances. From 4 s after the last fault, no lasting task may wait for 3 s while it fits twice and half of the pool and of its workspace's limit are free.

--- /dev/null
+++ b/features/steps/random_faults.py
@@ -0,0 +1,129 @@
+"""Steps for lasting tasks, which must run again after any faults."""
+
+import random
+
+from behave import given, then, when
+
+from primrosepitch.jobs.model import (
+    JobId,
+    JobSpec,
+    QueueName,
+    Resources,
+    ServiceName,
+    StepSpec,
+    WorkspaceName,
+)
+from primrosepitch.scheduling.configuration import (
+    QueueSpec,
+    ServiceSpec,
+    WorkspaceSpec,
+)
+from standins.scheduler_faults import FaultDay, LastingTaskCheck
+from standins.scheduler_world import SchedulerWorld
+
+CHECK_S = 20.0
+SAMPLE_S = 0.1
+
+LASTING_STEPS = {
+    "plain": StepSpec(8, 2000, 512, lasting=True),
+    "spread": StepSpec(
+        4, 2000, 512, lasting=True, most_per_endpoint=1, max_unavailable=1
+    ),
+    "memory": StepSpec(4, 500, 8192, lasting=True, max_unavailable=1),
+    "filling": StepSpec(3, 2000, 512, lasting=True, fills=True),
+    "limited": StepSpec(4, 2000, 1024, lasting=True),
+}
+
+
+def submit(world, name, service, step, workspace="w"):
+    world.submit(
+        JobSpec(
+            job=JobId(name),
+            queue=QueueName(f"q-{service}"),
+            service=ServiceName(service),
+            workspace=WorkspaceName(workspace),
+            payload="p",
+            steps=(step,),
+            accepted_ms=world.wall_ms,
+            max_attempts=4,
+            stretch=2.0,
+            goal_ms=600,
+        )
+    )
+
+
+def build_world(seed):
+    """Return a world with a pool, or with two of them that lend each other instances.
+
+    :param seed: lending if it is odd
+    """
+    rng = random.Random(seed)
+    world = SchedulerWorld(seed)
+    pools = ["s", "t"] if seed % 2 else ["s"]
+    for pool in pools:
+        name = ServiceName(pool)
+        queue = QueueSpec(QueueName(f"q-{pool}"), "h", f"/{pool}/", name, 0, 4)
+        world.cfg.queues[queue.name] = queue
+        world.cfg.services[name] = ServiceSpec(name)
+        for number in range(rng.randint(6, 9)):
+            world.add_worker(f"{pool}{number}", pool, rack=f"r{number % 3}")
+    if len(pools) > 1:
+        spare = ServiceName("off")
+        world.cfg.services[spare] = ServiceSpec(spare, spare=True)
+        for number in range(6):
+            world.add_instance(f"off{number}", "off", f"r{number % 3}")
+    for workspace, limit in (("w", Resources()), ("v", Resources(18000, 0, 0))):
+        spec = WorkspaceSpec(WorkspaceName(workspace), 100.0, limit)
+        world.cfg.workspaces[spec.name] = spec
+    world.take_term("n1")
+    world.run(1.0)
+    for pool in pools:
+        for kind in rng.sample(sorted(LASTING_STEPS), 4):
+            workspace = "v" if kind == "limited" else "w"
+            submit(world, f"{kind}-{pool}", pool, LASTING_STEPS[kind], workspace)
+    count = rng.choice([0, 20, 80])
+    for number in range(count):
+        at = rng.uniform(0.0, 40.0)
+        step = StepSpec(4, 2000, 512, estimate_ms=rng.choice([200, 500, 1500]))
+        pool = rng.choice(pools)
+        world.call_later(
+            at, lambda n=number, p=pool, s=step: submit(world, f"n{n}", p, s)
+        )
+    return world
+
+
+def run_day(seed):
+    """Return a day's world, its faults, and the tasks that waited for too long."""
+    world = build_world(seed)
+    world.run(2.0)
+    faults = FaultDay(world, seed)
+    faults.schedule(random.Random(seed).choice([2, 6, 15, 30]))
+    world.run(faults.ends_at - world.now)
+    check = LastingTaskCheck(world)
+    end = world.now + CHECK_S
+    while world.now < end:
+        world.run(SAMPLE_S)
+        check.sample()
+    return world, faults, check
+
+
+@given("random faults of seeds {first:d} to {last:d}")
+def step_seeds(context, first, last):
+    context.seeds = range(first, last + 1)
+
+
+@when("all faults of each seed have ended")
+def step_run_days(context):
+    context.days = {seed: run_day(seed) for seed in context.seeds}
+
+
+@then("each lasting task runs where there is room for it")
+def step_lasting_tasks_run(context):
+    for seed, (_, faults, check) in context.days.items():
+        assert not check.found, (seed, faults.log, *check.found.values())
+
+
+@then("no seed broke a rule")
+def step_no_seed_broke_rule(context):
+    for seed, (world, faults, _) in context.days.items():
+        assert not world.violations, (seed, faults.log, world.violations[:5])
--- a/features/steps/scheduler_rules.py
+++ b/features/steps/scheduler_rules.py
@@ -4,7 +4,7 @@
 from collections import Counter
 
 import msgspec
-from behave import given, then, when
+from behave import given, step, then, when
 
 from primrosepitch.events import ENDPOINT_STALLED
 from primrosepitch.jobs.model import (
@@ -399,7 +399,7 @@
     context.world.take_term(name)
 
 
-@when("every endpoint refuses starts")
+@step("every endpoint refuses starts")
 def step_refuse_starts(context):
     for worker in context.world.workers.values():
         worker.unhealthy = True
@@ -411,6 +411,12 @@
         worker.unhealthy = False
 
 
+@when("every endpoint works again")
+def step_work_again(context):
+    for worker in context.world.workers.values():
+        worker.unhealthy = worker.fails_all = False
+
+
 @when("every endpoint restarts with the same id")
 def step_restart_all(context):
     for worker in context.world.workers.values():
