End an evacuation when no wave needs it any more

Callers saw tasks wait beside endpoints that were up, empty and reachable. The platform answers an order to maintain an instance with success, without another restart, if an earlier one has been carried out. After a scheduler has died between its order and the commit of the answer, its successor drains the instance again, gets that answer, and forgets the instance; the endpoint, which had started after the maintenance, stayed evacuated for the rest of the term. An order that is refused, an instance that leaves a wave because one listing lacks it, and a wave that completes left evacuations behind in the same way (read, not shown by a scenario of their own). Each pass now ends the evacuation of an endpoint that no wave drains, once it has answered a poll later than the maintenance and its slack take. After a real maintenance the old endpoint answers no more polls, so nothing is placed on it. The stand-in repeats a maintenance as before unless 'upkeep_once' is set, so the scenarios that guard against repeats are as strict as before.

--- a/features/lasting_tasks.feature
+++ b/features/lasting_tasks.feature
@@ -123,3 +123,20 @@
     And 10 seconds pass
     Then 4 lasting tasks of j1 are running
     And endpoint e1 started at most 13 runs
+
+  # Guards against endpoints that stay evacuated for good. The platform answers a
+  # maintenance order with success, without another restart, if an earlier one has been
+  # carried out; its answer was lost with the scheduler that sent it.
+  Scenario: Endpoints are used again whose maintenance had been carried out before
+    Given a scheduler with 4 endpoints
+    And the platform maintains each instance once in a wave
+    When a wave over all instances, at most 2 at once, is requested
+    And node a is killed as soon as the first maintenance has begun
+    And node b takes the term after 1 seconds
+    And 20 seconds pass
+    Then the wave is completed
+    When job j1 of 4 lasting tasks on separate endpoints with an availability budget of 1 is accepted
+    And 6 seconds pass
+    Then 4 lasting tasks of j1 are running
+    And every instance was maintained once
+    And no rule was broken
--- a/features/steps/lasting_tasks.py
+++ b/features/steps/lasting_tasks.py
@@ -93,3 +93,24 @@
 @when("endpoint {name} begins to fail its runs")
 def step_begins_to_fail(context, name):
     context.world.workers[name].fails_all = True
+
+
+@given("the platform maintains each instance once in a wave")
+def step_upkeep_once(context):
+    context.world.upkeep_once = True
+
+
+@when("node {name} is killed as soon as the first maintenance has begun")
+def step_kill_in_wave(context, name):
+    world = context.world
+    start_maintenance = world._do_startmaintenance
+
+    def start_and_kill(node, order):
+        start_maintenance(node, order)
+        if node.name == name:
+            world.nodes = [other for other in world.nodes if other is not node]
+            node.frozen = True
+
+    world._do_startmaintenance = start_and_kill
+    world.run(6.0)
+    assert world.maintained[1] and not world.nodes, world.maintained
--- a/primrosepitch/scheduling/maintenance.py
+++ b/primrosepitch/scheduling/maintenance.py
@@ -91,7 +91,8 @@
 
 
 def advance_waves(state: SchedulerState) -> list[Effect]:
-    """Advance every open wave."""
+    """Advance every open wave, and end the evacuations that none needs any more."""
+    _end_evacuations(state)
     effects: list[Effect] = []
     open_waves = [w for w in state.waves.values() if w.status != "completed"]
     if not open_waves or not may_order_instances(state, state.limits.instance_lease_s):
@@ -119,6 +120,7 @@
     remaining = [i for i in remaining if i in state.instances]
     if not remaining:
         wave.status = "completed"
+        wave.selected.clear()
         effects.append(WriteLog(WAVE_COMPLETED, {"wave": wave.spec.wave}))
         return [*effects, ReportWaveStatus(wave.spec.wave, completed=True)]
     wave.selected &= set(remaining)
@@ -286,6 +288,37 @@
     return effects
 
 
+def _end_evacuations(state: SchedulerState) -> None:
+    """Allow tasks on endpoints that run on after their instance's maintenance.
+
+    An order is also answered with success if an earlier one, perhaps of another node,
+    had been carried out: the endpoint that was evacuated is then the one that has
+    started after it. One that is about to end gives no more answers to polls.
+    """
+    for endpoint in state.endpoints.values():
+        if endpoint.evacuation_reason != MAINTENANCE_REASON:
+            continue
+        instance = endpoint.report.instance
+        waves = [w for w in state.waves.values() if instance in w.spec.instances]
+        down_until = max((w.down_until.get(instance, 0.0) for w in waves), default=0.0)
+        if state.now <= down_until or any(_holds(wave, instance) for wave in waves):
+            continue
+        if not endpoint.reachable:
+            continue
+        if endpoint.clock_read_at > down_until:
+            endpoint.evacuation_reason = ""
+            state.replan = True
+        else:
+            endpoint.next_poll_at = min(endpoint.next_poll_at, state.now)
+
+
+def _holds(wave: WaveRun, instance: str) -> bool:
+    """Return whether a wave drains an instance or waits for the answer to its order."""
+    if wave.status == "completed":
+        return instance in wave.ordered - wave.uncertain
+    return instance in wave.selected or instance in wave.ordered
+
+
 def _cancel_evacuation(state: SchedulerState, instance: str) -> None:
     """Allow tasks on an endpoint again, since its maintenance was not carried out."""
     view = state.instances.get(instance)
--- a/standins/scheduler_world.py
+++ b/standins/scheduler_world.py
@@ -362,6 +362,8 @@
         lost
     :param interference: part of the target latency that a filling run at full rate
         adds to that of serving runs on its endpoint
+    :param upkeep_once: whether an order to maintain an instance that has been
+        maintained in the same wave is answered without effect
     :param violations: violations of scheduling rules, as text
     """
 
@@ -396,6 +398,7 @@
         self.failing_tasks: set[TaskKey] = set()
         self.duration_factors: dict[JobId, int] = {}
         self.list_names_endpoints = True
+        self.upkeep_once = False
         self.interference = 0.0
         self.instance_order_delay_s = 0.0
         self.instance_answer_loss_rate = 0.0
@@ -975,6 +978,12 @@
             for i in self.maintained[order.wave]
         )
         outcome = self._order_outcome(order.instance, order.token)
+        if self.upkeep_once and order.instance in self.maintained[order.wave]:
+            answer = ev.MaintenanceAnswered(
+                order.instance, order.wave, outcome, self.now
+            )
+            self._send_answer(node, answer)
+            return
         if down >= wave.most_at_once and outcome is ev.Outcome.DONE:
             self._record_violation(
                 "limit", f"{down} instances are already down for the wave"
