Request advice again when a ticket is refused or its endpoint restarts

Callers saw tasks of a queue with placement advice not run for as long as a ticket is valid, after an endpoint had restarted under its id. A ticket holds for one life of an endpoint. The scheduler kept the ticket of the earlier life, each start was refused for it, the task waited again, and the next planning pass chose the same endpoint with the same ticket, many times a second. A refusal for a ticket, and the restart of an endpoint, now remove the ticket and the note that advice on the endpoint was received, so that it is requested again.

--- a/features/lasting_tasks.feature
+++ b/features/lasting_tasks.feature
@@ -140,3 +140,15 @@
     Then 4 lasting tasks of j1 are running
     And every instance was maintained once
     And no rule was broken
+
+  # Guards against starts that are refused again and again for a ticket of an endpoint's
+  # earlier life, until that ticket expires.
+  Scenario: An endpoint that restarts gets new tickets
+    Given a scheduler with 2 endpoints
+    And queue q requires placement advice that is valid for 60 seconds
+    When job j1 of 4 lasting tasks is accepted
+    And 2 seconds pass
+    And the endpoint of task 0 of j1 restarts with the same id
+    And 3 seconds pass
+    Then 4 lasting tasks of j1 are running
+    And at most 12 runs were started or refused
--- a/features/steps/lasting_tasks.py
+++ b/features/steps/lasting_tasks.py
@@ -1,5 +1,6 @@
 """Steps for lasting tasks that wait, in virtual time."""
 
+import msgspec
 from behave import given, then, when
 
 from primrosepitch.events import LASTING_TASKS_WAITING
@@ -11,7 +12,7 @@
     StepSpec,
     WorkspaceName,
 )
-from primrosepitch.scheduling.configuration import QueueSpec
+from primrosepitch.scheduling.configuration import AdviceSpec, QueueSpec
 
 
 @when("{count:d} jobs of {tasks:d} lasting tasks are accepted")
@@ -114,3 +115,18 @@
     world._do_startmaintenance = start_and_kill
     world.run(6.0)
     assert world.maintained[1] and not world.nodes, world.maintained
+
+
+@given("queue q requires placement advice that is valid for {seconds:d} seconds")
+def step_lasting_advice(context, seconds):
+    queues = context.world.cfg.queues
+    advice = AdviceSpec(20, 2, seconds * 1000)
+    name = QueueName("q")
+    queues[name] = msgspec.structs.replace(queues[name], advice=advice)
+
+
+@then("at most {count:d} runs were started or refused")
+def step_max_numbers(context, count):
+    workers = context.world.workers.values()
+    found = sum(sum(worker.highest_runs.values()) for worker in workers)
+    assert found <= count, found
--- a/features/steps/random_faults.py
+++ b/features/steps/random_faults.py
@@ -59,6 +59,7 @@
     """
     rng = random.Random(seed)
     world = SchedulerWorld(seed)
+    world.upkeep_once = True
     pools = ["s", "t"] if seed % 2 else ["s"]
     for pool in pools:
         name = ServiceName(pool)
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -171,6 +171,8 @@
     endpoint.next_poll_at = 0.0
     endpoint.evacuation_reason = ""
     endpoint.fault_score = endpoint.ejected_until = 0.0
+    for step in state.advice_requested:
+        state.forget_advice(step, endpoint.id)
     state.committing_acks.pop(endpoint.id, None)
     return effects
 
--- a/primrosepitch/scheduling/runs.py
+++ b/primrosepitch/scheduling/runs.py
@@ -515,6 +515,8 @@
     if outcome in (Outcome.UNHEALTHY, Outcome.NO_ROOM, Outcome.REFUSED):
         endpoint.ejected_until = state.now + REFUSAL_EJECTION_S
         task.avoid_endpoint = endpoint.id
+    if outcome is Outcome.NO_TICKET:
+        state.forget_advice(task.key[:3], endpoint.id)
     if task.unanswered:
         # The earlier order may have been carried out, or may still be: only a stop
         # order and a poll after it prove that the run does not exist.
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -481,6 +481,11 @@
                     others, key=lambda e: e.report.born
                 )
 
+    def forget_advice(self, step: tuple[JobId, int, int], endpoint: EndpointId) -> None:
+        """Forget the advice on one endpoint, so that it is requested again."""
+        self.tickets.get(step, {}).pop(endpoint, None)
+        self.advice_requested.get(step, set()).discard(endpoint)
+
     def endpoint_on(self, instance: str) -> Endpoint | None:
         """Return the newest endpoint that has reported from an instance."""
         return self.newest_endpoint.get(instance)
