Let an endpoint's own answers tell which incarnation there is

Callers saw lasting tasks that ran twice and tasks that were lost for good, after an entry by another writer had given a live endpoint a later start, or after an endpoint had restarted with its time of day set back.

Cause: a report with a later start counted as a restart, so the runs that went on were started elsewhere, and from then on the reports and answers of the endpoint were ignored, as their start was earlier. It was polled again at once for each ignored answer, and its tasks never ended.

A report with a later start now only makes the scheduler poll the endpoint. An answer decides, if its poll was sent after the answer before it had arrived: it is newer, whatever the starts say. Late answers of an earlier incarnation are still ignored. If a restarted endpoint can't be polled, its runs are lost when their leases expire.

--- a/features/restarted_endpoints.feature
+++ b/features/restarted_endpoints.feature
@@ -23,3 +23,36 @@
     And 6 seconds pass
     Then job j1 is completed
     And no rule was broken
+
+  # Guards against an endpoint whose answers are all ignored, because an entry by another
+  # writer gave it a start that it never had: its tasks were started twice, or it was lost
+  # for good and polled without a pause.
+  Scenario Outline: An entry by another writer gives an endpoint a later start
+    Given a scheduler with 2 endpoints
+    When job j1 of 8 lasting tasks is accepted
+    And 2 seconds pass
+    And an entry by another writer gives endpoint e1 a later start for <seconds> seconds
+    And <seconds> seconds pass
+    Then 8 runs were started
+    And 8 lasting tasks of j1 are running
+    When endpoint e2 crashes
+    And 7 seconds pass
+    Then 8 lasting tasks of j1 are running
+    And endpoint e1 was polled at most 150 times
+    And no rule was broken
+
+    Examples:
+      | seconds |
+      | 0.1     |
+      | 3       |
+
+  # Guards against an endpoint whose answers are all ignored after a restart, because its
+  # time of day was set back meanwhile.
+  Scenario: An endpoint restarts with its time of day set back
+    Given a scheduler with 1 endpoints
+    When job j1 of 8 lasting tasks is accepted
+    And 2 seconds pass
+    And endpoint e1 restarts with its time of day set back by 60 seconds
+    And 7 seconds pass
+    Then 8 lasting tasks of j1 are running
+    And no rule was broken
--- /dev/null
+++ b/features/steps/restarted_endpoints.py
@@ -0,0 +1,64 @@
+"""Steps for endpoints that restart under the same id."""
+
+from collections import Counter
+
+import msgspec
+from behave import then, when
+
+from primrosepitch.scheduling import events as ev
+
+
+def report(context, entry):
+    for node in context.world.nodes:
+        node.feed(ev.EndpointReported(entry, context.world.now))
+
+
+@when(
+    "an entry by another writer gives endpoint {name} a later start "
+    "for {seconds:g} seconds"
+)
+def step_other_writer(context, name, seconds):
+    world = context.world
+    worker = world.workers[name]
+    entry = worker.report()
+    context.polls = Counter()
+    poll = world._do_pollendpoint
+
+    def count_poll(node, order):
+        context.polls[order.endpoint] += 1
+        poll(node, order)
+
+    world._do_pollendpoint = count_poll
+    report(context, msgspec.structs.replace(entry, born=entry.born + 10**9))
+    world.call_later(seconds, lambda: world.publish_report(worker))
+
+
+@when("endpoint {name} crashes")
+def step_crash(context, name):
+    context.world.workers[name].crash()
+
+
+@when("endpoint {name} restarts with its time of day set back by {seconds:d} seconds")
+def step_time_set_back(context, name, seconds):
+    worker = context.world.workers[name]
+    worker.crash()
+    worker.restart()
+    worker.born -= seconds * 1000
+    context.world.publish_report(worker)
+
+
+@when("endpoint {name} restarts and its older entry is removed for {seconds:g} seconds")
+def step_older_entry(context, name, seconds):
+    world = context.world
+    worker = world.workers[name]
+    entry = worker.report()
+    worker.crash()
+    worker.restart()
+    world.run(1.5)
+    world.remove_report(worker)
+    world.call_later(seconds, lambda: report(context, entry))
+
+
+@then("endpoint {name} was polled at most {count:d} times")
+def step_max_polls(context, name, count):
+    assert context.polls[name] <= count, context.polls
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -114,10 +114,14 @@
         fields = {"endpoint": report.endpoint, "service": report.service}
         return [WriteLog(ENDPOINT_JOINED, fields), *_attach_tasks(state, endpoint)]
     effects: list[Effect] = []
-    if report.born < endpoint.report.born:
+    born = endpoint.report.born
+    if endpoint.contacted and report.born < born:
         return effects
-    if report.born > endpoint.report.born:
-        effects += _endpoint_restarted(state, endpoint, report.born)
+    if endpoint.contacted and report.born > born:
+        # Its own answers tell which incarnation there is: an entry may come from
+        # another writer, and its runs go on if it has not restarted.
+        endpoint.next_poll_at = event.now
+        report = msgspec.structs.replace(report, born=born)
     if report.draining and not endpoint.report.draining:
         effects.append(WriteLog(ENDPOINT_DRAINING, {"endpoint": report.endpoint}))
         state.replan = True
@@ -151,7 +155,7 @@
     ]
     for task in list(endpoint.tasks.values()):
         # A successor may know the incarnation of a run before that of its endpoint.
-        if task.born >= born:
+        if task.born == born:
             continue
         if task.listed or task.phase is Phase.COMMITTING:
             effects += run_lost(state, task, "endpoint restarted")
@@ -330,10 +334,12 @@
         return []
     endpoint.polling = False
     effects: list[Effect] = []
-    if event.born < endpoint.report.born:
-        return effects
-    if event.born > endpoint.report.born:
-        # The poll was answered before the report of the new incarnation was read.
+    if event.born != endpoint.report.born:
+        if event.born < endpoint.report.born and event.sent_at < endpoint.clock_read_at:
+            # A later incarnation has answered meanwhile.
+            endpoint.next_poll_at = event.now + POLL_PAUSE_S
+            return effects
+        # The time of day may have been set back, so its start may seem earlier.
         effects += _endpoint_restarted(state, endpoint, event.born)
         endpoint.report = msgspec.structs.replace(endpoint.report, born=event.born)
     if not endpoint.reachable:
