Count an endpoint as listed when its older entry is back

Callers saw lasting tasks wait although their pool had a live endpoint with room.

Cause: an entry of an earlier incarnation, which came back after it had been missing, was ignored as a whole, also that there is an entry again: the endpoint counted as gone 2 s after the removal, until it wrote an entry itself. That can take long if it reaches the scheduler but not the store.

The rest of such an entry is still ignored.

--- a/features/restarted_endpoints.feature
+++ b/features/restarted_endpoints.feature
@@ -56,3 +56,17 @@
     And 7 seconds pass
     Then 8 lasting tasks of j1 are running
     And no rule was broken
+
+  # Guards against an endpoint that counts as gone, because the entry that came back is
+  # older than its newest restart.
+  Scenario: The entry that comes back is that of an earlier incarnation
+    Given a scheduler with 1 endpoints
+    When job j1 of 4 lasting tasks is accepted
+    And 2 seconds pass
+    And endpoint e1 restarts and its older entry is removed for 1 seconds
+    And 7 seconds pass
+    And job j2 of 4 lasting tasks is accepted
+    And 3 seconds pass
+    Then 4 lasting tasks of j1 are running
+    And 4 lasting tasks of j2 are running
+    And no rule was broken
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -114,6 +114,9 @@
         fields = {"endpoint": report.endpoint, "service": report.service}
         return [WriteLog(ENDPOINT_JOINED, fields), *_attach_tasks(state, endpoint)]
     effects: list[Effect] = []
+    if not endpoint.listed:
+        endpoint.listed = True
+        state.replan = True
     born = endpoint.report.born
     if endpoint.contacted and report.born < born:
         return effects
@@ -126,7 +129,6 @@
         effects.append(WriteLog(ENDPOINT_DRAINING, {"endpoint": report.endpoint}))
         state.replan = True
     endpoint.report = report
-    endpoint.listed = True
     return effects
 
 
