Start no run on an endpoint that drains since its placement was decided

Callers saw runs that started on endpoints which had been draining for seconds and were ended with them (DRAIN).

Cause: the start order follows when the placement is durable, without another look at the endpoint. While the store is down or slow that takes seconds. The task now waits for another placement instead, as no order was sent. Placements on endpoints that are silent or evacuated meanwhile are carried out as before.

--- a/features/random_faults.feature
+++ b/features/random_faults.feature
@@ -18,6 +18,32 @@
       | refuses starts |
       | fails its runs |
 
+  # Guards against runs that stay stopping for ever: their start was not answered and then
+  # refused, and the repeated stop orders put off the proof that they do not exist.
+  Scenario: Starts are refused after orders that were not answered
+    Given a scheduler with 2 endpoints
+    When every endpoint is cut off for 0.4 seconds and refuses starts for 2 seconds
+    And job j1 of 8 lasting tasks is accepted
+    And 9 seconds pass
+    Then 8 lasting tasks of j1 are running
+    And no rule was broken
+
+  # Guards against starts on an endpoint that has been draining for seconds, because the
+  # placement took as long to become durable.
+  Scenario: An endpoint drains while a placement is not durable
+    Given a scheduler with 3 endpoints
+    When job j1 of 1 lasting tasks is accepted
+    And 2 seconds pass
+    And the store goes down
+    And job j2 of 8 lasting tasks is accepted
+    And 0.1 seconds pass
+    And the endpoint of task 0 of j1 drains
+    And 2.5 seconds pass
+    And the store comes back
+    And 7 seconds pass
+    Then 8 lasting tasks of j2 are running
+    And no rule was broken
+
   # Guards against lasting tasks that wait although there is room for them, in the order
   # in which a day's faults happen to overlap.
   Scenario Outline: Random faults that overlap
--- a/features/steps/random_faults.py
+++ b/features/steps/random_faults.py
@@ -1,5 +1,6 @@
 """Steps for lasting tasks, which must run again after any faults."""
 
+import functools
 import random
 
 from behave import given, then, when
@@ -128,3 +129,18 @@
 def step_no_seed_broke_rule(context):
     for seed, (world, faults, _) in context.days.items():
         assert not world.violations, (seed, faults.log, world.violations[:5])
+
+
+@when(
+    "every endpoint is cut off for {cut_s:g} seconds "
+    "and refuses starts for {refuses_s:g} seconds"
+)
+def step_cut_and_refuse(context, cut_s, refuses_s):
+    for worker in context.world.workers.values():
+        worker.cut = worker.unhealthy = True
+        context.world.call_later(
+            cut_s, functools.partial(setattr, worker, "cut", False)
+        )
+        context.world.call_later(
+            refuses_s, functools.partial(setattr, worker, "unhealthy", False)
+        )
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -52,6 +52,7 @@
     create_due_tasks,
     find_task,
     restore_job,
+    run_lost,
     settle_job,
     start_answered,
     stop_task,
@@ -420,7 +421,10 @@
         endpoint = state.endpoints.get(task.endpoint)
         if task.run != run or endpoint is None:
             continue
-        if task.phase is Phase.COMMITTING:
+        if task.phase is Phase.COMMITTING and endpoint.report.draining:
+            # No order was sent, so the task can start elsewhere.
+            effects += run_lost(state, task, "endpoint draining")
+        elif task.phase is Phase.COMMITTING:
             task.phase = Phase.STARTING
             task.phase_since = state.now
             if may_grant_leases(state):
