Let the first poll of a term decide about runs on restarted endpoints

Callers saw tasks run twice when a scheduler was replaced just after an endpoint had restarted: a start order of the earlier scheduler had reached the new incarnation, while the ledger still placed the run on the earlier one.

Cause: the successor counted runs as lost if their endpoint reported a later start than the ledger. The first poll, which carries the new token and so excludes later orders of the earlier scheduler, now shows whether such a run exists. If the endpoint is silent, its tasks wait until the longest lease has expired.

--- a/features/restarted_endpoints.feature
+++ b/features/restarted_endpoints.feature
@@ -24,6 +24,20 @@
     Then job j1 is completed
     And no rule was broken
 
+  # Guards against the same by a successor, which knows from the ledger that the run was
+  # placed on the earlier incarnation.
+  Scenario: The scheduler is replaced after a start on a restarted endpoint
+    Given a scheduler with 4 endpoints
+    And 1 of the responses to orders are lost and 0 of orders are carried out late
+    When every endpoint restarts with the same id
+    And job j1 of steps 8x3000 is accepted
+    And node a freezes after 0.1 seconds
+    And node b takes the term after 1.2 seconds
+    And 8 seconds pass
+    Then job j1 is completed
+    And 8 runs were started
+    And no rule was broken
+
   # Guards against an endpoint whose answers are all ignored, because an entry by another
   # writer gave it a start that it never had: its tasks were started twice, or it was lost
   # for good and polled without a pause.
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -112,7 +112,8 @@
         endpoint = Endpoint(report, idle_since=state.now)
         state.add_endpoint(endpoint)
         fields = {"endpoint": report.endpoint, "service": report.service}
-        return [WriteLog(ENDPOINT_JOINED, fields), *_attach_tasks(state, endpoint)]
+        _attach_tasks(state, endpoint)
+        return [WriteLog(ENDPOINT_JOINED, fields)]
     effects: list[Effect] = []
     if not endpoint.listed:
         endpoint.listed = True
@@ -132,20 +133,20 @@
     return effects
 
 
-def _attach_tasks(state: SchedulerState, endpoint: Endpoint) -> list[Effect]:
-    """Attach the tasks that the ledger places on an endpoint."""
-    effects: list[Effect] = []
+def _attach_tasks(state: SchedulerState, endpoint: Endpoint) -> None:
+    """Attach the tasks that the ledger places on an endpoint.
+
+    The first poll shows whether their runs exist, even if the endpoint has restarted
+    since they were placed: the start order may have reached the new incarnation.
+    """
     for task in state.unattached.pop(endpoint.id, []):
         if task.endpoint != endpoint.id or not task.placed:
             continue
+        reserve_capacity(endpoint, task)
+        expires_at = state.prior_leases_until
         if task.born < endpoint.report.born:
-            effects += run_lost(state, task, "endpoint restarted")
-        else:
-            reserve_capacity(endpoint, task)
-            endpoint.leases_expire_at = max(
-                endpoint.leases_expire_at, state.prior_leases_until
-            )
-    return effects
+            expires_at = max(expires_at, _latest_expiry(state))
+        endpoint.leases_expire_at = max(endpoint.leases_expire_at, expires_at)
 
 
 def _endpoint_restarted(
@@ -164,11 +165,8 @@
         else:
             effects += _await_restarted(state, task, born)
     if endpoint.tasks:
-        # A lease given on the clock of the earlier incarnation ends late on the new
-        # one, which shortens it to the maximum.
-        span_s = state.limits.max_lease_s / (1 - state.limits.clock_error)
         endpoint.leases_expire_at = max(
-            endpoint.leases_expire_at, state.now + span_s + EXPIRY_SLACK_S
+            endpoint.leases_expire_at, _latest_expiry(state)
         )
     endpoint.contacted = endpoint.reachable = False
     endpoint.processed_end = endpoint.acked_end = 0
@@ -183,6 +181,15 @@
     return effects
 
 
+def _latest_expiry(state: SchedulerState) -> float:
+    """Return when a lease given now on the clock of an earlier incarnation expires.
+
+    It ends late on the clock of the new one, which shortens it to the maximum.
+    """
+    span_s = state.limits.max_lease_s / (1 - state.limits.clock_error)
+    return state.now + span_s + EXPIRY_SLACK_S
+
+
 def _await_restarted(state: SchedulerState, task: Task, born: int) -> list[Effect]:
     """Keep a run that no poll has listed: the new incarnation may have got its order.
 
