Acknowledge ends only until the endpoint has discarded them

Callers saw a task run again though it was done: it had been started on an endpoint that had restarted without the scheduler's knowledge, and the answer that listed its end was lost.

Cause: each poll carried the number up to which ends may be discarded, also long after they were. Ends are counted anew by each incarnation, so the new one discarded ends that nobody had received. Polls now carry the number only until an answer lists no end up to it; a restart within these milliseconds can still be hit.

--- a/features/restarted_endpoints.feature
+++ b/features/restarted_endpoints.feature
@@ -24,6 +24,20 @@
     Then job j1 is completed
     And no rule was broken
 
+  # Guards against a task that is started again though it is done: the restarted endpoint
+  # discarded its end, as polls acknowledged the ends of the earlier incarnation.
+  Scenario: A run ends on a restarted endpoint before its restart is noticed
+    Given a scheduler with 1 endpoints
+    When job j1 of steps 8x300 is accepted
+    And 2 seconds pass
+    And every endpoint restarts with the same id
+    And responses of endpoint e1 are lost for 1 seconds, 0.02 seconds from now
+    And job j2 of steps 8x200 is accepted
+    And 8 seconds pass
+    Then all jobs are completed
+    And 16 runs were started
+    And no rule was broken
+
   # Guards against the same by a successor, which knows from the ledger that the run was
   # placed on the earlier incarnation.
   Scenario: The scheduler is replaced after a start on a restarted endpoint
--- a/features/steps/restarted_endpoints.py
+++ b/features/steps/restarted_endpoints.py
@@ -59,6 +59,17 @@
     world.call_later(seconds, lambda: report(context, entry))
 
 
+@when(
+    "responses of endpoint {name} are lost for {seconds:g} seconds, "
+    "{delay:g} seconds from now"
+)
+def step_mute(context, name, seconds, delay):
+    world = context.world
+    worker = world.workers[name]
+    world.call_later(delay, lambda: setattr(worker, "mute", True))
+    world.call_later(delay + seconds, lambda: setattr(worker, "mute", False))
+
+
 @then("endpoint {name} was polled at most {count:d} times")
 def step_max_polls(context, name, count):
     assert context.polls[name] <= count, context.polls
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -169,7 +169,7 @@
             endpoint.leases_expire_at, _latest_expiry(state)
         )
     endpoint.contacted = endpoint.reachable = False
-    endpoint.processed_end = endpoint.acked_end = 0
+    endpoint.processed_end = endpoint.acked_end = endpoint.discarded_end = 0
     endpoint.clock_ms, endpoint.clock_read_at = 0, 0.0
     endpoint.lease_until_ms = 0
     endpoint.next_poll_at = 0.0
@@ -293,7 +293,8 @@
         endpoint.id,
         endpoint.report.address,
         grant_lease(state, endpoint) if extend_leases else 0,
-        endpoint.acked_end,
+        # A new incarnation would discard its own ends up to that number.
+        endpoint.acked_end if endpoint.acked_end > endpoint.discarded_end else 0,
         POLL_WAIT_MS if extend_leases else 0,
         state.term,
     )
@@ -359,6 +360,8 @@
     endpoint.contacted = endpoint.reachable = True
     endpoint.failed_polls = 0
     endpoint.clock_ms, endpoint.clock_read_at = event.clock_ms, event.now
+    if all(ended.number > endpoint.acked_end for ended in event.ended):
+        endpoint.discarded_end = endpoint.acked_end
     for ended in event.ended:
         if ended.number > endpoint.processed_end:
             endpoint.processed_end = ended.number
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -189,6 +189,7 @@
     :param lease_until_ms: newest end of a lease granted to it, on its own clock
     :param processed_end: number of the newest run end applied to the state
     :param acked_end: number of the newest run end whose effect is durable
+    :param discarded_end: value of ``acked_end`` that the endpoint has taken note of
     :param polling: whether a poll is in progress
     :param next_poll_at: boot-time clock of the next poll
     :param failed_polls: polls that failed in succession
@@ -212,6 +213,7 @@
     lease_until_ms: int = 0
     processed_end: int = 0
     acked_end: int = 0
+    discarded_end: int = 0
     polling: bool = False
     next_poll_at: float = 0.0
     failed_polls: int = 0
