Count only tasks that can still move as signs of a stalled endpoint

Callers would see lasting tasks wait although their endpoints have room, for as long as tasks of other jobs run there that make no progress anywhere.

Cause: an endpoint is ejected again with each pass while tasks on it make no progress. A task is moved away from stalled endpoints twice at most, since some tasks never end; after that it stayed, and with it the ejection, on each endpoint that has such a task.

The new scenario failed before: none of 4 lasting tasks ran 7 s after they were accepted ("ASSERT FAILED: set()"). A task that has used up its moves no longer counts. After the fix the scenario passes, as do the rest of random_faults, scheduler_rules (its scenario of a stalled endpoint among them) and fair_share.

--- a/features/random_faults.feature
+++ b/features/random_faults.feature
@@ -44,6 +44,18 @@
     Then 8 lasting tasks of j2 are running
     And no rule was broken
 
+  # Guards against endpoints that get no tasks for as long as tasks run on them that make
+  # no progress anywhere.
+  Scenario: Tasks that never end do not block their endpoints
+    Given a scheduler with 1 endpoints
+    When job j1 of steps 2x200 that takes 1000000 times as long is accepted
+    And job j2 of steps 2x200 that takes 1000000 times as long is accepted
+    And 20 seconds pass
+    And job j3 of 4 lasting tasks is accepted
+    And 7 seconds pass
+    Then 4 lasting tasks of j3 are running
+    And no rule was broken
+
   # Guards against lasting tasks that wait although there is room for them, in the order
   # in which a day's faults happen to overlap.
   Scenario Outline: Random faults that overlap
--- a/primrosepitch/scheduling/stalls.py
+++ b/primrosepitch/scheduling/stalls.py
@@ -73,6 +73,8 @@
         task
         for task in observed
         if task.reported_at - task.progress_since > STALL_TIMEOUT_S
+        # One that has stalled on several endpoints shows nothing about this one.
+        and task.stall_moves < MAX_STALL_MOVES
     ]
     stalled_s = max((t.reported_at - t.progress_since for t in stalled), default=0.0)
     # Tasks of a single job may stall for reasons of their own.
