Start nothing on an endpoint whose capacity has shrunk meanwhile

Where endpoints don't refuse what exceeds their capacity, tasks start beyond it and slow each other.

Cause: room was checked only when a task was placed. The start order follows when the placement is durable, seconds later if the store is slow, and an order without an answer is repeated for as long as it takes. Both went out whatever the endpoint had reported since.

The reserved capacity is now compared with the newest report before an order is first sent or repeated. A placement whose order was not sent is undone, for all members of a gang; a run whose order may have arrived is stopped, since only the end proves that it does not exist. What is being stopped stays reserved, as before.

Evidence, without the change: "A placement that was stored late is dropped if the endpoint has shrunk" fails with "limit at 110.66: TaskKey(job='j1', occurrence=0, step=0, number=11) started on e1, which then uses Resources(cpu=8000, ...)", and "An unanswered order is not repeated if the endpoint has shrunk" in the same way at 105.72. "No member of a gang starts ..." passes on the old code and fails if the members are undone one by one (2 of 4 start).

--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -38,6 +38,7 @@
     PollFailed,
 )
 from primrosepitch.scheduling.runs import (
+    CAPACITY_SHRUNK,
     charge_duplicate,
     confirm_soundness,
     find_task,
@@ -533,10 +534,12 @@
 
 def _retry_orders(state: SchedulerState, endpoint: Endpoint) -> list[Effect]:
     effects: list[Effect] = []
-    for task in endpoint.tasks.values():
+    for task in list(endpoint.tasks.values()):
         if task.order_tries < 0 or state.now - task.phase_since < ORDER_RETRY_PAUSE_S:
             continue
-        if (
+        if task.phase is Phase.STARTING and task.order_tries and endpoint.overcommitted:
+            effects += stop_task(state, task, CAPACITY_SHRUNK)
+        elif (
             task.phase is Phase.STARTING
             and task.order_tries
             and may_grant_leases(state)
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -48,6 +48,7 @@
 )
 from primrosepitch.scheduling.placement import start_waiting
 from primrosepitch.scheduling.runs import (
+    CAPACITY_SHRUNK,
     add_job,
     cancel_job,
     create_due_tasks,
@@ -412,6 +413,11 @@
     return [record for job in old for record in job_tombstones(JobId(job))]
 
 
+def _is_overcommitted(state: SchedulerState, endpoint_id: EndpointId) -> bool:
+    endpoint = state.endpoints.get(endpoint_id)
+    return endpoint is not None and endpoint.overcommitted
+
+
 @_handles(ev.Committed)
 def _committed(state: SchedulerState, event: ev.Committed) -> list[Effect]:
     if event.number != state.committing:
@@ -420,6 +426,11 @@
     state.committing = 0
     state.confirmed_at = state.renewed_at
     effects: list[Effect] = []
+    gangs_without_room = {
+        task.key[:3]
+        for task, _ in state.committing_tasks
+        if task.spec.gang and _is_overcommitted(state, task.endpoint)
+    }
     for task, run in state.committing_tasks:
         endpoint = state.endpoints.get(task.endpoint)
         if task.run != run or endpoint is None:
@@ -430,7 +441,9 @@
         elif task.phase is Phase.COMMITTING:
             task.phase = Phase.STARTING
             task.phase_since = state.now
-            if may_grant_leases(state):
+            if endpoint.overcommitted or task.key[:3] in gangs_without_room:
+                effects += run_lost(state, task, CAPACITY_SHRUNK)
+            elif may_grant_leases(state):
                 effects.append(start_order(state, task, endpoint))
             else:
                 # The commit took too long to grant a lease: the order is retried after
--- a/primrosepitch/scheduling/runs.py
+++ b/primrosepitch/scheduling/runs.py
@@ -34,6 +34,7 @@
 )
 
 __all__ = [
+    "CAPACITY_SHRUNK",
     "EJECTION_FAULT_SCORE",
     "add_job",
     "cancel_job",
@@ -73,6 +74,10 @@
 a stop takes at most ``stop_ms``."""
 
 
+CAPACITY_SHRUNK = "its endpoint's capacity has shrunk"
+"""Reason for which a task whose start order was not answered runs elsewhere."""
+
+
 def mark_dirty(state: SchedulerState, job: JobRun) -> None:
     """Mark a job's runs as changed since the last commit."""
     state.dirty_jobs.add(job.spec.job)
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -255,6 +255,11 @@
             and used.gpu + needs.gpu <= capacity.gpu
         )
 
+    @property
+    def overcommitted(self) -> bool:
+        """Return whether more is reserved than the capacity, which may have shrunk."""
+        return not self.used.fits(self.report.capacity)
+
 
 class Ticket(NamedTuple):
     """Permission of the advice service to run a step on an endpoint."""
--- a/standins/scheduler_world.py
+++ b/standins/scheduler_world.py
@@ -62,6 +62,9 @@
 """Time without work after which a task counts as unavailable without a stop order;
 the platform's notice_ms."""
 
+SHRINK_NOTICE_S = 3.5
+"""Time after which a smaller capacity is binding: contact_ms and one heartbeat."""
+
 DEADLY_S = 0.01
 """Time after its start at which a deadly task crashes its endpoint."""
 
@@ -108,6 +111,8 @@
 
     :param slow_clock: fraction by which its clock runs slow
     :param mute: whether it gets orders and polls while its answers are lost
+    :param guards_capacity: whether it refuses starts that exceed its capacity
+    :param earlier_capacity: capacity before it shrank at ``shrunk_at``
     :param unhealthy: whether it refuses starts, even repeats of those carried out
     :param slower: factor on the duration of new runs; infinite if they never end
     :param highest_runs: highest run number ordered, by task
@@ -139,6 +144,9 @@
         self.draining = False
         self.draining_since = 0.0
         self.fails_all = False
+        self.guards_capacity = True
+        self.earlier_capacity = capacity
+        self.shrunk_at = 0.0
         self.slower = 1.0
         self.unhealthy = False
         self.runs: dict[TaskKey, Run] = {}
@@ -172,6 +180,18 @@
             self.world.now + 5 if self.draining else 0.0,
         )
 
+    def set_capacity(self, capacity: Resources) -> None:
+        """Change the capacity, which the worker reports."""
+        if not self.capacity.fits(capacity):
+            self.earlier_capacity, self.shrunk_at = self.capacity, self.world.now
+        self.capacity = capacity
+        self.world.publish_report(self)
+
+    def binding_capacity(self) -> Resources:
+        """Return the capacity that a start must not exceed."""
+        recent = self.shrunk_at and self.world.now - self.shrunk_at < SHRINK_NOTICE_S
+        return self.earlier_capacity if recent else self.capacity
+
     def used_resources(self) -> Resources:
         """Return the resources in use by runs."""
         total = Resources()
@@ -231,7 +251,8 @@
         spec = self.world.step_spec(order.task)
         if self.world.requires_ticket(order.task) and order.ticket != self.ticket():
             return ev.Outcome.NO_TICKET
-        if not self.used_resources().add(spec.needs).fits(self.capacity):
+        needed = self.used_resources().add(spec.needs)
+        if self.guards_capacity and not needed.fits(self.capacity):
             return ev.Outcome.NO_ROOM
         self.extend_leases(order.until_ms)
         self.highest_runs[order.task] = order.run
@@ -726,6 +747,11 @@
         drains = worker.draining and not self._carrying_out_late
         if drains and self.now > worker.draining_since + 2.0:
             self._record_violation("drain", f"{task} started on draining {worker.id}")
+        needed = worker.used_resources().add(spec.needs)
+        if not worker.guards_capacity and not needed.fits(worker.binding_capacity()):
+            self._record_violation(
+                "limit", f"{task} started on {worker.id}, which then uses {needed}"
+            )
         self._check_limit(job.workspace, spec)
 
     def _check_limit(self, workspace: WorkspaceName, spec: StepSpec) -> None:
