Place nothing on a restarted endpoint before its capacity is known

An endpoint that restarts as a smaller kind and doesn't refuse what exceeds its capacity starts too much.

Cause: an endpoint's answer to a poll may show its new incarnation before its report is read, for as long as the store is slow or down. The old report, but for its incarnation, stayed in use, with the capacity that the earlier kind had.

The capacity now counts as none until the report of the new incarnation is read, so that no task fits. Runs of the earlier incarnation are lost at that moment anyway.

Evidence, without the change: "A restarted endpoint gets no tasks before its capacity is known" fails with "limit at 101.09: TaskKey(job='j1', occurrence=0, step=0, number=3) started on e1, which then uses Resources(cpu=8000, memory=2048, gpu=0)", of 6000 millicores. Measured after it: the scenarios of unguarded_capacity, scheduler_rules, crashing_tasks and silent_endpoints pass.

When joined: only where endpoints don't check their capacity, as the others refuse what does not fit, and an endpoint that restarted cut off from the store would be of no use until its report comes. A report with a later start that is read first is kept, and becomes the endpoint's report with the answer that shows this incarnation.

--- a/features/unguarded_capacity.feature
+++ b/features/unguarded_capacity.feature
@@ -48,6 +48,20 @@
     Then job j1 is completed
     And no rule was broken
 
+  # Guards against placing tasks by the capacity that an endpoint had before it restarted.
+  # Its answer to a poll may arrive before its report.
+  Scenario: A restarted endpoint gets no tasks before its capacity is known
+    Given a scheduler with 1 endpoints
+    And no endpoint guards its capacity
+    When job j1 of steps 4x1000 is accepted
+    And 0.5 seconds pass
+    And endpoint e1 restarts with 6000 millicores and reports it after 3 seconds
+    And 0.5 seconds pass
+    And job j2 of steps 8x2000 is accepted
+    And 30 seconds pass
+    Then job j2 is completed
+    And no rule was broken
+
   # Guards against starts on endpoints that have shrunk below what they run, and against
   # work that is not started when they have grown again.
   Scenario Outline: Endpoints shrink and grow again while they work
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -15,7 +15,7 @@
     ENDPOINT_SILENT,
     RUN_ORPHANED,
 )
-from primrosepitch.jobs.model import task_name
+from primrosepitch.jobs.model import Resources, task_name
 from primrosepitch.scheduling.crashes import (
     clear_survivor,
     refute_listed,
@@ -33,6 +33,7 @@
     ActiveRun,
     EndpointPolled,
     EndpointRemoved,
+    EndpointReport,
     EndpointReported,
     Outcome,
     PollFailed,
@@ -131,7 +132,8 @@
         # Its own answers tell which incarnation there is: an entry may come from
         # another writer, and its runs go on if it has not restarted.
         endpoint.next_poll_at = event.now
-        report = msgspec.structs.replace(report, born=born)
+        endpoint.announced = report
+        return effects
     if report.draining and not endpoint.report.draining:
         effects.append(WriteLog(ENDPOINT_DRAINING, {"endpoint": report.endpoint}))
         state.replan = True
@@ -365,7 +367,7 @@
             return effects
         # The time of day may have been set back, so its start may seem earlier.
         effects += _endpoint_restarted(state, endpoint, event.born)
-        endpoint.report = msgspec.structs.replace(endpoint.report, born=event.born)
+        endpoint.report = _report_of_incarnation(state, endpoint, event.born)
     if not endpoint.reachable:
         if endpoint.failed_polls:
             effects.append(WriteLog(ENDPOINT_BACK, {"endpoint": endpoint.id}))
@@ -385,6 +387,28 @@
     return effects
 
 
+def _report_of_incarnation(
+    state: SchedulerState, endpoint: Endpoint, born: int
+) -> EndpointReport:
+    """Return the report of an incarnation that an answer to a poll has shown.
+
+    An endpoint may restart as another kind. Until its report is read, it counts as
+    without capacity if it would start whatever it is told to.
+    """
+    if endpoint.announced is not None and endpoint.announced.born == born:
+        return endpoint.announced
+    report = msgspec.structs.replace(endpoint.report, born=born)
+    if _checks_admission(state, endpoint):
+        return report
+    return msgspec.structs.replace(report, capacity=Resources())
+
+
+def _checks_admission(state: SchedulerState, endpoint: Endpoint) -> bool:
+    """Return whether an endpoint refuses tasks that exceed its capacity."""
+    service = state.cfg.services.get(endpoint.report.service)
+    return service is None or service.admission_check
+
+
 def _next_poll_at(
     state: SchedulerState, endpoint: Endpoint, first_contact: bool
 ) -> float:
@@ -512,8 +536,7 @@
 def _start_duplicates(state: SchedulerState, endpoint: Endpoint) -> list[Effect]:
     """Let tasks that allow duplicates run elsewhere before their leases expire."""
     effects: list[Effect] = []
-    service = state.cfg.services.get(endpoint.report.service)
-    if service is not None and not service.admission_check:
+    if not _checks_admission(state, endpoint):
         # Such endpoints don't refuse excess tasks, and a duplicate that is being
         # stopped still uses capacity that has already been assigned to another task.
         return effects
