--- a/features/scheduler_rules.feature
+++ b/features/scheduler_rules.feature
@@ -159,6 +159,22 @@
     Then job j1 is completed
     And no rule was broken
 
+  # Guards against a task that waits for ever for the end of a run which its endpoint has
+  # never started. The order was lost, its repeat was refused, and the endpoint answers
+  # each stop order between the sending of a poll and its answer.
+  Scenario: A task starts again if its order was lost and the repeat was refused
+    Given a scheduler with 4 endpoints
+    When start orders are lost
+    And job j1 of steps 8x1500 is accepted
+    And 0.5 seconds pass
+    And every endpoint refuses starts
+    And start orders arrive again
+    And 1 seconds pass
+    And every endpoint accepts starts again
+    And 8 seconds pass
+    Then job j1 is completed
+    And no rule was broken
+
   # Guards against a scheduler that starts tasks which are running already under the
   # previous one.
   Scenario Outline: Another node takes over at any moment
--- a/features/steps/scheduler_rules.py
+++ b/features/steps/scheduler_rules.py
@@ -26,6 +26,7 @@
     WaveSpec,
     WorkspaceSpec,
 )
+from primrosepitch.scheduling.effects import StartRun
 from standins.scheduler_world import SchedulerWorld, is_advised
 
 TASK_MILLICORES = 2000
@@ -215,6 +216,28 @@
     context.world.poll_delay_s = 0.0
 
 
+@when("start orders are lost")
+def step_orders_lost(context):
+    world = context.world
+    send = context.send_order = world._send_order
+
+    def lose_starts(node, order, take, kind):
+        if isinstance(order, StartRun):
+            answer = kind(
+                order.task, order.run, order.endpoint, ev.Outcome.UNKNOWN, world.now
+            )
+            world.call_later(0.25, lambda: node.feed(answer))
+        else:
+            send(node, order, take, kind)
+
+    world._send_order = lose_starts
+
+
+@when("start orders arrive again")
+def step_orders_arrive(context):
+    context.world._send_order = context.send_order
+
+
 @when("job {name} of steps {steps} is accepted")
 def step_accept(context, name, steps):
     submit_job(context, name, parse_steps(steps))
