Count the capacity of a duplicate until it has been stopped

An endpoint that doesn't refuse what exceeds its capacity starts too much.

Cause: when an earlier run of a task that allows duplicates has succeeded, the newer run is stopped and its capacity was free at once, though a stop takes up to 0.4 s, and longer if the order is lost. Endpoints that check their capacity refuse such starts.

The capacity of such a run now stays reserved until a poll that was sent after the stop order doesn't list the run; a run that may not have begun yet is given a second more.

Evidence, without the change: "A duplicate that is being stopped still uses its capacity" fails with "limit at 109.25: TaskKey(job='j2', occurrence=0, step=0, number=8) started on e1, which then uses Resources(cpu=18000, memory=4608, gpu=0)", of 16000 millicores. Measured after it: the scenarios of unguarded_capacity, scheduler_rules and crashing_tasks pass.

--- a/features/unguarded_capacity.feature
+++ b/features/unguarded_capacity.feature
@@ -62,6 +62,20 @@
     Then job j2 is completed
     And no rule was broken
 
+  # Guards against using the capacity of a run that is being stopped, as an earlier run of
+  # the same task has succeeded.
+  Scenario: A duplicate that is being stopped still uses its capacity
+    Given a scheduler with 2 endpoints
+    And no endpoint guards its capacity
+    When job j1 of steps 8x3000 that allows duplicate runs is accepted
+    And 2.9 seconds pass
+    And the endpoint of task 0 of j1 is cut off for 5 seconds
+    And 5 seconds pass
+    And job j2 of steps 16x1000 is accepted
+    And 10 seconds pass
+    Then all jobs are completed
+    And no rule was broken
+
   # Guards against starts on endpoints that have shrunk below what they run, and against
   # work that is not started when they have grown again.
   Scenario Outline: Endpoints shrink and grow again while they work
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -188,6 +188,8 @@
     endpoint.clock_ms, endpoint.clock_read_at = 0, 0.0
     endpoint.lease_until_ms = 0
     endpoint.next_poll_at = 0.0
+    for key in list(endpoint.stopping):
+        endpoint.release_stopping(key)
     endpoint.evacuation_reason = ""
     endpoint.fault_score = endpoint.ejected_until = 0.0
     for step in state.advice_requested:
@@ -415,7 +417,7 @@
     if endpoint.processed_end > endpoint.acked_end:
         # The next poll acknowledges the ends; it follows when they are durable.
         return state.now + 1.0
-    if not endpoint.tasks:
+    if not endpoint.tasks and not endpoint.stopping:
         return state.now + IDLE_POLL_INTERVAL_S
     return state.now if first_contact else state.now + POLL_PAUSE_S
 
@@ -426,6 +428,10 @@
     """Reconcile the runs that an endpoint lists with those placed on it."""
     effects: list[Effect] = []
     listed = {row.task: row for row in event.running}
+    for key, (_, since) in list(endpoint.stopping.items()):
+        if key not in listed and event.sent_at > since:
+            endpoint.release_stopping(key)
+            state.replan = True
     for task in list(endpoint.tasks.values()):
         row = listed.pop(task.key, None)
         if row is not None and row.run == task.run:
--- a/primrosepitch/scheduling/runs.py
+++ b/primrosepitch/scheduling/runs.py
@@ -382,11 +382,15 @@
         return []
     effects: list[Effect] = []
     endpoint = state.endpoints.get(task.endpoint)
+    begun = endpoint is not None and task.phase not in (Phase.WAITING, Phase.COMMITTING)
     if task.placed:
-        if endpoint is not None and task.phase is not Phase.COMMITTING:
-            effects.append(stop_order(state, task, endpoint))
         charge_duplicate(state, task, state.now + MAX_STOP_S)
+    # A start order that was not answered may arrive shortly before the stop order.
+    since = state.now + (0.0 if task.phase is Phase.RUNNING else MAX_STOP_S)
     release_task(state, task, Phase.DONE)
+    if endpoint is not None and begun:
+        effects.append(stop_order(state, task, endpoint))
+        endpoint.reserve_stopping(task, since)
     mark_dirty(state, job)
     return effects
 
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -198,6 +198,9 @@
     :param next_poll_at: boot-time clock of the next poll
     :param failed_polls: polls that failed in succession
     :param used: capacity reserved for its tasks
+    :param stopping: capacity of runs that are being stopped although their tasks are
+        done, and the boot-time clock from which a poll that doesn't list them proves
+        their end
     :param evacuation_reason: reason for which it is drained: it gets no new tasks and
         its tasks are moved away; empty if it is not
     :param fault_score: recent failures, reduced by successes
@@ -226,6 +229,9 @@
     failed_polls: int = 0
     used: Resources = Resources()
     tasks: dict[TaskKey, Task] = msgspec.field(default_factory=dict)
+    stopping: dict[TaskKey, tuple[Resources, float]] = msgspec.field(
+        default_factory=dict
+    )
     evacuation_reason: str = ""
     fault_score: float = 0.0
     last_fault_at: float = 0.0
@@ -257,6 +263,15 @@
             and used.gpu + needs.gpu <= capacity.gpu
         )
 
+    def reserve_stopping(self, task: Task, since: float) -> None:
+        """Reserve the capacity of a run that is being stopped, see ``stopping``."""
+        self.stopping[task.key] = (task.spec.needs, since)
+        self.used = self.used.add(task.spec.needs)
+
+    def release_stopping(self, task: TaskKey) -> None:
+        """Release the capacity of a run that has been stopped."""
+        self.used = self.used.subtract(self.stopping.pop(task)[0])
+
     @property
     def overcommitted(self) -> bool:
         """Return whether more is reserved than the capacity, which may have shrunk."""
