Refuse messages with impossible numbers

An entry with a start (`born`) of 71 bits under the key of a real endpoint hid all later entries of it, and a task record with it could not be stored: the encoders hold 64 bits. Ends and runs of 400 digits in an endpoint's lists, a wave's number or a queue's settings had the same effect, and negative capacities were counted.

The wire types had no bounds. Entries and lists without `born` are refused, too, since it says which incarnation they are about. An odd machine in the list of machines is skipped on its own, so that it does not hide the others.

--- a/features/malformed_messages.feature
+++ b/features/malformed_messages.feature
@@ -164,3 +164,65 @@
       | a line end           |
       | a blank at its begin |
       | a null character     |
+
+  # Guards against numbers that no stored record and no message of this product can
+  # hold: the scheduler that gets one ends its term when it writes or sends it.
+  Scenario Outline: A message with an impossible number is refused
+    Given <reader> whose <field> is <number>
+    Then it is refused as unreadable
+
+    Examples:
+      | reader                          | field                         | number       |
+      | a report of an endpoint         | born                          | 71 bits      |
+      | a report of an endpoint         | born                          | 400 digits   |
+      | a report of an endpoint         | born                          | 5,000 digits |
+      | a report of an endpoint         | born                          | -1           |
+      | a report of an endpoint         | born                          | 0            |
+      | a report of an endpoint         | born                          | 1e17         |
+      | a report of an endpoint         | clock_ms                      | 71 bits      |
+      | a report of an endpoint         | capacity.cpu                  | -1           |
+      | a report of an endpoint         | capacity.memory_request_mb    | 400 digits   |
+      | a report of an endpoint         | capacity.memory_request_mb    | 1e308        |
+      | a report of an endpoint         | capacity.gpu                  | 1e400        |
+      | a report of an endpoint         | capacity.gpu                  | NaN          |
+      | the lists of an endpoint        | born                          | 71 bits      |
+      | the lists of an endpoint        | clock_ms                      | 400 digits   |
+      | the lists of an endpoint        | running.0.1                   | 71 bits      |
+      | the lists of an endpoint        | running.0.3                   | 1e308        |
+      | the lists of an endpoint        | ended.0.0                     | -1           |
+      | the lists of an endpoint        | ended.0.0                     | 71 bits      |
+      | the lists of an endpoint        | ended.0.2                     | 400 digits   |
+      | the advice                      | validity_ms                   | -1           |
+      | a configuration                 | version                       | 71 bits      |
+      | a configuration                 | routes.0.priority             | 400 digits   |
+      | a configuration                 | routes.0.max_attempts         | 71 bits      |
+      | a configuration                 | routes.0.target_duration_ms   | 71 bits      |
+      | a configuration                 | routes.0.advice.validity_ms   | 400 digits   |
+      | a configuration                 | tenants.0.cap.cpu             | 400 digits   |
+      | a wave                          | wave                          | 71 bits      |
+      | a wave                          | wave                          | -1           |
+      | a wave                          | duration_s                    | 1e400        |
+      | the newest records of the store | end_offset                    | 71 bits      |
+      | the answer to an append         | end_offset                    | -1           |
+
+  # Guards against one machine with an odd field that hides the whole list.
+  Scenario: A machine with an impossible capacity does not hide the others
+    Given a list of two machines, of which one has a capacity of -1
+    Then only the other one is listed
+
+  # Guards against an odd entry under the key of a real endpoint: a start after that of
+  # the endpoint hid its later entries, and a record with it could not be stored.
+  Scenario Outline: An entry with an impossible number leaves the endpoint as it was
+    Given a node that schedules for one endpoint
+    When <entry> <comes>
+    Then the node holds its first term, and the job runs on the endpoint
+    And the endpoint is known as it was, and no other one is
+
+    Examples:
+      | entry                    | comes                                       |
+      | a start of 71 bits       | comes under the key w1 during its term      |
+      | a start in the year 9999 | comes under the key w1 during its term      |
+      | no start                 | comes under the key w1 during its term      |
+      | a capacity of -1         | comes under the key w1 during its term      |
+      | a start of 71 bits       | stands under the key x when its term begins |
+      | no start                 | stands under the key x when its term begins |
--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -546,7 +546,22 @@
     "born": 1_700_000_000_000,
     "clock_ms": 1000,
 }
-MANIFEST = {"version": 1}
+MANIFEST = {
+    "version": 1,
+    "routes": [
+        {
+            "name": "q",
+            "host": "h",
+            "path_prefix": "/q/",
+            "service": "pressing",
+            "priority": 0,
+            "max_attempts": 1,
+            "target_duration_ms": 1000,
+            "advice": {"validity_ms": 1000},
+        }
+    ],
+    "tenants": [{"name": "w", "cap": {"cpu": 0}}],
+}
 WAVE = {"wave": 1, "machines": ["m1"], "duration_s": 5}
 
 
@@ -634,7 +649,12 @@
     "a configuration": (MANIFEST, operator_record("config"), is_none),
     "a wave": (WAVE, operator_record("wave/1"), is_none),
     "the lists of an endpoint": (
-        {"clock_ms": 1, "running": [], "ended": []},
+        {
+            "clock_ms": 1,
+            "running": [["5c0e7a21d94b36f8.0.1.17", 2, "", 41]],
+            "ended": [[58, "5c0e7a21d94b36f8.0.1.9", 1, "done", ""]],
+            "born": REPORT["born"],
+        },
         poll_outcome,
         lambda answer: answer is ev.Outcome.REFUSED,
     ),
@@ -648,7 +668,7 @@
         lambda body: asyncio.run(platform_client(body).list_instances()),
         is_none,
     ),
-    "the advice": ({"allowed": []}, advice_of, is_none),
+    "the advice": ({"allowed": [], "validity_ms": 1000}, advice_of, is_none),
     "the newest records of the store": (
         {"items": [], "end_offset": 0},
         newest_records,
@@ -727,6 +747,10 @@
 ODD_ENTRIES = {
     "an unknown field nested 100,000 deep": json.dumps(REPORT).encode()[:-1]
     + b', "x": %b}' % NESTED_JSON["lists"],
+    "a start of 71 bits": json.dumps(REPORT | {"born": 1 << 70}).encode(),
+    "a start in the year 9999": json.dumps(REPORT | {"born": 253402300799000}).encode(),
+    "no start": json.dumps({k: v for k, v in REPORT.items() if k != "born"}).encode(),
+    "a capacity of -1": json.dumps(REPORT | {"capacity": {"cpu": -1}}).encode(),
     "labels nested 100,000 deep": json.dumps(REPORT | {"labels": "DEEP"})
     .encode()
     .replace(b'"DEEP"', NESTED_JSON["lists"]),
@@ -891,3 +915,52 @@
 @then("the call is not sent")
 def step_call_not_sent(context):
     assert isinstance(context.error, NotSentError), repr(context.error)
+
+
+# Numbers
+
+ODD_NUMBERS = {
+    "71 bits": str(1 << 70),
+    "400 digits": "1" * 400,
+    "5,000 digits": "1" * 5000,
+    "NaN": "NaN",
+}
+
+
+def with_field(value, path):
+    """Return a message in which the field at a path is marked."""
+    first, _, rest = path.partition(".")
+    copy = list(value) if isinstance(value, list) else dict(value)
+    key = int(first) if isinstance(value, list) else first
+    copy[key] = with_field(copy[key], rest) if rest else "@"
+    return copy
+
+
+def message_with(value, path, text):
+    """Return a message in which the field at a path has a value given as text."""
+    changed = json.dumps(with_field(value, path)).replace('"@"', text)
+    return changed.encode()
+
+
+@given("{reader} whose {path} is {number}")
+def step_odd_number(context, reader, path, number):
+    value, context.check, context.expected = JSON_READERS[reader]
+    found = caught(context.check, json.dumps(value).encode())
+    assert not context.expected(found), found
+    context.body = message_with(value, path, ODD_NUMBERS.get(number, number))
+
+
+@given("a list of two machines, of which one has a capacity of {cpu:d}")
+def step_odd_machine(context, cpu):
+    machines = [
+        {"machine": name, "pool": "p", "state": "up", "capacity": {"cpu": amount}}
+        for name, amount in (("odd", cpu), ("good", 1000))
+    ]
+    body = json.dumps({"machines": machines}).encode()
+    context.views = asyncio.run(platform_client(body).list_instances())
+
+
+@then("only the other one is listed")
+def step_other_listed(context):
+    assert context.views is not None
+    assert [view.instance for view in context.views] == ["good"], context.views
