Refuse reports with an address that no peer can have

An entry with port 99999, port 0, no port or a host that is no address was taken as a report of an endpoint. Under the key of a real endpoint, it replaced the endpoint's address, so that its runs would get no leases; with the name of a real instance, it became that instance's newest endpoint.

The address was any text.

--- a/features/malformed_messages.feature
+++ b/features/malformed_messages.feature
@@ -226,3 +226,36 @@
       | a capacity of -1         | comes under the key w1 during its term      |
       | a start of 71 bits       | stands under the key x when its term begins |
       | no start                 | stands under the key x when its term begins |
+
+  # Guards against an entry that no order can reach and that replaces the address of a
+  # real endpoint, whose runs would then get no leases.
+  Scenario Outline: A report with an address that no peer can have is refused
+    Given a report of an endpoint whose address has <oddity>
+    Then it is refused as unreadable
+
+    Examples:
+      | oddity                       |
+      | port 99999                   |
+      | port -1                      |
+      | port 0                       |
+      | no port                      |
+      | a word as port               |
+      | a port of 5,000 digits       |
+      | a host of 300 letters        |
+      | a host with an empty label   |
+      | a host with a null character |
+      | a name                       |
+      | the unspecified address      |
+      | nothing                      |
+
+  Scenario Outline: An entry with an odd address leaves the endpoint as it was
+    Given a node that schedules for one endpoint
+    When <entry> <comes>
+    Then the node holds its first term, and the job runs on the endpoint
+    And the endpoint is known as it was, and no other one is
+
+    Examples:
+      | entry      | comes                                       |
+      | port 99999 | comes under the key w1 during its term      |
+      | port 0     | comes under the key x during its term       |
+      | no port    | stands under the key x when its term begins |
--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -869,6 +869,8 @@
     "a host with a null character": "a\x00b:8000",
     "a surrogate in the host": "a\ud800:8000",
     "nothing": "",
+    "a name": "localhost:8000",
+    "the unspecified address": "0.0.0.0:8000",
 }
 
 
@@ -964,3 +966,17 @@
 def step_other_listed(context):
     assert context.views is not None
     assert [view.instance for view in context.views] == ["good"], context.views
+
+
+@given("a report of an endpoint whose address has {oddity}")
+def step_odd_report_address(context, oddity):
+    address = ODD_ADDRESSES[oddity]
+    context.body = json.dumps(REPORT | {"address": address}).encode()
+    context.check = JSON_READERS["a report of an endpoint"][1]
+    context.expected = is_none
+
+
+ODD_ENTRIES |= {
+    oddity: json.dumps(REPORT | {"address": address}).encode()
+    for oddity, address in ODD_ADDRESSES.items()
+}
