--- a/features/malformed_messages.feature
+++ b/features/malformed_messages.feature
@@ -259,3 +259,9 @@
       | port 99999 | comes under the key w1 during its term      |
       | port 0     | comes under the key x during its term       |
       | no port    | stands under the key x when its term begins |
+
+  # Guards against a record that ends each reader in turn by an error that nobody has
+  # foreseen.
+  Scenario: A record that raises an unexpected error is skipped
+    Given a change feed whose decoder raises an unexpected error for one of three records
+    Then the other two are read, and the feed goes on
--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -8,7 +8,7 @@
 from types import SimpleNamespace
 
 import msgspec
-from adapter.directory import decode_operator_record, decode_report
+from adapter.directory import ChangeFeed, decode_operator_record, decode_report
 from adapter.intake import HttpIntake
 from adapter.services import PlatformClient
 from adapter.settings import (
@@ -980,3 +980,26 @@
     oddity: json.dumps(REPORT | {"address": address}).encode()
     for oddity, address in ODD_ADDRESSES.items()
 }
+
+
+@given(
+    "a change feed whose decoder raises an unexpected error for one of three records"
+)
+def step_failing_decoder(context):
+    def decode_unless_odd(record, now):
+        if record.key == "odd":
+            raise RuntimeError("unexpected")
+        return record.key
+
+    keys = ("a", "odd", "b")
+    partition = MemoryPartition([KeyedRecord(key, b"v") for key in keys])
+    context.feed = ChangeFeed(partition, decode_unless_odd)
+
+
+@then("the other two are read, and the feed goes on")
+def step_other_records_read(context):
+    changes = asyncio.run(context.feed.changes(0.0))
+    assert changes == ["a", "b"], changes
+    context.feed._reader._partition.records.append(KeyedRecord("c", b"v"))
+    changes = asyncio.run(context.feed.changes(0.0))
+    assert changes == ["c"], changes
