Stop a run whose start remains unanswered

Callers saw tasks that never started, beside free endpoints. It is not silent, so no lease expires, and nothing else ends that phase.

After six unanswered orders, about 2 s, the run is stopped and its endpoint ejected for 4 s with a fault counted, so the task starts elsewhere once a poll proves that there is no run. A run that did start is listed by the next poll and is not concerned.

--- a/features/lasting_tasks.feature
+++ b/features/lasting_tasks.feature
@@ -152,3 +152,25 @@
     And 3 seconds pass
     Then 4 lasting tasks of j1 are running
     And at most 12 runs were started or refused
+
+  # Guards against a task that remains in its stop for good. Its start was lost, the
+  # repeated one was refused, and there is no run whose end the endpoint could list.
+  Scenario: A task whose start was lost and then refused starts on another endpoint
+    Given a scheduler with 3 endpoints
+    And endpoint e1 does not answer starts
+    When job j1 of 6 lasting tasks is accepted
+    And 0.1 seconds pass
+    And endpoint e1 refuses starts
+    And 6 seconds pass
+    Then 6 lasting tasks of j1 are running
+    And no rule was broken
+
+  # Guards against a task that is never started, as its endpoint answers polls and not
+  # the orders to start it.
+  Scenario: A task whose start remains unanswered starts on another endpoint
+    Given a scheduler with 3 endpoints
+    And endpoint e1 does not answer starts
+    When job j1 of 6 lasting tasks is accepted
+    And 8 seconds pass
+    Then 6 lasting tasks of j1 are running
+    And no rule was broken
--- a/features/steps/capacity_accounts.py
+++ b/features/steps/capacity_accounts.py
@@ -163,6 +163,8 @@
             for task in endpoint.tasks.values():
                 held[task.key] = endpoint.id
                 used = used.add(task.spec.needs)
+            for needs, _ in endpoint.stopping.values():
+                used = used.add(needs)
             assert endpoint.used == used, (world.now, endpoint.id, endpoint.used, used)
         unattached = {t.key for tasks in state.unattached.values() for t in tasks}
         expected = {t.key: t.endpoint for t in placed if t.key not in unattached}
@@ -200,3 +202,6 @@
     ]
     assert context.chaos.lasting and not missing, missing
     check_sums(world)
+    for node in world.nodes:
+        stopping = [e.id for e in node.state.endpoints.values() if e.stopping]
+        assert not stopping, stopping
--- a/features/steps/lasting_tasks.py
+++ b/features/steps/lasting_tasks.py
@@ -130,3 +130,14 @@
     workers = context.world.workers.values()
     found = sum(sum(worker.highest_runs.values()) for worker in workers)
     assert found <= count, found
+
+
+@given("endpoint {name} does not answer starts")
+def step_hanging_starts(context, name):
+    context.world.workers[name].hangs_on_start = True
+
+
+@when("endpoint {name} refuses starts")
+def step_refuses_starts(context, name):
+    worker = context.world.workers[name]
+    worker.hangs_on_start, worker.unhealthy = False, True
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -40,6 +40,7 @@
 )
 from primrosepitch.scheduling.runs import (
     CAPACITY_SHRUNK,
+    abandon_start,
     charge_duplicate,
     confirm_soundness,
     find_task,
@@ -93,6 +94,10 @@
 """Pause before an unanswered order is repeated. Orders are idempotent: endpoints never
 start a run twice."""
 
+MAX_START_TRIES = 6
+"""Unanswered start orders after which a run is stopped, to start it elsewhere, although
+its endpoint answers polls."""
+
 UNREACHABLE_AFTER_POLLS = 2
 """Unanswered polls in succession after which an endpoint counts as unreachable: a
 single answer may be lost."""
@@ -564,6 +569,9 @@
 def _retry_orders(state: SchedulerState, endpoint: Endpoint) -> list[Effect]:
     effects: list[Effect] = []
     for task in list(endpoint.tasks.values()):
+        if task.phase is Phase.STARTING and task.order_tries >= MAX_START_TRIES:
+            effects += abandon_start(state, task, endpoint)
+            continue
         if task.order_tries < 0 or state.now - task.phase_since < ORDER_RETRY_PAUSE_S:
             continue
         if task.phase is Phase.STARTING and task.order_tries and endpoint.overcommitted:
--- a/primrosepitch/scheduling/runs.py
+++ b/primrosepitch/scheduling/runs.py
@@ -36,6 +36,7 @@
 __all__ = [
     "CAPACITY_SHRUNK",
     "EJECTION_FAULT_SCORE",
+    "abandon_start",
     "add_job",
     "cancel_job",
     "find_task",
@@ -315,6 +316,16 @@
     return [log, stop_order(state, task, endpoint)]
 
 
+def abandon_start(
+    state: SchedulerState, task: Task, endpoint: Endpoint
+) -> list[Effect]:
+    """Stop a run whose start remains unanswered, so that it starts elsewhere."""
+    task.avoid_endpoint = endpoint.id
+    _add_fault(state, endpoint)
+    endpoint.ejected_until = max(endpoint.ejected_until, state.now + EJECTION_S)
+    return stop_task(state, task, "its start is not answered")
+
+
 def stop_order(state: SchedulerState, task: Task, endpoint: Endpoint) -> StopRun:
     """Return the order that stops a task's run."""
     address = endpoint.report.address
--- a/standins/scheduler_world.py
+++ b/standins/scheduler_world.py
@@ -114,6 +114,7 @@
     :param guards_capacity: whether it refuses starts that exceed its capacity
     :param earlier_capacity: capacity before it shrank at ``shrunk_at``
     :param unhealthy: whether it refuses starts, even repeats of those carried out
+    :param hangs_on_start: whether it neither carries out nor answers starts
     :param slower: factor on the duration of new runs; infinite if they never end
     :param highest_runs: highest run number ordered, by task
     :param unacked_ends: ends of runs that no poll has acknowledged yet
@@ -149,6 +150,7 @@
         self.shrunk_at = 0.0
         self.slower = 1.0
         self.unhealthy = False
+        self.hangs_on_start = False
         self.runs: dict[TaskKey, Run] = {}
         self.unacked_ends: list[ev.EndedRun] = []
         self.end_count = 0
@@ -951,7 +953,10 @@
             self._deliver_answer(node, term, event)
 
         def arrive() -> None:
-            if worker is None or not worker.up or worker.cut:
+            hangs = worker is not None and (
+                worker.hangs_on_start and isinstance(order, ef.StartRun)
+            )
+            if worker is None or not worker.up or worker.cut or hangs:
                 self.call_later(ORDER_TIMEOUT_S, lambda: answered(ev.Outcome.UNKNOWN))
                 return
             if self.rng.random() < self.late_order_rate:
