Send start orders only to endpoints that answer

Callers saw a task run twice, and lasting tasks that waited for a silent endpoint, when the endpoint had fallen silent while the placement became durable.

Cause: the order was sent all the same, with the lease that the silent endpoint had left. An endpoint that had restarted took the end of that lease for one on its own clock, which starts anew, and ran the task for up to the maximum, while the scheduler started it elsewhere as soon as the old lease was over. Such a task now waits for another placement, as no order was sent; after a single failed poll the order waits for the next poll, as do repeated ones. An order that is under way when the endpoint restarts can still be hit, if the endpoint is silent afterwards.

--- a/features/restarted_endpoints.feature
+++ b/features/restarted_endpoints.feature
@@ -38,6 +38,23 @@
     And 16 runs were started
     And no rule was broken
 
+  # Guards against a start order to an endpoint that has fallen silent since the placement
+  # was decided: a new incarnation runs the task for longer than the scheduler assumes.
+  Scenario: An endpoint restarts in silence while a placement is not durable
+    Given a scheduler with 3 endpoints
+    When job j0 of 3 lasting tasks on separate endpoints with an availability budget of 1 is accepted
+    And 10 seconds pass
+    And the store goes down
+    And job j1 of 8 lasting tasks is accepted
+    And 0.1 seconds pass
+    And every endpoint restarts with the same id
+    And responses of endpoint e1 are lost for 12 seconds, 0 seconds from now
+    And 1.5 seconds pass
+    And the store comes back
+    And 9 seconds pass
+    Then 8 lasting tasks of j1 are running
+    And no rule was broken
+
   # Guards against the same by a successor, which knows from the ledger that the run was
   # placed on the earlier incarnation.
   Scenario: The scheduler is replaced after a start on a restarted endpoint
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -580,6 +580,7 @@
             task.phase is Phase.STARTING
             and task.order_tries
             and may_grant_leases(state)
+            and not endpoint.failed_polls
         ):
             task.phase_since = state.now
             effects.append(start_order(state, task, endpoint))
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -413,9 +413,15 @@
     return [record for job in old for record in job_tombstones(JobId(job))]
 
 
-def _is_overcommitted(state: SchedulerState, endpoint_id: EndpointId) -> bool:
-    endpoint = state.endpoints.get(endpoint_id)
-    return endpoint is not None and endpoint.overcommitted
+def _start_obstacle(endpoint: Endpoint | None) -> str:
+    """Return why no start order may be sent to an endpoint, or an empty string."""
+    if endpoint is None:
+        return ""
+    if endpoint.report.draining:
+        return "endpoint draining"
+    if not endpoint.reachable:
+        return "endpoint silent"
+    return CAPACITY_SHRUNK if endpoint.overcommitted else ""
 
 
 @_handles(ev.Committed)
@@ -426,28 +432,30 @@
     state.committing = 0
     state.confirmed_at = state.renewed_at
     effects: list[Effect] = []
-    gangs_without_room = {
-        task.key[:3]
+    gang_obstacles = {
+        task.key[:3]: obstacle
         for task, _ in state.committing_tasks
-        if task.spec.gang and _is_overcommitted(state, task.endpoint)
+        if task.spec.gang
+        and (obstacle := _start_obstacle(state.endpoints.get(task.endpoint)))
     }
     for task, run in state.committing_tasks:
         endpoint = state.endpoints.get(task.endpoint)
         if task.run != run or endpoint is None:
             continue
-        if task.phase is Phase.COMMITTING and endpoint.report.draining:
+        if task.phase is not Phase.COMMITTING:
+            continue
+        obstacle = _start_obstacle(endpoint) or gang_obstacles.get(task.key[:3], "")
+        if obstacle:
             # No order was sent, so the task can start elsewhere.
-            effects += run_lost(state, task, "endpoint draining")
-        elif task.phase is Phase.COMMITTING:
+            effects += run_lost(state, task, obstacle)
+        else:
             task.phase = Phase.STARTING
             task.phase_since = state.now
-            if endpoint.overcommitted or task.key[:3] in gangs_without_room:
-                effects += run_lost(state, task, CAPACITY_SHRUNK)
-            elif may_grant_leases(state):
+            if may_grant_leases(state) and not endpoint.failed_polls:
                 effects.append(start_order(state, task, endpoint))
             else:
-                # The commit took too long to grant a lease: the order is retried after
-                # the next one.
+                # The commit took too long to grant a lease, or the endpoint may have
+                # restarted: the order is sent after the next commit or poll.
                 task.order_tries = 1
     state.committing_tasks = []
     for endpoint_id, (born, number) in state.committing_acks.items():
