Keep the entry of an incarnation until a poll has found it

Callers saw runs start on an endpoint that had been draining for seconds, after it had restarted with its time of day set back.

Cause: its entry gives an earlier start than its earlier answers, so it was ignored, and when a poll found the new incarnation the entry had been read already: it doesn't come again before it changes. It is now kept, makes the scheduler poll the endpoint, and is used once an answer gives the same start.

The new scenario failed before ("drain at 105.53: TaskKey(job='j2', occurrence=0, step=0, number=0) started on draining e1").

--- a/features/restarted_endpoints.feature
+++ b/features/restarted_endpoints.feature
@@ -102,6 +102,18 @@
     Then 8 lasting tasks of j1 are running
     And no rule was broken
 
+  # Guards against starts on a draining endpoint, whose entry was ignored as older than
+  # its start as known from the polls.
+  Scenario: An endpoint drains after a restart with its time of day set back
+    Given a scheduler with 2 endpoints
+    When job j1 of 8 lasting tasks is accepted
+    And 2 seconds pass
+    And endpoint e1 restarts with its time of day set back by 60 seconds and drains
+    And 3 seconds pass
+    And job j2 of 4 lasting tasks is accepted
+    And 4 seconds pass
+    Then no rule was broken
+
   # Guards against an endpoint that counts as gone, because the entry that came back is
   # older than its newest restart.
   Scenario: The entry that comes back is that of an earlier incarnation
--- a/features/steps/restarted_endpoints.py
+++ b/features/steps/restarted_endpoints.py
@@ -47,6 +47,19 @@
     context.world.publish_report(worker)
 
 
+@when(
+    "endpoint {name} restarts with its time of day set back by {seconds:d} seconds "
+    "and drains"
+)
+def step_time_set_back_and_drains(context, name, seconds):
+    worker = context.world.workers[name]
+    worker.crash()
+    worker.restart()
+    worker.born -= seconds * 1000
+    worker.draining, worker.draining_since = True, context.world.now
+    context.world.publish_report(worker)
+
+
 @when("endpoint {name} restarts and its older entry is removed for {seconds:g} seconds")
 def step_older_entry(context, name, seconds):
     world = context.world
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -130,12 +130,9 @@
     if not endpoint.listed:
         endpoint.listed = True
         state.replan = True
-    born = endpoint.report.born
-    if endpoint.contacted and report.born < born:
-        return effects
-    if endpoint.contacted and report.born > born:
+    if endpoint.contacted and report.born != endpoint.report.born:
         # Its own answers tell which incarnation there is: an entry may come from
-        # another writer, and its runs go on if it has not restarted.
+        # another writer, and its time of day may have been set back at its restart.
         endpoint.next_poll_at = event.now
         endpoint.announced = report
         return effects
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -183,7 +183,7 @@
 class Endpoint(msgspec.Struct, eq=False):
     """Scheduler's view of an endpoint.
 
-    :param announced: newest report of a later incarnation that no answer has shown
+    :param announced: newest report of an incarnation that no answer has shown
     :param listed: whether the store has its report
     :param contacted: whether it answered a poll in this term
     :param reachable: whether it answered the newest poll
