--- a/features/random_faults.feature
+++ b/features/random_faults.feature
@@ -70,3 +70,28 @@
       | 93    | 93   |
       | 205   | 205  |
       | 217   | 217  |
+
+  # Guards against the same on days with entries by other writers, and with endpoints that
+  # restart with their time of day set back.
+  Scenario: Random faults that overlap, with faults of the endpoints' entries
+    Given random faults of seeds 0 to 7
+    And 5 faults of the endpoints' entries
+    When all faults of each seed have ended
+    Then each lasting task runs where there is room for it
+    And no seed broke a rule
+
+  # Guards against a run that is started twice after its start order was under way when the
+  # endpoint restarted, and the endpoint was silent afterwards.
+  Scenario: An endpoint restarts while a start order is under way, and is silent
+    Given random faults of seeds 88 to 88
+    And 5 faults of the endpoints' entries
+    When all faults of each seed have ended
+    Then no seed broke a rule
+
+  # Guards against a task that is started again, because the endpoint restarted while an
+  # acknowledgement of ends was under way.
+  Scenario: An endpoint restarts while an acknowledgement is under way
+    Given random faults of seeds 192 to 192
+    And 5 faults of the endpoints' entries
+    When all faults of each seed have ended
+    Then no seed broke a rule
--- a/features/steps/random_faults.py
+++ b/features/steps/random_faults.py
@@ -19,7 +19,7 @@
     ServiceSpec,
     WorkspaceSpec,
 )
-from standins.scheduler_faults import FaultDay, LastingTaskCheck
+from standins.scheduler_faults import ENTRY_FAULTS, FAULTS, FaultDay, LastingTaskCheck
 from standins.scheduler_world import SchedulerWorld
 
 CHECK_S = 20.0
@@ -94,12 +94,16 @@
     return world
 
 
-def run_day(seed):
-    """Return a day's world, its faults, and the tasks that waited for too long."""
+def run_day(seed, entry_faults=0):
+    """Return a day's world, its faults, and the tasks that waited for too long.
+
+    :param entry_faults: number of faults of the endpoints' entries
+    """
     world = build_world(seed)
     world.run(2.0)
     faults = FaultDay(world, seed)
-    faults.schedule(random.Random(seed).choice([2, 6, 15, 30]))
+    faults.schedule(random.Random(seed).choice([2, 6, 15, 30]), FAULTS)
+    faults.schedule(entry_faults, ENTRY_FAULTS)
     world.run(faults.ends_at - world.now)
     check = LastingTaskCheck(world)
     end = world.now + CHECK_S
@@ -112,11 +116,17 @@
 @given("random faults of seeds {first:d} to {last:d}")
 def step_seeds(context, first, last):
     context.seeds = range(first, last + 1)
+    context.entry_faults = 0
+
+
+@given("{count:d} faults of the endpoints' entries")
+def step_entry_faults(context, count):
+    context.entry_faults = count
 
 
 @when("all faults of each seed have ended")
 def step_run_days(context):
-    context.days = {seed: run_day(seed) for seed in context.seeds}
+    context.days = {seed: run_day(seed, context.entry_faults) for seed in context.seeds}
 
 
 @then("each lasting task runs where there is room for it")
--- a/standins/scheduler_faults.py
+++ b/standins/scheduler_faults.py
@@ -10,11 +10,14 @@
 import random
 from collections.abc import Callable
 
+import msgspec
+
 from primrosepitch.jobs.model import Resources, StepSpec, TaskKey
+from primrosepitch.scheduling import events as ev
 from primrosepitch.scheduling.configuration import WaveSpec
 from standins.scheduler_world import Node, SchedulerWorld, Worker
 
-__all__ = ["FAULTS", "FaultDay", "LastingTaskCheck"]
+__all__ = ["ENTRY_FAULTS", "FAULTS", "FaultDay", "LastingTaskCheck"]
 
 FAULT_S = 22.0
 """Time in which faults begin and end."""
@@ -30,6 +33,7 @@
 
 Fault = Callable[["FaultDay"], None]
 FAULTS: dict[str, Fault] = {}
+ENTRY_FAULTS: dict[str, Fault] = {}
 
 
 def register(fault: Fault) -> Fault:
@@ -38,6 +42,12 @@
     return fault
 
 
+def register_entry_fault(fault: Fault) -> Fault:
+    """Register a fault of the endpoints' entries, which only some days have."""
+    ENTRY_FAULTS[fault.__name__.removeprefix("_").replace("_", " ")] = fault
+    return fault
+
+
 class FaultDay:
     """Faults of one seed in a world.
 
@@ -55,18 +65,18 @@
         self.ends_at = world.now + FAULT_S
         self.log: list[str] = []
 
-    def schedule(self, count: int) -> None:
+    def schedule(self, count: int, faults: dict[str, Fault]) -> None:
         """Schedule a number of faults at random times."""
-        names = sorted(FAULTS)
+        names = sorted(faults)
         for _ in range(count):
             name = self.rng.choice(names)
             at = self.rng.uniform(0.0, FAULT_S - 6.0)
-            self.world.call_later(at, functools.partial(self.begin, name))
+            self.world.call_later(at, functools.partial(self.begin, name, faults[name]))
 
-    def begin(self, name: str) -> None:
+    def begin(self, name: str, fault: Fault) -> None:
         """Begin a fault now."""
         self.log.append(f"{self.world.now:.2f} {name}")
-        FAULTS[name](self)
+        fault(self)
 
     def duration_s(self, most: float = 6.0) -> float:
         """Return a random duration that ends in time."""
@@ -326,6 +336,29 @@
     day.set_for(day.world, "instance_answer_loss_rate", 0.7, 3.0)
 
 
+@register_entry_fault
+def _entry_by_another_writer(day: FaultDay) -> None:
+    for worker in day.some_or_all():
+        day.log[-1] += f" {worker.id}"
+        born = worker.born + day.rng.choice([-5000, 1, 5000, 10**9])
+        entry = msgspec.structs.replace(worker.report(), born=born)
+        for node in day.world.nodes:
+            node.feed(ev.EndpointReported(entry, day.world.now))
+        day.later(day.duration_s(3.0), functools.partial(day.publish, worker))
+
+
+@register_entry_fault
+def _restart_with_the_time_set_back(day: FaultDay) -> None:
+    for worker in day.pick(2):
+        day.log[-1] += f" {worker.id}"
+        worker.crash()
+        worker.restart()
+        worker.born -= day.rng.choice([1000, 60000])
+        day.later(
+            day.rng.choice([0.0, 0.1, 1.5]), functools.partial(day.publish, worker)
+        )
+
+
 class LastingTaskCheck:
     """Checks that lasting tasks run wherever there is room for them twice over.
 
