Use an endpoint again that its move has not ended

Callers would see lasting tasks wait for good although their pool has live endpoints.

Cause: an endpoint whose instance is being moved gets no tasks. When the move was forgotten, as it had been confirmed and was due or as no endpoint had joined in time, the endpoint was kept out of use for ever, even if it was never ended. It is now polled once its move is forgotten, and used again as soon as it answers.

The new scenario failed before: 2 of 4 lasting tasks ran 7 s after they were accepted ("ASSERT FAILED: {TaskKey(job='j1', occurrence=0, step=0, number=1), TaskKey(job='j1', occurrence=0, step=0, number=0)}").

--- a/features/random_faults.feature
+++ b/features/random_faults.feature
@@ -56,6 +56,26 @@
     Then 4 lasting tasks of j3 are running
     And no rule was broken
 
+  # Guards against a pool that keeps all its endpoints, since it was taken to need those
+  # that it has.
+  Scenario: Idle endpoints beyond the need of their pool are switched off
+    Given a scheduler with 4 endpoints
+    And a spare pool
+    When 5 seconds pass
+    Then 2 instances are in the spare pool
+
+  # Guards against endpoints that get no tasks for good, because the move of their instance
+  # was confirmed and not carried out.
+  Scenario: Confirmed moves are not carried out
+    Given a scheduler with 4 endpoints
+    And a spare pool
+    And moves of instances that are confirmed and not carried out
+    When 10 seconds pass
+    And job j1 of 4 lasting tasks on separate endpoints with an availability budget of 1 is accepted
+    And 7 seconds pass
+    Then 4 lasting tasks of j1 are running
+    And no rule was broken
+
   # Guards against lasting tasks that wait although there is room for them, in the order
   # in which a day's faults happen to overlap.
   Scenario Outline: Random faults that overlap
--- a/features/steps/random_faults.py
+++ b/features/steps/random_faults.py
@@ -14,6 +14,7 @@
     StepSpec,
     WorkspaceName,
 )
+from primrosepitch.scheduling import events as ev
 from primrosepitch.scheduling.configuration import (
     QueueSpec,
     ServiceSpec,
@@ -154,3 +155,25 @@
         context.world.call_later(
             refuses_s, functools.partial(setattr, worker, "unhealthy", False)
         )
+
+
+@given("a spare pool")
+def step_spare_pool(context):
+    spare = ServiceName("off")
+    context.world.cfg.services[spare] = ServiceSpec(spare, spare=True)
+
+
+@then("{count:d} instances are in the spare pool")
+def step_in_spare_pool(context, count):
+    found = [name for name, pool in context.world.pool_of.items() if pool == "off"]
+    assert len(found) == count, found
+
+
+@given("moves of instances that are confirmed and not carried out")
+def step_empty_moves(context):
+    world = context.world
+
+    def confirm(node, order, sent_at):
+        world._answer_move(node, order, ev.Outcome.DONE)
+
+    world._move = confirm
--- a/primrosepitch/scheduling/lending.py
+++ b/primrosepitch/scheduling/lending.py
@@ -181,6 +181,13 @@
             expired = True
         if joined.get(instance) == move.pool or expired:
             del state.moves[instance]
+    for endpoint in state.endpoints.values():
+        lent = endpoint.evacuation_reason == LENDING_REASON
+        if lent and endpoint.listed and endpoint.report.instance not in state.moves:
+            # An endpoint that its move has not ended is used again if it answers.
+            endpoint.evacuation_reason = ""
+            endpoint.reachable = False
+            endpoint.next_poll_at = state.now
 
 
 def _repeat_moves(state: SchedulerState) -> list[Effect]:
