Count an endpoint that restarts as the newest of its instance

Callers saw tasks of a step with an availability budget ended together by maintenance (AVAIL): the scheduler took the instance for idle.

Cause: which endpoint is the newest of an instance was noted when the endpoint was first reported, and not at a restart under the same id. If another endpoint had lived on the instance in between and was still listed, maintenance looked at that one. The same held for an endpoint that comes back on another instance. Each new report updates it now.

Found by reading. The new scenario failed before: "avail at 105.08: TaskKey(job='j1', occurrence=0, step=0, number=0) stopped while 1 are unavailable".

--- a/features/restarted_endpoints.feature
+++ b/features/restarted_endpoints.feature
@@ -127,3 +127,16 @@
     Then 4 lasting tasks of j1 are running
     And 4 lasting tasks of j2 are running
     And no rule was broken
+
+  # Guards against maintenance of an instance whose tasks have not been moved away: another
+  # endpoint had lived there before its endpoint restarted, and counted as the newest.
+  Scenario: An endpoint restarts after another one has lived on its instance
+    Given a scheduler with 2 endpoints
+    When another endpoint lives on the instance of endpoint e1, which then restarts
+    And job j1 of 4 lasting tasks with an availability budget of 1 is accepted
+    And 2 seconds pass
+    And a wave over all instances, at most 1 at once, is requested
+    And 40 seconds pass
+    Then the wave is completed
+    And 4 lasting tasks of j1 are running
+    And no rule was broken
--- a/features/steps/restarted_endpoints.py
+++ b/features/steps/restarted_endpoints.py
@@ -83,6 +83,20 @@
     world.call_later(delay + seconds, lambda: setattr(worker, "mute", False))
 
 
+@when("another endpoint lives on the instance of endpoint {name}, which then restarts")
+def step_other_endpoint(context, name):
+    world = context.world
+    worker = world.workers[name]
+    worker.crash()
+    world.join_worker(worker.instance, worker.service)
+    world.run(1.0)
+    living = [w for w in world.workers.values() if w.up]
+    next(w for w in living if w.instance == worker.instance).crash()
+    worker.restart()
+    world.publish_report(worker)
+    world.run(1.0)
+
+
 @then("endpoint {name} was polled at most {count:d} times")
 def step_max_polls(context, name, count):
     assert context.polls[name] <= count, context.polls
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -139,7 +139,7 @@
     if report.draining and not endpoint.report.draining:
         effects.append(WriteLog(ENDPOINT_DRAINING, {"endpoint": report.endpoint}))
         state.replan = True
-    endpoint.report = report
+    state.replace_report(endpoint, report)
     return effects
 
 
@@ -371,7 +371,8 @@
             return effects
         # The time of day may have been set back, so its start may seem earlier.
         effects += _endpoint_restarted(state, endpoint, event.born)
-        endpoint.report = _report_of_incarnation(state, endpoint, event.born)
+        report = _report_of_incarnation(state, endpoint, event.born)
+        state.replace_report(endpoint, report)
     if not endpoint.reachable:
         if endpoint.failed_polls:
             effects.append(WriteLog(ENDPOINT_BACK, {"endpoint": endpoint.id}))
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -502,6 +502,14 @@
         if newest is None or newest.report.born <= endpoint.report.born:
             self.newest_endpoint[instance] = endpoint
 
+    def replace_report(self, endpoint: Endpoint, report: EndpointReport) -> None:
+        """Replace an endpoint's report and update the newest one of its instance."""
+        instance = endpoint.report.instance
+        if instance != report.instance and self.endpoint_on(instance) is endpoint:
+            del self.newest_endpoint[instance]
+        endpoint.report = report
+        self.add_endpoint(endpoint)
+
     def drop_endpoint(self, endpoint: Endpoint) -> None:
         """Remove an endpoint and update the newest one of its instance."""
         del self.endpoints[endpoint.id]
