Generate odd numbers, odd addresses and deep nesting for each decoder

The reports of endpoints and the operators' records weren't generated at all.

The generators have these shapes now, and two more decoders: reports, which also vary address, port and the type of each field, and manifests and waves. Whatever a decoder returns is encoded as the product stores it.

--- a/features/malformed_messages.feature
+++ b/features/malformed_messages.feature
@@ -41,11 +41,13 @@
     Then 400 generated answers of <service> raise nothing, with seed 7
 
     Examples:
-      | service            |
-      | an endpoint        |
-      | the machines list  |
-      | the advice service |
-      | the store          |
+      | service              |
+      | an endpoint          |
+      | the machines list    |
+      | the advice service   |
+      | the store            |
+      | an endpoint's report |
+      | the operators        |
 
   Scenario: A machine with an unknown state does not hide the others
     Given a list of machines in the states up, melting and down
--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -35,7 +35,13 @@
     TaskKey,
     WorkspaceName,
 )
-from primrosepitch.jobs.records import Ledger, encode
+from primrosepitch.jobs.records import (
+    Ledger,
+    Progress,
+    TaskRecord,
+    WaveProgress,
+    encode,
+)
 from primrosepitch.jobs.store import (
     KeyedRecord,
     StoreFencedError,
@@ -52,7 +58,11 @@
 from primrosepitch.node.scheduler import SchedulerRunner
 from primrosepitch.scheduling import effects as ef
 from primrosepitch.scheduling import events as ev
-from primrosepitch.scheduling.configuration import Configuration, QueueSpec
+from primrosepitch.scheduling.configuration import (
+    Configuration,
+    QueueSpec,
+    WaveSpec,
+)
 from primrosepitch.scheduling.reducer import step
 from primrosepitch.scheduling.state import Limits, SchedulerState
 from standins.memory_platform import (
@@ -181,7 +191,9 @@
     strategies.none(),
     strategies.booleans(),
     strategies.integers(),
+    strategies.sampled_from([1 << 63, 1 << 70, -(1 << 70), 10**399]),
     strategies.floats(allow_nan=False, allow_infinity=False),
+    strategies.sampled_from([-0.0, 1e308, float("inf"), float("nan")]),
     strategies.text(max_size=6),
     strategies.sampled_from(["up", "done", "0.0.0.0", "5c0e7a21d94b36f8.0.1.17"]),
 )
@@ -269,18 +281,28 @@
         deadline=None,
         suppress_health_check=list(HealthCheck),
     )
-    @generate(strategy, strategies.integers(0, 3), strategies.integers(0, 1 << 30))
+    @generate(strategy, strategies.integers(0, 4), strategies.integers(0, 1 << 30))
     def run(value, damage, where):
         body = bytearray(json.dumps(value).encode())
         if damage == 1 and body:
             body[where % len(body)] ^= 1 + where % 255
         elif damage == 2:
             del body[where % (len(body) + 1) :]
+        elif damage == 4:
+            nested = list(NESTED_JSON.values())[where % 2]
+            body[-1:] = (b", " if value else b"") + b'"x": ' + nested + b"}"
         check(bytes(body))
 
     run()
 
 
+DEPTH = 100_000
+NESTED_JSON = {
+    "lists": b"[" * DEPTH + b"]" * DEPTH,
+    "objects": b'{"a":' * DEPTH + b"1" + b"}" * DEPTH,
+}
+
+
 @then("{count:d} generated answers of {service} raise nothing, with seed {number:d}")
 def step_generated_answers(context, count, service, number):
     strategy, check = answers[service]
@@ -526,11 +548,6 @@
 
 # Deep nesting
 
-DEPTH = 100_000
-NESTED_JSON = {
-    "lists": b"[" * DEPTH + b"]" * DEPTH,
-    "objects": b'{"a":' * DEPTH + b"1" + b"}" * DEPTH,
-}
 NESTED_MSGPACK = {
     "lists": b"\x91" * DEPTH + b"\xc0",
     "objects": b"\x81\xa1a" * DEPTH + b"\xc0",
@@ -1003,3 +1020,40 @@
     context.feed._reader._partition.records.append(KeyedRecord("c", b"v"))
     changes = asyncio.run(context.feed.changes(0.0))
     assert changes == ["c"], changes
+
+
+def read_report(body):
+    found = decode_report(KeyedRecord("w1", body), 0.0)
+    if isinstance(found, ev.EndpointReport):
+        msgspec.json.encode(found)
+        record = TaskRecord(0, 0, 0, 1, found.endpoint, found.born)
+        encode(Progress(JobId("1" * 16), [record]))
+
+
+def read_operator_records(body):
+    for key in ("config", "wave/1"):
+        found = decode_operator_record(KeyedRecord(key, body), 0.0)
+        if isinstance(found, WaveSpec):
+            encode(WaveProgress(found.wave, list(found.instances)))
+        elif found is not None:
+            msgspec.msgpack.encode(found)
+
+
+def damaged(value):
+    """Generate variants of a message in which some fields have other values."""
+    return strategies.fixed_dictionaries(
+        {},
+        optional={
+            key: strategies.one_of(strategies.just(right), odd_values)
+            for key, right in value.items()
+        },
+    ).map(lambda changes: value | changes)
+
+
+odd_values = strategies.one_of(
+    values, strategies.sampled_from(sorted(ODD_ADDRESSES.values()))
+)
+answers |= {
+    "an endpoint's report": (damaged(REPORT | {"remaining_ms": 5}), read_report),
+    "the operators": (damaged(MANIFEST | WAVE), read_operator_records),
+}
