Count a busy instance as down if its unanswered order may be the reason

Callers could see one instance more of a wave down than its cap allows (LIMIT). An order to maintain an instance was carried out and its answer lost; the repeat was refused as busy, since the maintenance had begun, and the instance counted as up again until the next listing, so another one was taken down.

--- a/primrosepitch/scheduling/maintenance.py
+++ b/primrosepitch/scheduling/maintenance.py
@@ -265,8 +265,10 @@
     }
     effects: list[Effect] = [WriteLog(UPKEEP_ANSWERED, fields)]
     down_s = state.limits.maintenance_s + DOWN_SLACK_S
+    known_until = wave.down_until.get(event.instance, 0.0)
     wave.down_until[event.instance] = event.now + down_s
-    if leaves_uncertain(event.outcome, event.instance in wave.uncertain):
+    was_uncertain = event.instance in wave.uncertain
+    if leaves_uncertain(event.outcome, was_uncertain):
         wave.uncertain.add(event.instance)
         wave.repeat.add(event.instance)
         return effects
@@ -282,7 +284,9 @@
         wave.selected.discard(event.instance)
         wave.down_until.pop(event.instance)
     else:
-        wave.down_until.pop(event.instance)
+        if not (was_uncertain and event.outcome is Outcome.BUSY):
+            # A busy one may be down for the order that was not answered.
+            wave.down_until[event.instance] = known_until
         wave.selected.discard(event.instance)
         _cancel_evacuation(state, event.instance)
     return effects
