Don't fail a job for a task that is done

What callers saw: nothing yet; found by reading. A job that could be completed is shown as failed.

Cause: crashes are proved later, by the next incarnation of an endpoint. A task whose earlier runs were lost may be done by then, as a duplicate or as a member of a gang, whose end is not an end of its own run; its crashes still counted.

Crashes of a task that is done no longer count.

Evidence, without the change: "A task that is done is not given up" fails with "ASSERT FAILED: JobState.FAILED".

--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -196,6 +196,17 @@
     And no crash was counted
     And no rule was broken
 
+  # Guards against failing a job for a task that has succeeded, as a duplicate or a member of
+  # a gang, and whose earlier endpoints turn out later to have crashed.
+  Scenario: A task that is done is not given up
+    Given a scheduler with 4 endpoints
+    When job j1 of steps 1x500 then 1x3000 is accepted
+    And 1.5 seconds pass
+    And 3 crashes are proved under task 0 of j1, which is done
+    And 5 seconds pass
+    Then job j1 is completed
+    And no rule was broken
+
   # Guards against a record of the runs that an earlier version of the program can't read,
   # or that it has written.
   Scenario: Records of tasks with and without crashes are read by either version
--- a/features/steps/crashing_tasks.py
+++ b/features/steps/crashing_tasks.py
@@ -6,6 +6,7 @@
 from primrosepitch.events import CRASH_COUNTED
 from primrosepitch.jobs.model import EndpointId, JobId, JobState, TaskKey
 from primrosepitch.jobs.records import RunCrash, TaskRecord
+from primrosepitch.scheduling.state import Phase
 
 
 class RecordWithoutCrashes(msgspec.Struct, array_like=True):
@@ -117,6 +118,16 @@
     assert not context.world.events[CRASH_COUNTED.number], context.world.events
 
 
+@when("{count:d} crashes are proved under task {number:d} of {job}, which is done")
+def step_prove_late(context, count, number, job):
+    state = context.world.nodes[0].state
+    task = state.jobs[JobId(job)].steps[0][0].tasks[number]
+    assert task.phase is Phase.DONE, task.phase
+    crash = RunCrash(1, EndpointId("e1"), 7, "m1", proof="endpoint restarted")
+    task.crashes = (crash,) * count
+    state.crashed_tasks[task.key] = task
+
+
 @when("a record of a task with {count:d} crashes is written")
 def step_write_record(context, count):
     crash = RunCrash(1, EndpointId("e1"), 7, "m1", 3, True, "instance restarted")
--- a/primrosepitch/scheduling/crashes.py
+++ b/primrosepitch/scheduling/crashes.py
@@ -172,7 +172,8 @@
     effects: list[Effect] = []
     for task in list(state.crashed_tasks.values()):
         job = state.jobs.get(task.key.job)
-        if job is None or job.failing or job.cancelled:
+        done = task.phase is Phase.DONE
+        if job is None or job.failing or job.cancelled or done:
             del state.crashed_tasks[task.key]
             continue
         for crash in task.crashes:
