List the ready steps once for a decision on moves

The need of the pools listed and ranked all waiting steps twice, once for the demand and once for lasting tasks without room.

--- a/primrosepitch/scheduling/lending.py
+++ b/primrosepitch/scheduling/lending.py
@@ -33,7 +33,7 @@
 )
 from primrosepitch.scheduling.leases import unreachable_zones, usable
 from primrosepitch.scheduling.limits import count_within_limit
-from primrosepitch.scheduling.ordering import PriorityClass, ready_steps
+from primrosepitch.scheduling.ordering import PriorityClass, ReadyStep, ready_steps
 from primrosepitch.scheduling.state import (
     SMALL_JOB_COUNT,
     Endpoint,
@@ -201,8 +201,9 @@
 
 
 def _evaluate_pools(state: SchedulerState) -> dict[ServiceName, Pool]:
-    demand = _current_demand(state)
-    waiting = _endpoints_for_waiting(state)
+    ready = ready_steps(state)
+    demand = _current_demand(state, ready)
+    waiting = _endpoints_for_waiting(state, ready)
     largest = max((v.capacity.cpu for v in state.instances.values()), default=0)
     pools = {}
     for service in state.cfg.services.values():
@@ -228,7 +229,9 @@
     return pools
 
 
-def _current_demand(state: SchedulerState) -> dict[ServiceName, float]:
+def _current_demand(
+    state: SchedulerState, steps: list[ReadyStep]
+) -> dict[ServiceName, float]:
     """Return the processor capacity that each pool could use, in thousandths of a core.
 
     Waiting work is added to the arrival rate: a pool that only keeps up with the
@@ -246,7 +249,7 @@
     for service in state.arrival_rates:
         arriving = lasting[service] + expected_cpu(state, service)
         demand[service] = max(demand[service], arriving)
-    for ready in ready_steps(state):
+    for ready in steps:
         waiting = len(ready.tasks) * ready.step.spec.needs.cpu
         in_time = ready.rank[0] <= PriorityClass.IN_TIME
         fraction = WAITING_WORK_FRACTION if in_time else LATE_WORK_FRACTION
@@ -258,14 +261,16 @@
     return any(task.spec.lasting for task in endpoint.tasks.values())
 
 
-def _endpoints_for_waiting(state: SchedulerState) -> dict[ServiceName, float]:
+def _endpoints_for_waiting(
+    state: SchedulerState, steps: list[ReadyStep]
+) -> dict[ServiceName, float]:
     """Return how many empty endpoints the waiting lasting tasks of each pool fill.
 
     The planning pass before has found no room for them, be it processor time or memory,
     and no running work ends that would make any.
     """
     found: dict[ServiceName, float] = defaultdict(float)
-    for ready in ready_steps(state):
+    for ready in steps:
         spec = ready.step.spec
         if not spec.lasting or ready.tasks[0].key[:3] in state.advice_pending:
             continue
