Start nothing on an endpoint whose incarnation is in doubt

Callers saw a task run twice: an endpoint had restarted, its report with another start had been read, and it fell silent before a poll found the new incarnation. A run was started there meanwhile, under a lease that ends late on the new clock, and started elsewhere when the old lease was over.

Cause: a report of another incarnation made the scheduler poll the endpoint, but the endpoint stayed in use until the answer. It now gets no start orders until a poll that was sent after the report has been answered, and runs that no poll has listed keep their lease for the maximum.

--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -135,6 +135,12 @@
         # another writer, and its time of day may have been set back at its restart.
         endpoint.next_poll_at = event.now
         endpoint.announced = report
+        endpoint.in_doubt_since = event.now
+        if any(not task.listed for task in endpoint.tasks.values()):
+            # A start order may have reached an incarnation with another clock.
+            endpoint.leases_expire_at = max(
+                endpoint.leases_expire_at, _latest_expiry(state)
+            )
         return effects
     if report.draining and not endpoint.report.draining:
         effects.append(WriteLog(ENDPOINT_DRAINING, {"endpoint": report.endpoint}))
@@ -252,6 +258,8 @@
         return "not contacted"
     if not endpoint.reachable:
         return "unreachable"
+    if endpoint.in_doubt_since:
+        return "incarnation in doubt"
     if endpoint.report.draining:
         return "draining"
     if endpoint.evacuation_reason:
@@ -380,6 +388,8 @@
     first_contact = not endpoint.reachable
     endpoint.contacted = endpoint.reachable = True
     endpoint.failed_polls = 0
+    if event.sent_at >= endpoint.in_doubt_since:
+        endpoint.in_doubt_since = 0.0
     endpoint.clock_ms, endpoint.clock_read_at = event.clock_ms, event.now
     if all(ended.number > endpoint.acked_end for ended in event.ended):
         endpoint.discarded_end = endpoint.acked_end
@@ -417,6 +427,8 @@
 def _next_poll_at(
     state: SchedulerState, endpoint: Endpoint, first_contact: bool
 ) -> float:
+    if endpoint.in_doubt_since:
+        return state.now
     if endpoint.processed_end > endpoint.acked_end:
         # The next poll acknowledges the ends; it follows when they are durable.
         return state.now + 1.0
@@ -578,7 +590,7 @@
             task.phase is Phase.STARTING
             and task.order_tries
             and may_grant_leases(state)
-            and not endpoint.failed_polls
+            and not (endpoint.failed_polls or endpoint.in_doubt_since)
         ):
             task.phase_since = state.now
             effects.append(start_order(state, task, endpoint))
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -421,6 +421,8 @@
         return "endpoint draining"
     if not endpoint.reachable:
         return "endpoint silent"
+    if endpoint.in_doubt_since:
+        return "endpoint may have restarted"
     return CAPACITY_SHRUNK if endpoint.overcommitted else ""
 
 
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -184,6 +184,8 @@
     """Scheduler's view of an endpoint.
 
     :param announced: newest report of an incarnation that no answer has shown
+    :param in_doubt_since: boot-time clock at which that report was read; 0 once a poll
+        that was sent later has been answered
     :param listed: whether the store has its report
     :param contacted: whether it answered a poll in this term
     :param reachable: whether it answered the newest poll
@@ -214,6 +216,7 @@
 
     report: EndpointReport
     announced: EndpointReport | None = None
+    in_doubt_since: float = 0.0
     listed: bool = True
     contacted: bool = False
     reachable: bool = False
