Send no start order while an earlier one for the same run is under way

Callers could see a task run twice: a start order got no answer yet, its repeat 50 ms later was refused, the run counted as refused and started elsewhere, and the first order was carried out a second later.

Cause: orders were repeated every 50 ms while one was under way for up to 250 ms, so the answer to one of them was taken for the answer to all. An order is now repeated only when the one before has been answered or given up.

--- a/features/scheduler_rules.feature
+++ b/features/scheduler_rules.feature
@@ -83,6 +83,17 @@
     Then job j1 is completed
     And no rule was broken
 
+  # Guards against a second run of a task, since the refusal of a repeated start order
+  # counted also for an earlier one that was still under way.
+  Scenario: A start order is refused while an earlier one is under way
+    Given a scheduler with 3 endpoints
+    And start orders of j1 are not sent, carried out after 1 second, and refused in turn
+    When job j1 of 1 lasting tasks is accepted
+    And 40 jobs of steps 1x100 are accepted over 2 seconds
+    And 4 seconds pass
+    Then 1 lasting tasks of j1 are running
+    And no rule was broken
+
   # Guards against a task that waits for the end of a run that does not exist: its stop
   # was repeated, and each answer made the polls sent before it void.
   Scenario: A stopped run that never started does not hold its task for ever
--- a/features/steps/scheduler_rules.py
+++ b/features/steps/scheduler_rules.py
@@ -233,6 +233,61 @@
     world._send_order = lose_starts
 
 
+@given(
+    "start orders of {job} are not sent, carried out after {seconds:d} second, "
+    "and refused in turn"
+)
+def step_order_race(context, job, seconds):
+    world = context.world
+    send = world._do_startrun
+    orders = itertools.count(1)
+
+    def answer(node, order, outcome, delay_s):
+        def deliver():
+            event = ev.StartAnswered(
+                order.task, order.run, order.endpoint, outcome, world.now
+            )
+            world._deliver_answer(node, node.state.term, event)
+
+        world.call_later(delay_s, deliver)
+
+    def race(node, order):
+        number = next(orders) if order.task.job == job else 0
+        worker = world.workers[order.endpoint]
+        if number == 1:
+            answer(node, order, ev.Outcome.NOT_SENT, 0.002)
+        elif number == 2:
+            answer(node, order, ev.Outcome.UNKNOWN, 0.25)
+            world.call_later(seconds, lambda: worker.start(order))
+        elif number == 3:
+            answer(node, order, ev.Outcome.UNHEALTHY, 0.004)
+        else:
+            send(node, order)
+
+    world._do_startrun = race
+
+
+@when("the next {count:d} stop orders are lost")
+def step_lose_stops(context, count):
+    world = context.world
+    send = world._do_stoprun
+    left = [count]
+
+    def lose(node, order):
+        if not left[0]:
+            send(node, order)
+            return
+        left[0] -= 1
+        event = ev.StopAnswered(
+            order.task, order.run, order.endpoint, ev.Outcome.UNKNOWN, world.now
+        )
+        world.call_later(
+            0.25, lambda: world._deliver_answer(node, node.state.term, event)
+        )
+
+    world._do_stoprun = lose
+
+
 @when("start orders arrive again")
 def step_orders_arrive(context):
     context.world._send_order = context.send_order
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -510,6 +510,7 @@
     """Return the order that starts a task's run, with a lease granted now."""
     tickets = state.tickets.get(task.key[:3], {})
     ticket = tickets.get(endpoint.id)
+    task.order_pending = True
     return StartRun(
         endpoint.id,
         endpoint.report.address,
@@ -589,6 +590,7 @@
         elif (
             task.phase is Phase.STARTING
             and task.order_tries
+            and not task.order_pending
             and may_grant_leases(state)
             and not (endpoint.failed_polls or endpoint.in_doubt_since)
         ):
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -194,6 +194,7 @@
         return []
     if task.run != event.run or task.endpoint != event.endpoint:
         return []
+    task.order_pending = False
     effects: list[Effect] = []
     if event.outcome is not ev.Outcome.DONE:
         fields = {
--- a/primrosepitch/scheduling/runs.py
+++ b/primrosepitch/scheduling/runs.py
@@ -265,7 +265,7 @@
     task.started_at = 0.0
     task.rate_percent = 100
     task.order_tries = 0
-    task.unanswered = task.listed = False
+    task.unanswered = task.order_pending = task.listed = False
     charge_usage(state, task, 1)
     reserve_capacity(endpoint, task)
     job = state.jobs[task.key.job]
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -95,6 +95,7 @@
     :param order_tries: number of unanswered or refused start orders; -1 after a
         takeover, if the earlier scheduler may not have sent the order
     :param unanswered: whether a start order for this run remained unanswered
+    :param order_pending: whether a start order for this run is under way
     :param listed: whether a poll of its endpoint has listed this run
     :param near_target_at: last time that a serving task on its endpoint was near its
         latency target
@@ -126,6 +127,7 @@
     avoid_endpoint: EndpointId = EndpointId("")
     order_tries: int = 0
     unanswered: bool = False
+    order_pending: bool = False
     listed: bool = False
     near_target_at: float = 0.0
     throttled_at: float = 0.0
