Repeat the stop orders of a successor until they are answered

Cause: runs that a successor restores are marked as not to be ordered again until a poll shows whether they exist. If their job was cancelled before that poll, one stop order was sent, and it was never repeated when it or its answer was lost, while the polls went on to extend the lease. The mark now holds for start orders only.

--- a/features/scheduler_rules.feature
+++ b/features/scheduler_rules.feature
@@ -94,6 +94,20 @@
     Then 1 lasting tasks of j1 are running
     And no rule was broken
 
+  # Guards against tasks of a cancelled job that run on, since the stop order that a
+  # successor sent before its first poll was lost and not repeated.
+  Scenario: A stop order of a successor is lost
+    Given a scheduler with 3 endpoints
+    When job j1 of 2 lasting tasks is accepted
+    And 3 seconds pass
+    And node a is killed after 0 seconds
+    And 1 seconds pass
+    And job j1 is cancelled
+    And the next 2 stop orders are lost
+    And node b takes the term after 0 seconds
+    And 3 seconds pass
+    Then no task is running
+
   # Guards against a task that waits for the end of a run that does not exist: its stop
   # was repeated, and each answer made the polls sent before it void.
   Scenario: A stopped run that never started does not hold its task for ever
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -583,7 +583,10 @@
         if task.phase is Phase.STARTING and task.order_tries >= MAX_START_TRIES:
             effects += abandon_start(state, task, endpoint)
             continue
-        if task.order_tries < 0 or state.now - task.phase_since < ORDER_RETRY_PAUSE_S:
+        if state.now - task.phase_since < ORDER_RETRY_PAUSE_S:
+            continue
+        if task.phase is Phase.STARTING and task.order_tries < 0:
+            # The first poll shows whether the run exists.
             continue
         if task.phase is Phase.STARTING and task.order_tries and endpoint.overcommitted:
             effects += stop_task(state, task, CAPACITY_SHRUNK)
