Reserve only endpoints that may run the task for a start alone

A lasting task under which two endpoints had crashed could wait for good (LOST): the endpoint that was kept for its start alone already ran as many tasks of its step as one endpoint may, so the task was refused there, and the reservation was kept.

Cause: the choice of the endpoint looked at label, capacity and advice, and not at most_per_endpoint.

--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -40,6 +40,17 @@
     And 5 lasting tasks of j1 are running
     And no rule was broken
 
+  # Guards against a lasting task that waits for good, as the endpoint that is kept for its
+  # start alone already has as many tasks of its step as it may have.
+  Scenario: A task that starts alone is given an endpoint that may run it
+    Given a scheduler with 3 endpoints
+    When job j1 of 3 lasting tasks on separate endpoints with an availability budget of 1 is accepted
+    And 2 seconds pass
+    And endpoint e9 joins with 3 lasting tasks of its own
+    And the endpoint of task 0 of j1 is lost, and two endpoints have crashed under the task
+    And 10 seconds pass
+    Then 3 lasting tasks of j1 are running
+
   # Guards against counting the crashes of one deadly task for another one of its job.
   Scenario: Two deadly tasks of one job cause few crashes
     Given a scheduler with 6 endpoints
--- a/features/steps/crashing_tasks.py
+++ b/features/steps/crashing_tasks.py
@@ -4,9 +4,10 @@
 from behave import given, then, when
 
 from primrosepitch.events import CRASH_COUNTED
-from primrosepitch.jobs.model import EndpointId, JobId, JobState, TaskKey
+from primrosepitch.jobs.model import EndpointId, JobId, JobState, StepSpec, TaskKey
 from primrosepitch.jobs.records import RunCrash, TaskRecord
 from primrosepitch.scheduling.state import Phase
+from scheduler_rules import submit_job
 
 
 class RecordWithoutCrashes(msgspec.Struct, array_like=True):
@@ -50,6 +51,52 @@
         world.call_later((number + 1) * every, crash_some)
 
 
+@when("endpoint {name} joins with {count:d} lasting tasks of its own")
+def step_join_with_tasks(context, name, count):
+    world = context.world
+    world.add_worker(name, "s", rack="own")
+    world.run(1.0)
+    for number in range(count):
+        step = StepSpec(1, 1000, 100, lasting=True, label="own")
+        submit_job(context, f"own{number}", [step])
+    world.run(4.0)
+
+
+@when(
+    "the endpoint of task {number:d} of {job} is lost, "
+    "and two endpoints have crashed under the task"
+)
+def step_task_with_crashes(context, number, job):
+    world = context.world
+    state = world.nodes[0].state
+    task = state.jobs[JobId(job)].steps[0][0].tasks[number]
+    world.workers[task.endpoint].crash()
+    task.crashes = tuple(
+        RunCrash(900 + i, EndpointId(f"x{i}"), 1, f"m-x{i}", 3, False, "restarted")
+        for i in (1, 2)
+    )
+    state.crashed_tasks[task.key] = task
+
+
+@when(
+    "the endpoints of {job} crash twice, "
+    "{seconds:g} s after all of its tasks have started"
+)
+def step_crash_twice(context, job, seconds):
+    world = context.world
+    count = world.specs[JobId(job)].steps[0].tasks
+
+    def endpoints():
+        running = [(w, k) for w in world.workers.values() if w.up for k in w.runs]
+        return [worker for worker, key in running if key.job == job]
+
+    for _ in range(2):
+        assert world.run_until(lambda: len(endpoints()) == count, 20)
+        world.run(seconds)
+        for worker in {w.id: w for w in endpoints()}.values():
+            world.crash_worker(worker)
+
+
 @when("rack {rack} crashes {delay:g} seconds from now")
 def step_rack_lost(context, rack, delay):
     world = context.world
--- a/primrosepitch/scheduling/crashes.py
+++ b/primrosepitch/scheduling/crashes.py
@@ -374,12 +374,15 @@
     def _suitable(self, task: Task, endpoint: Endpoint) -> bool:
         """Return whether an endpoint could run a task, now or once it is empty."""
         label, step = task.spec.label, task.key[:3]
+        most = task.spec.most_per_endpoint
+        siblings = sum(other.key[:3] == step for other in endpoint.tasks.values())
         requested = self._state.advice_requested.get(step, set())
         refused = endpoint.id in requested and endpoint.id not in (
             self._state.tickets.get(step, {})
         )
         return (
             not refused
+            and not 0 < most <= siblings
             and (not label or label in endpoint.report.labels)
             and task.spec.needs.fits(endpoint.report.capacity)
             and (not _has_lasting(endpoint) or endpoint.has_room(task.spec.needs))
