Start the isolated lasting tasks of a job together after two crashes

Sound lasting tasks could wait for 20 s and more (LOST): after two crashes shortly after their starts all of them are suspected, and those of one job started one after the other, each until it had lasted for 1.5 s.

Two crashes may come from outside; they are now tried together on one endpoint, with nobody else's. If that crashes as well, each starts alone, and a deadly one is given up as before: at most two starts follow its third crash.

--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -51,6 +51,15 @@
     And 10 seconds pass
     Then 3 lasting tasks of j1 are running
 
+  # Guards against sound lasting tasks that wait for each other for many seconds, after
+  # two crashes shortly after their starts.
+  Scenario: Sound lasting tasks of a job start together after two crashes
+    Given a scheduler with 8 endpoints
+    When job j1 of 12 lasting tasks is accepted
+    And the endpoints of j1 crash twice, 0.3 s after all of its tasks have started
+    And 7 seconds pass
+    Then 12 lasting tasks of j1 are running
+
   # Guards against counting the crashes of one deadly task for another one of its job.
   Scenario: Two deadly tasks of one job cause few crashes
     Given a scheduler with 6 endpoints
--- a/features/steps/crashing_tasks.py
+++ b/features/steps/crashing_tasks.py
@@ -2,12 +2,12 @@
 
 import msgspec
 from behave import given, then, when
+from steps.scheduler_rules import submit_job
 
 from primrosepitch.events import CRASH_COUNTED
 from primrosepitch.jobs.model import EndpointId, JobId, JobState, StepSpec, TaskKey
 from primrosepitch.jobs.records import RunCrash, TaskRecord
 from primrosepitch.scheduling.state import Phase
-from scheduler_rules import submit_job
 
 
 class RecordWithoutCrashes(msgspec.Struct, array_like=True):
--- a/primrosepitch/scheduling/crashes.py
+++ b/primrosepitch/scheduling/crashes.py
@@ -38,6 +38,7 @@
     "needs_isolation",
     "refute_listed",
     "resolve_crashes",
+    "starts_with_job",
     "suspect_crash",
     "trial_cost",
 ]
@@ -97,6 +98,15 @@
     return not task.spec.gang and counted >= ISOLATION_CRASHES
 
 
+def starts_with_job(task: Task) -> bool:
+    """Return whether an isolated task starts together with others of its job.
+
+    Sound lasting tasks would wait too long for each other. If the endpoint crashes once
+    more, each of them starts alone.
+    """
+    return task.spec.lasting and len(task.crashes) == ISOLATION_CRASHES
+
+
 def is_held(task: Task) -> bool:
     """Return whether a task must wait until it is known which endpoints crashed."""
     return not task.spec.gang and len(task.crashes) >= MAX_CRASHES
@@ -344,11 +354,18 @@
         since = self._state.reserved_since[endpoint.id]
         waited = self._state.now - since > MAX_ISOLATION_WAIT_S
         empty_or_waited = not endpoint.tasks or waited
+        if starts_with_job(task) and any(
+            other.key.job == task.key.job and starts_with_job(other) and in_trial(other)
+            for other in endpoint.tasks.values()
+        ):
+            return True
         return task.key.job not in self._jobs and empty_or_waited
 
     def record_start(self, task: Task, endpoint: Endpoint) -> None:
         """Record that a task was placed on a reserved endpoint."""
         self._jobs.add(task.key.job)
+        if starts_with_job(task):
+            return
         for endpoints in self._reserved.values():
             if endpoint in endpoints:
                 endpoints.remove(endpoint)
--- a/primrosepitch/scheduling/placement.py
+++ b/primrosepitch/scheduling/placement.py
@@ -10,6 +10,7 @@
     IsolatedTrials,
     is_held,
     needs_isolation,
+    starts_with_job,
     trial_cost,
 )
 from primrosepitch.scheduling.effects import Effect, RequestAdvice, WriteLog
@@ -150,7 +151,8 @@
         inputs = _decision_fields(state, endpoint, pool, ready)
         effects += place_task(state, task, endpoint, inputs)
         capacity.isolated.record_start(task, endpoint)
-        break
+        if not starts_with_job(task):
+            break
     return effects
 
 
