Poll an endpoint at the address that its next incarnation reports

An endpoint that restarted under its id at another address could be out of use for good: its report waited for an answer that shows the new incarnation, and polls went to the earlier address.

Every other failed poll now goes to the address of that report; the expected id in each call keeps an endpoint of another id from being taken for it.

Found by a review. The new scenario failed before: "ASSERT FAILED: {TaskKey(job='j1', occurrence=0, step=0, number=0)}", one of two tasks running.

--- a/features/restarted_endpoints.feature
+++ b/features/restarted_endpoints.feature
@@ -114,6 +114,17 @@
     And 4 seconds pass
     Then no rule was broken
 
+  # Guards against an endpoint that is out of use for good, since it was polled at its
+  # earlier address only.
+  Scenario: An endpoint restarts at another address
+    Given a scheduler with 2 endpoints
+    When endpoint e1 restarts after 3 seconds at address e1:2
+    And 3 seconds pass
+    And job j1 of 2 lasting tasks on separate endpoints with an availability budget of 1 is accepted
+    And 3 seconds pass
+    Then 2 lasting tasks of j1 are running
+    And no rule was broken
+
   # Guards against an endpoint that counts as gone, because the entry that came back is
   # older than its newest restart.
   Scenario: The entry that comes back is that of an earlier incarnation
--- a/features/steps/restarted_endpoints.py
+++ b/features/steps/restarted_endpoints.py
@@ -60,6 +60,30 @@
     context.world.publish_report(worker)
 
 
+@when("endpoint {name} restarts after {seconds:g} seconds at address {address}")
+def step_new_address(context, name, seconds, address):
+    world = context.world
+    worker = world.workers[name]
+    poll = world._do_pollendpoint
+
+    def poll_address(node, order):
+        if order.endpoint != name or order.address == address:
+            poll(node, order)
+            return
+        event = ev.PollFailed(order.endpoint, ev.Outcome.NOT_SENT, world.now)
+        world.call_later(
+            0.01, lambda: world._deliver_answer(node, node.state.term, event)
+        )
+
+    worker.crash()
+    world._do_pollendpoint = poll_address
+    world.run(seconds)
+    worker.restart()
+    report = msgspec.structs.replace(worker.report(), address=address)
+    worker.report = lambda: report
+    world.publish_report(worker)
+
+
 @when("endpoint {name} restarts and its older entry is removed for {seconds:g} seconds")
 def step_older_entry(context, name, seconds):
     world = context.world
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -318,7 +318,7 @@
     )
     return PollEndpoint(
         endpoint.id,
-        endpoint.report.address,
+        _poll_address(endpoint),
         grant_lease(state, endpoint) if extend_leases else 0,
         # A new incarnation would discard its own ends up to that number.
         endpoint.acked_end if endpoint.acked_end > endpoint.discarded_end else 0,
@@ -327,6 +327,16 @@
     )
 
 
+def _poll_address(endpoint: Endpoint) -> str:
+    """Return the address to poll; every other failed poll tries the announced one.
+
+    A new incarnation may listen at another address.
+    """
+    if endpoint.announced is not None and endpoint.failed_polls % 2:
+        return endpoint.announced.address
+    return endpoint.report.address
+
+
 def poll_failed(state: SchedulerState, event: PollFailed) -> list[Effect]:
     """Handle a failed poll.
 
