Refuse a stretch or a duration that no objective can be computed with

A manifest with a stretch of 1e308, or a wave of as many seconds, was taken. The latency objective became infinite, and the log line of a placement raised OverflowError in the reducer, which ends the term; the next scheduler reads the same manifest.

Cause: the bounds on the numbers of foreign messages left out the two fractions of the operators' records. Found by a review, where it was shown in the reducer.

--- a/features/malformed_messages.feature
+++ b/features/malformed_messages.feature
@@ -201,6 +201,9 @@
       | a configuration                 | routes.0.target_duration_ms   | 71 bits      |
       | a configuration                 | routes.0.advice.validity_ms   | 400 digits   |
       | a configuration                 | tenants.0.cap.cpu             | 400 digits   |
+      | a configuration                 | routes.0.stretch              | 1e308        |
+      | a configuration                 | routes.0.stretch              | -1           |
+      | a wave                          | duration_s                    | 1e308        |
       | a wave                          | wave                          | 71 bits      |
       | a wave                          | wave                          | -1           |
       | a wave                          | duration_s                    | 1e400        |
