Ask an endpoint whether it has lasting tasks in one place

It is a property of the endpoint now. No behaviour changes.

crashing_tasks, pool_growth, placement, scheduler_rules and lasting_tasks pass.

--- a/primrosepitch/scheduling/crashes.py
+++ b/primrosepitch/scheduling/crashes.py
@@ -402,7 +402,7 @@
             and not 0 < most <= siblings
             and (not label or label in endpoint.report.labels)
             and task.spec.needs.fits(endpoint.report.capacity)
-            and (not _has_lasting(endpoint) or endpoint.has_room(task.spec.needs))
+            and (not endpoint.has_lasting or endpoint.has_room(task.spec.needs))
         )
 
 
@@ -411,7 +411,7 @@
 ) -> Callable[[Endpoint], tuple[bool, bool, bool, bool, int]]:
     def cost(endpoint: Endpoint) -> tuple[bool, bool, bool, bool, int]:
         return (
-            _has_lasting(endpoint),
+            endpoint.has_lasting,
             bool(endpoint.tasks),
             _crashed_on(task, endpoint),
             endpoint.id not in reserved_since,
@@ -421,10 +421,6 @@
     return cost
 
 
-def _has_lasting(endpoint: Endpoint) -> bool:
-    return any(task.spec.lasting for task in endpoint.tasks.values())
-
-
 def _isolated(task: Task) -> bool:
     """Return whether a task runs alone as long as it may crash its endpoint."""
     return needs_isolation(task) and in_trial(task)
--- a/primrosepitch/scheduling/lending.py
+++ b/primrosepitch/scheduling/lending.py
@@ -217,7 +217,7 @@
         size = max((e.report.capacity.cpu for e in endpoints), default=largest)
         cores = demand.get(service.name, 0.0) * DEMAND_HEADROOM_FACTOR
         need = math.ceil(cores / size) if size else 1
-        with_lasting = sum(_has_lasting(endpoint) for endpoint in endpoints)
+        with_lasting = sum(endpoint.has_lasting for endpoint in endpoints)
         need = max(
             need,
             with_lasting + math.ceil(waiting[service.name]),
@@ -257,10 +257,6 @@
     return demand
 
 
-def _has_lasting(endpoint: Endpoint) -> bool:
-    return any(task.spec.lasting for task in endpoint.tasks.values())
-
-
 def _endpoints_for_waiting(
     state: SchedulerState, steps: list[ReadyStep]
 ) -> dict[ServiceName, float]:
--- a/primrosepitch/scheduling/placement.py
+++ b/primrosepitch/scheduling/placement.py
@@ -187,9 +187,7 @@
         self._ranked: list[Endpoint] | None = None
         self._with_lasting: list[Endpoint] = []
         if self._spec.lasting:
-            self._with_lasting = [
-                e for e in pool if any(t.spec.lasting for t in e.tasks.values())
-            ]
+            self._with_lasting = [e for e in pool if e.has_lasting]
 
     def choose(self, task: Task) -> Endpoint | None:
         """Return the best endpoint that has the capacity for a task and may run it."""
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -255,6 +255,11 @@
         """Return the label of its rack, or an empty string."""
         return self.report.labels[1] if len(self.report.labels) > 1 else ""
 
+    @property
+    def has_lasting(self) -> bool:
+        """Return whether a lasting task is placed here."""
+        return any(task.spec.lasting for task in self.tasks.values())
+
     def free(self) -> Resources:
         """Return the capacity that is not reserved for a task."""
         return self.report.capacity.subtract(self.used)
