--- a/primrosepitch/scheduling/crashes.py
+++ b/primrosepitch/scheduling/crashes.py
@@ -52,7 +52,8 @@
 crashes; a crash after it is not put down to the task."""
 
 ISOLATION_CRASHES = 2
-"""Number of crashes after which a task starts only alone on an endpoint."""
+"""Number of crashes after which a task starts only alone on an endpoint, or at first
+with the lasting tasks of its own job."""
 
 MAX_EARLY_CRASHES = 3
 """Number of crashes before the run was listed after which a task is given up, if it was
