--- a/primrosepitch/scheduling/lending.py
+++ b/primrosepitch/scheduling/lending.py
@@ -268,7 +268,7 @@
     found: dict[ServiceName, float] = defaultdict(float)
     for ready in steps:
         spec = ready.step.spec
-        if not spec.lasting or ready.tasks[0].key[:3] in state.advice_pending:
+        if not spec.lasting or ready.key in state.advice_pending:
             continue
         job = ready.job.spec
         startable = count_within_limit(
