--- a/review/parts/deployment.py
+++ b/review/parts/deployment.py
@@ -200,6 +200,8 @@
                 "form": "log",
                 "parts": 24,
                 "keep_s": self.store.keep_s,
+                "record_bytes": 262144,
+                "call_bytes": 2097152,
             },
             "cloud": {
                 "address": self.cloud.address,
@@ -291,10 +293,17 @@
         self.record(f"{method} {path} at {node.name} -> {answer.status} {text}")
         return answer
 
-    async def submit(self, node: Node, service: str, steps: list[dict]) -> str:
-        """Hand a submission in until it is accepted; return its ID."""
+    async def submit(
+        self, node: Node, service: str, steps: list[dict], saves: bool = False
+    ) -> str:
+        """Hand a submission in until it is accepted; return its ID.
+
+        :param saves: whether its work items save checkpoints
+        """
         job = secrets.token_hex(8)
         for worker in self.workers:
+            if saves:
+                worker.saving.add(job)
             worker.needs[job] = {
                 kind: steps[0].get(kind, 0) for kind in ("cpu", "memory_request_mb")
             }
--- a/review/parts/store.py
+++ b/review/parts/store.py
@@ -17,6 +17,8 @@
 ANSWER_S = 0.004
 READ_ONLY = ("keyed.op", "keyed.servers")
 MAX_ITEMS = 500
+RECORD_BYTES = 262144
+CALL_BYTES = 2097152
 
 
 class Partition:
@@ -61,6 +63,8 @@
         """Start empty."""
         self.keep_s = keep_s
         self.answer_s = ANSWER_S
+        self.refused_as_too_large = 0
+        self._forgetting: set[str] = set()
         self.partitions: dict[str, Partition] = {}
         self.server = Server(self._handle)
 
@@ -72,6 +76,18 @@
         """Append a record for the operator or a worker."""
         self.partition(topic).append([(key, value)])
 
+    async def forget_history(self, topic: str, silent_s: float = 1.0) -> None:
+        """Forget a topic's history (`platform_compact`).
+
+        Reads hear nothing for a time while changes are made; then the history is
+        dropped, but for the newest record of each key, and the reads are cut.
+        """
+        self._forgetting.add(topic)
+        await asyncio.sleep(silent_s)
+        partition = self.partition(topic)
+        partition.first = len(partition.records)
+        self._forgetting.discard(topic)
+
     def term(self) -> bytes:
         """Return the newest record that the holder of the term wrote as a claim."""
         return self.partition("keyed.jobs").newest.get("term", (b"", 0))[0]
@@ -92,6 +108,11 @@
         return Answer(400)
 
     def _append(self, partition: Partition, request: Request) -> Answer:
+        rows = _decode_rows(request.body)
+        too_large = any(1 + len(k) + len(v) > RECORD_BYTES for k, v in rows)
+        if too_large or len(request.body) > CALL_BYTES:
+            self.refused_as_too_large += 1
+            return Answer(400)
         producer = request.query.get("producer")
         key = None
         if producer is not None:
@@ -108,14 +129,6 @@
                 return json_answer(409, {"reason": "seq", "sequence": expected})
             partition.epoch[producer] = epoch
             partition.sequence[producer] = sequence
-        rows = []
-        position = 0
-        while position < len(request.body):
-            (size,) = struct.unpack_from(">I", request.body, position)
-            content = request.body[position + 4 : position + 4 + size]
-            end = 1 + content[0]
-            rows.append((content[1:end].decode(), content[end:]))
-            position += 4 + size
         result = partition.append(rows)
         if key is not None:
             partition.results[key] = result
@@ -125,6 +138,11 @@
         offset = int(request.query["from"])
         wait_s = int(request.query.get("wait_ms", 0)) / 1000
         most = int(request.query.get("maximum_kilobytes", 1024)) * 1024
+        topic = request.query["topic"]
+        if topic in self._forgetting:
+            while topic in self._forgetting:
+                await asyncio.sleep(0.005)
+            return Answer(0)
         if offset < partition.first:
             return json_answer(410, {"first_offset": partition.first})
         try:
@@ -153,3 +171,16 @@
         more = len(keys) > MAX_ITEMS
         end = len(partition.records)
         return json_answer(200, {"items": items, "has_more": more, "end_offset": end})
+
+
+def _decode_rows(body: bytes) -> list[tuple[str, bytes]]:
+    """Return the keys and values of an append."""
+    rows = []
+    position = 0
+    while position < len(body):
+        (size,) = struct.unpack_from(">I", body, position)
+        content = body[position + 4 : position + 4 + size]
+        end = 1 + content[0]
+        rows.append((content[1:end].decode(), content[end:]))
+        position += 4 + size
+    return rows
--- a/review/parts/worker.py
+++ b/review/parts/worker.py
@@ -9,6 +9,7 @@
 import asyncio
 import json
 import time
+import zlib
 from collections.abc import Callable
 
 from parts.http import Answer, Request, Server, json_answer
@@ -34,6 +35,14 @@
         self.end_number = 0
         self.noted = 0.0
 
+    def saved(self, interval_s: float) -> str:
+        """Return the newest checkpoint, 16 characters; empty if there is none."""
+        until = self.ended or time.monotonic()
+        count = int((until - self.started) / interval_s) if interval_s else 0
+        return f"{self.number:04x}{count:04x}{zlib.crc32(self.task.encode()):08x}" * (
+            count > 0
+        )
+
 
 class Worker:
     """A worker of one service.
@@ -57,6 +66,9 @@
         self.service, self.zone, self.rack = service, zone, rack
         self.capacity = capacity
         self.needs: dict[str, dict[str, int]] = {}
+        self.used: dict[str, int] = {}
+        self.saving: set[str] = set()
+        self.save_interval_s = 1.0
         self.history: list[Run] = []
         self.lapses: list[float] = []
         self.calls: dict[str, int] = {}
@@ -80,6 +92,10 @@
         asyncio.ensure_future(self._register())
         asyncio.ensure_future(self._watch_lease())
 
+    def running_tasks(self) -> list[str]:
+        """Return the work items that run now."""
+        return list(self._running)
+
     def _clock_ms(self) -> int:
         return int((time.monotonic() - self._zero) * 1000)
 
@@ -123,6 +139,7 @@
             return
         run.ended, run.how = time.monotonic(), how
         self._running.pop(run.task, None)
+        self._use(run.task, -1)
         self._end_count += 1
         run.end_number = self._end_count
         self._ends.append(run)
@@ -169,6 +186,7 @@
         self._extend(until_ms)
         run = Run(self, task, number)
         self._running[task] = run
+        self._use(task, 1)
         self._highest[task] = number
         self.history.append(run)
         loop = asyncio.get_running_loop()
@@ -176,12 +194,16 @@
         return self._reply(200)
 
     def _fits(self, task: str) -> bool:
-        tasks = [*self._running, task]
+        needs = self._needs(task)
         return all(
-            sum(self._needs(t).get(kind, 0) for t in tasks) <= amount
+            self.used.get(kind, 0) + needs.get(kind, 0) <= amount
             for kind, amount in self.capacity.items()
         )
 
+    def _use(self, task: str, sign: int) -> None:
+        for kind, amount in self._needs(task).items():
+            self.used[kind] = self.used.get(kind, 0) + sign * amount
+
     def _needs(self, task: str) -> dict[str, int]:
         return self.needs.get(task.partition(".")[0], {})
 
@@ -209,16 +231,20 @@
                 pass
         now = time.monotonic()
         running = [
-            [r.task, r.number, "", min(99, self._percent(r, now)), 0]
+            [r.task, r.number, self._saved(r), min(99, self._percent(r, now)), 0]
             for r in self._running.values()
         ]
         ended = [
-            [r.end_number, r.task, r.number, r.how, ""]
+            [r.end_number, r.task, r.number, r.how, self._saved(r)]
             for r in self._ends[:ENDS_AT_A_TIME]
         ]
         return self._reply(
             200, {"running": running, "ended": ended, "born": self._born}
         )
 
+    def _saved(self, run: Run) -> str:
+        saving = run.task.partition(".")[0] in self.saving
+        return run.saved(self.save_interval_s) if saving else ""
+
     def _percent(self, run: Run, now: float) -> int:
         return int(100 * (now - run.started) / self._duration_s(run.task))
