--- a/review/parts/deployment.py
+++ b/review/parts/deployment.py
@@ -294,13 +294,18 @@
         return answer
 
     async def submit(
-        self, node: Node, service: str, steps: list[dict], saves: bool = False
+        self,
+        node: Node,
+        service: str,
+        steps: list[dict],
+        saves: bool = False,
+        job: str = "",
     ) -> str:
         """Hand a submission in until it is accepted; return its ID.
 
         :param saves: whether its work items save checkpoints
         """
-        job = secrets.token_hex(8)
+        job = job or secrets.token_hex(8)
         for worker in self.workers:
             if saves:
                 worker.saving.add(job)
--- a/review/parts/worker.py
+++ b/review/parts/worker.py
@@ -84,6 +84,7 @@
         self._end_count = 0
         self._ended = asyncio.Event()
         self._sequence = 0
+        self.gone = False
         self.server = Server(self._handle)
 
     async def start(self) -> None:
@@ -92,6 +93,15 @@
         asyncio.ensure_future(self._register())
         asyncio.ensure_future(self._watch_lease())
 
+    def leave(self) -> None:
+        """End as the machine does: nothing answers, and all that runs terminates."""
+        self.gone = True
+        for run in list(self._running.values()):
+            run.ended, run.how = time.monotonic(), "machine"
+        self._running.clear()
+        self.used.clear()
+        self._store.write("keyed.servers", self.id, b"")
+
     def running_tasks(self) -> list[str]:
         """Return the work items that run now."""
         return list(self._running)
@@ -100,7 +110,7 @@
         return int((time.monotonic() - self._zero) * 1000)
 
     async def _register(self) -> None:
-        while True:
+        while not self.gone:
             self._sequence += 1
             entry = {
                 "service": self.service,
@@ -150,6 +160,8 @@
         return json_answer(status, {"clock_ms": self._clock_ms(), **(fields or {})})
 
     async def _handle(self, request: Request) -> Answer:
+        if self.gone:
+            return Answer(0)
         self.calls[request.path] = self.calls.get(request.path, 0) + 1
         if request.path == "/health":
             return Answer(200)
