--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,7 +11,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from parts.deployment import Deployment, twice  # noqa: E402
+from parts.deployment import Deployment, play, twice  # noqa: E402
 from parts.worker import Worker  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -104,4 +104,4 @@
     }
 
 
-sys.exit(asyncio.run(main()))
+sys.exit(play(main))
--- a/review/parts/deployment.py
+++ b/review/parts/deployment.py
@@ -16,6 +16,8 @@
 import subprocess
 import tempfile
 import time
+import traceback
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -23,10 +25,13 @@
 from parts.store import Store
 from parts.worker import Run, Worker
 
-__all__ = ["Deployment", "twice"]
+__all__ = ["Deployment", "Node", "play", "twice"]
 
 ROOT = Path(__file__).resolve().parents[2]
 COMMAND = ["python3", "platform/node.py"]
+LIMIT_S = 115.0
+"""Time after which a case is given up; it may run for 120 s."""
+
 PASSED_ON = ("PATH", "HOME", "JAVA_HOME", "LANG")
 
 BOUNDS = {
@@ -359,6 +364,22 @@
             self.temporary.rmdir()
 
 
+def play(main: Callable[[], Coroutine[Any, Any, int]]) -> int:
+    """Run a case; return its exit code, 2 if it couldn't run or was ended."""
+
+    async def run() -> int:
+        task = asyncio.ensure_future(main())
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        async with asyncio.timeout(LIMIT_S):
+            return await task
+
+    try:
+        return asyncio.run(run())
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt):
+        traceback.print_exc()
+        return 2
+
+
 def twice(runs: list[Run]) -> list[str]:
     """Return the breaks of TWICE (RULES, "Submissions"), without `allow_duplicates`.
 
--- a/review/parts/http.py
+++ b/review/parts/http.py
@@ -59,6 +59,11 @@
         self._handler = handler
         self._server: asyncio.Server | None = None
         self.address = ""
+        self._life = 0
+
+    def silence(self) -> None:
+        """Make all open connections silent for good; new ones work."""
+        self._life += 1
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
         """Listen on a port, a free one if none is given."""
@@ -68,9 +73,12 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        life = self._life
         try:
             while True:
                 first, headers = await _read_head(reader)
+                if life != self._life:
+                    await asyncio.sleep(3600)
                 method, target, _ = first.split(" ", 2)
                 size = int(headers.get("content-length", 0))
                 body = await reader.readexactly(size) if size else b""
@@ -78,6 +86,8 @@
                 query = dict(parse_qsl(parts.query))
                 request = Request(method, parts.path, query, headers, body)
                 answer = await self._handler(request)
+                if life != self._life:
+                    await asyncio.sleep(3600)
                 if not answer.status:
                     return
                 writer.write(
--- a/review/parts/worker.py
+++ b/review/parts/worker.py
@@ -102,6 +102,26 @@
         self.used.clear()
         self._store.write("keyed.servers", self.id, b"")
 
+    async def crash_and_start_again(self, down_s: float) -> None:
+        """Lose power, and start again under the same id and address.
+
+        It knows nothing of before. Connections of before are silent, not reset.
+        """
+        self.gone = True
+        self.server.silence()
+        for run in list(self._running.values()):
+            run.ended, run.how = time.monotonic(), "crash"
+        self._running.clear()
+        self.used.clear()
+        self._highest.clear()
+        self._ends.clear()
+        self._end_count = self._fence = self._until_ms = 0
+        await asyncio.sleep(down_s)
+        self.server.silence()
+        self._born = round(time.time() * 1000)
+        self._zero = time.monotonic()
+        self.gone = False
+
     def running_tasks(self) -> list[str]:
         """Return the work items that run now."""
         return list(self._running)
@@ -110,7 +130,10 @@
         return int((time.monotonic() - self._zero) * 1000)
 
     async def _register(self) -> None:
-        while not self.gone:
+        while True:
+            if self.gone:
+                await asyncio.sleep(0.01)
+                continue
             self._sequence += 1
             entry = {
                 "service": self.service,
