--- a/primrosepitch/events.py
+++ b/primrosepitch/events.py
@@ -418,6 +418,13 @@
     "while, and its tasks are restarted elsewhere.",
     "check the instance if it is named repeatedly",
 )
+ENDPOINT_ENDS_CUT = event(
+    5210,
+    "endpoint_ends_cut",
+    logging.INFO,
+    "An endpoint has more ends of runs than it lists at a time; runs without a listed "
+    "end keep their state until the rest is listed.",
+)
 DEPENDENCY_LOST = event(
     5408,
     "dependency_lost",
--- a/primrosepitch/scheduling/events.py
+++ b/primrosepitch/scheduling/events.py
@@ -224,6 +224,10 @@
 
     :param sent_at: boot-time clock at which the poll was sent
     :param clock_ms: endpoint's clock
+    :param running: all runs in progress
+    :param ended: ends that have not been acknowledged, oldest first
+    :param lists_all_ends: whether ``ended`` is complete; an endpoint lists a limited
+        number at a time, and the next ones after these have been acknowledged
     """
 
     endpoint: EndpointId
@@ -233,6 +237,7 @@
     clock_ms: int
     running: list[ActiveRun]
     ended: list[EndedRun]
+    lists_all_ends: bool
 
 
 class PollFailed(NamedTuple):
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -9,6 +9,7 @@
 from primrosepitch.events import (
     ENDPOINT_BACK,
     ENDPOINT_DRAINING,
+    ENDPOINT_ENDS_CUT,
     ENDPOINT_GONE,
     ENDPOINT_JOINED,
     ENDPOINT_RESTARTED,
@@ -403,10 +404,19 @@
     endpoint.clock_ms, endpoint.clock_read_at = event.clock_ms, event.now
     if all(ended.number > endpoint.acked_end for ended in event.ended):
         endpoint.discarded_end = endpoint.acked_end
+    already_processed = endpoint.processed_end
     for ended in event.ended:
         if ended.number > endpoint.processed_end:
             endpoint.processed_end = ended.number
             effects += run_ended(state, endpoint, ended)
+    if not event.lists_all_ends and endpoint.processed_end > already_processed:
+        fields = {
+            "endpoint": endpoint.id,
+            "listed": len(event.ended),
+            "up_to": endpoint.processed_end,
+            "tasks": len(endpoint.tasks),
+        }
+        effects.append(WriteLog(ENDPOINT_ENDS_CUT, fields))
     effects += _reconcile(state, endpoint, event)
     endpoint.next_poll_at = _next_poll_at(state, endpoint, first_contact)
     return effects
--- a/standins/scheduler_world.py
+++ b/standins/scheduler_world.py
@@ -320,6 +320,7 @@
             self.clock_ms(),
             running,
             list(self.unacked_ends),
+            lists_all_ends=True,
         )
 
     def crash(self) -> None:
