Don't take runs as lost while their endpoint leaves out ends

Cause: an endpoint lists 500 ends at a time. `_reconcile` took a run that is in neither list as gone ("not listed by its endpoint"), though its end may be among those left out. A successor meets that at its first poll of an endpoint with more than 500 ends, and so does a scheduler that can't acknowledge ends while the store is down. A stopped run lost its checkpoint in the same way.

Now only an answer that lists all ends proves that an unlisted run is gone. The next ends follow once the listed ones are durable and acknowledged, as before. Why it works: ends are listed oldest first until they are acknowledged, so after finitely many acknowledgements an answer has fewer than 500 and is complete; while none can be acknowledged, nothing can be placed durably either.

--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -11,19 +11,14 @@
 from adapter.directory import ChangeFeed, decode_operator_record, decode_report
 from adapter.intake import HttpIntake
 from adapter.services import PlatformClient
-from adapter.settings import (
-    Addresses,
-    Bounds,
-    CloudSettings,
-    PlatformSettings,
-    StoreSettings,
-)
+from adapter.settings import Addresses, Bounds, PlatformSettings, StoreSettings
 from adapter.store import KeyedPartition
 from adapter.submissions import decode_submission
 from behave import given, then, when
 from hypothesis import HealthCheck, seed, settings, strategies
 from hypothesis import given as generate
 
+from features.scripted_client import ScriptedClient, platform_client
 from primrosepitch import clock
 from primrosepitch.jobs.model import (
     EndpointId,
@@ -75,16 +70,6 @@
 QUEUE = QueueSpec(QueueName("q"), "h", "/q/", ServiceName("pressing"))
 
 
-class ScriptedClient:
-    """HTTP client that answers every call with the same response."""
-
-    def __init__(self, status, body):
-        self.response = HttpResponse(status, [], body)
-
-    async def call(self, address, request, deadline, send_by=0.0):
-        return self.response
-
-
 def frame(content):
     return struct.pack(">I", len(content)) + content
 
@@ -141,22 +126,6 @@
     assert context.outcome == outcome, context.outcome
 
 
-def platform_client(body, status=200):
-    address = "127.0.0.1:1"
-    settings_of_node = PlatformSettings(
-        node_name="n",
-        ip_address="127.0.0.1",
-        zone="hall",
-        listen_addresses=Addresses(address),
-        platform=StoreSettings(address),
-        bounds=Bounds(fencing_required=True),
-        advice=address,
-        cloud=CloudSettings(address),
-    )
-    client = ScriptedClient(status, body)
-    return PlatformClient(settings_of_node, client, Metrics(), lambda _, s, p: s)
-
-
 def poll(body):
     order = ef.PollEndpoint(EndpointId("w1"), "a:1", 0, 0, 0, 1)
     answer = asyncio.run(platform_client(body).poll_endpoint(order))
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -473,21 +473,23 @@
             _update_run(state, task, row)
             effects += refute_listed(state, task, row.run)
             confirm_soundness(state, endpoint, task)
-        elif _confirmed_absent(task, event.sent_at):
+        elif _confirmed_absent(task, event):
             effects += run_lost(state, task, "not listed by its endpoint")
     for row in listed.values():
         effects += _stop_orphan(state, endpoint, row)
     return effects
 
 
-def _confirmed_absent(task: Task, sent_at: float) -> bool:
-    """Return whether a run that is not listed neither exists nor can start later."""
+def _confirmed_absent(task: Task, event: EndpointPolled) -> bool:
+    """Return whether an unlisted run has no end to come and can't start later."""
+    if not event.lists_all_ends:
+        return False
     if task.phase is Phase.RUNNING:
-        return task.started_at < sent_at
+        return task.started_at < event.sent_at
     if task.phase is Phase.STARTING:
         return task.order_tries < 0
     if task.phase is Phase.STOPPING:
-        return 0 < task.started_at < sent_at or task.order_tries < 0
+        return 0 < task.started_at < event.sent_at or task.order_tries < 0
     return False
 
 
--- a/standins/scheduler_world.py
+++ b/standins/scheduler_world.py
@@ -65,6 +65,9 @@
 SHRINK_NOTICE_S = 3.5
 """Time after which a smaller capacity is binding: contact_ms and one heartbeat."""
 
+MAX_LISTED_ENDS = 500
+"""Number of ends that an endpoint lists at a time."""
+
 DEADLY_S = 0.01
 """Time after its start at which a deadly task crashes its endpoint."""
 
@@ -303,7 +306,7 @@
         return ev.Outcome.DONE
 
     def poll_response(self, sent: float) -> ev.EndpointPolled:
-        """Return the answer to a poll: active runs and unacknowledged ends."""
+        """Return the answer to a poll: active runs and the oldest ends not acked."""
         running = []
         for run in self.runs.values():
             at_work = self.world.now - run.began >= STARTUP_S
@@ -312,6 +315,7 @@
                 percent = 100 if at_work else 40
             load = self.world.tail_latency_ms(self, run) if run.spec.target_ms else 0.0
             running.append(ev.ActiveRun(run.task, run.run, "", percent, load))
+        ended = self.unacked_ends[:MAX_LISTED_ENDS]
         return ev.EndpointPolled(
             self.id,
             self.born,
@@ -319,8 +323,8 @@
             self.world.now,
             self.clock_ms(),
             running,
-            list(self.unacked_ends),
-            lists_all_ends=True,
+            ended,
+            lists_all_ends=len(ended) < MAX_LISTED_ENDS,
         )
 
     def crash(self) -> None:
