Don't take an instance for gone when the list could not be read whole

Operators would see: a wave reported as `completed` although one of its instances, which is still there, has not been maintained (MIXED).

Cause: the adapter skips an entry of the list of instances that it can't decode, and the reducer takes an instance that is not listed as gone, so a wave is complete without it.

The listing now says whether it is complete. An incomplete one updates what is known of the instances that it names, and completes no wave.

Red before: the new scenario "An instance whose entry can't be read does not count as gone" (features/scheduler_rules.feature) fails without the change in maintenance.py (60 passed, 1 failed; with it 61 passed).

--- a/features/scheduler_rules.feature
+++ b/features/scheduler_rules.feature
@@ -477,6 +477,19 @@
     And 4 lasting tasks of j1 are running
     And no rule was broken
 
+  # Guards against a wave that is reported as completed without an instance, since its
+  # entry in the list could not be read.
+  Scenario: An instance whose entry can't be read does not count as gone
+    Given a scheduler with 3 endpoints
+    And the entry of instance m-e2 in the list can't be read
+    When a wave over all instances, at most 3 at once, is requested
+    And 10 seconds pass
+    Then the wave is not completed
+    When all entries of the list can be read again
+    And 10 seconds pass
+    Then the wave is completed
+    And no rule was broken
+
   # Guards against a successor that maintains an instance a second time, or omits one.
   Scenario: A wave continues under another node
     Given a scheduler with 6 endpoints
--- a/features/steps/instance_orders.py
+++ b/features/steps/instance_orders.py
@@ -140,7 +140,7 @@
                 Resources(16000, 32000, 0),
                 "",
             )
-            step(state, ev.InstancesListed([view], now))
+            step(state, ev.InstancesListed(ev.InstanceListing([view], True), now))
     raise AssertionError("no instance was ordered")
 
 
@@ -301,7 +301,7 @@
             )
             self.feed(polled)
         self.run(0.5)
-        self.feed(ev.InstancesListed(world._instance_views(), self.now))
+        self.feed(ev.InstancesListed(world.list_instances(), self.now))
         # The pool keeps two endpoints; the third is switched off when it has been idle.
         while not self.orders:
             self.run(TICK_S)
--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -285,12 +285,13 @@
         for state in (first, second, third)
     ]
     body = json.dumps({"machines": machines}).encode()
-    context.views = asyncio.run(platform_client(body).list_instances())
+    context.listing = asyncio.run(platform_client(body).list_instances())
 
 
 @then("the machines that are {first:w} and {second:w} are listed")
 def step_listed(context, first, second):
-    assert [view.instance for view in context.views] == [first, second], context.views
+    instances = [view.instance for view in context.listing.instances]
+    assert instances == [first, second], context.listing
 
 
 def decode(body):
@@ -392,7 +393,7 @@
     async def list_instances(self):
         if self.failing:
             raise RuntimeError("unexpected")
-        return []
+        return ev.InstanceListing([], complete=True)
 
 
 @given("a node that schedules")
@@ -945,13 +946,15 @@
         for name, amount in (("odd", cpu), ("good", 1000))
     ]
     body = json.dumps({"machines": machines}).encode()
-    context.views = asyncio.run(platform_client(body).list_instances())
+    context.listing = asyncio.run(platform_client(body).list_instances())
 
 
 @then("only the other one is listed")
 def step_other_listed(context):
-    assert context.views is not None
-    assert [view.instance for view in context.views] == ["good"], context.views
+    assert context.listing is not None
+    instances = [view.instance for view in context.listing.instances]
+    assert instances == ["good"], context.listing
+    assert not context.listing.complete
 
 
 @given("a report of an endpoint whose address has {oddity}")
--- a/features/steps/pool_growth.py
+++ b/features/steps/pool_growth.py
@@ -79,7 +79,7 @@
     for endpoint in list(state.endpoints.values()):
         if endpoint.report.service != POOL:
             state.drop_endpoint(endpoint)
-    step(state, ev.InstancesListed(views, 1.0))
+    step(state, ev.InstancesListed(ev.InstanceListing(views, True), 1.0))
     tasks = cores // 8
     spec = StepSpec(tasks, cpu=8000, memory=512, lasting=True, most_per_endpoint=1)
     accept(context, "f" * 16, spec)
--- a/features/steps/scheduler_rules.py
+++ b/features/steps/scheduler_rules.py
@@ -160,6 +160,17 @@
     context.world.cfg.workspaces[workspace] = spec
 
 
+@given("the entry of instance {name} in the list can't be read")
+def step_unreadable_instance(context, name):
+    assert name in context.world.pool_of
+    context.world.unreadable_instances.add(name)
+
+
+@when("all entries of the list can be read again")
+def step_readable_instances(context):
+    context.world.unreadable_instances.clear()
+
+
 @given("the instance list does not name the endpoints")
 def step_list_lacks_endpoints(context):
     context.world.list_names_endpoints = False
@@ -647,6 +658,11 @@
     assert find_node(context, name).state.term == 0
 
 
+@then("the wave is not completed")
+def step_wave_not_completed(context):
+    assert context.world.wave_completed == {1: False}, context.world.wave_completed
+
+
 @then("the wave is completed")
 def step_wave_completed(context):
     assert context.world.wave_completed == {1: True}, context.world.wave_completed
--- a/primrosepitch/node/platform_api.py
+++ b/primrosepitch/node/platform_api.py
@@ -20,7 +20,7 @@
     AdviceReceived,
     EndpointPolled,
     EndpointReport,
-    InstanceView,
+    InstanceListing,
     Outcome,
 )
 
@@ -80,8 +80,8 @@
     async def throttle_run(self, order: ThrottleRun) -> Outcome:
         """Order an endpoint to throttle a run to a percentage of its full rate."""
 
-    async def list_instances(self) -> list[InstanceView] | None:
-        """Return all instances, or ``None`` if the list can't be read."""
+    async def list_instances(self) -> InstanceListing | None:
+        """List the instances; return ``None`` if the list can't be read."""
 
     async def start_maintenance(self, order: StartMaintenance) -> Outcome:
         """Start the maintenance of an instance."""
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -700,12 +700,12 @@
         self._spawn(self._fetch_instances(self.state.term))
 
     async def _fetch_instances(self, term: int) -> None:
-        instances = await self._platform.list_instances()
-        if instances is None:
+        listing = await self._platform.list_instances()
+        if listing is None:
             self._instances_monitor.record_failure("no valid answer")
         else:
             self._instances_monitor.record_success()
-        self._dispatch_in_term(term, ev.InstancesListed(instances, clock.monotonic()))
+        self._dispatch_in_term(term, ev.InstancesListed(listing, clock.monotonic()))
 
     def _start_maintenance(self, order: ef.StartMaintenance) -> None:
         self._spawn_instance_order(self._send_maintenance(order))
--- a/primrosepitch/scheduling/events.py
+++ b/primrosepitch/scheduling/events.py
@@ -31,6 +31,7 @@
     "Event",
     "EndpointPolled",
     "PollFailed",
+    "InstanceListing",
     "InstanceState",
     "InstanceView",
     "InstancesListed",
@@ -281,10 +282,20 @@
     wave: WaveSpec
 
 
+class InstanceListing(NamedTuple):
+    """The platform's list of instances.
+
+    :param complete: whether every instance of the list could be read
+    """
+
+    instances: list[InstanceView]
+    complete: bool
+
+
 class InstancesListed(NamedTuple):
-    """The platform's full list of instances; ``None`` if it couldn't be read."""
+    """The platform has listed its instances; ``None`` if the list couldn't be read."""
 
-    instances: list[InstanceView] | None
+    listing: InstanceListing | None
     now: float
 
 
--- a/primrosepitch/scheduling/maintenance.py
+++ b/primrosepitch/scheduling/maintenance.py
@@ -81,10 +81,13 @@
 def instances_listed(state: SchedulerState, event: InstancesListed) -> list[Effect]:
     """Store the platform's list of instances."""
     state.listing_pending = False
-    if event.instances is None:
+    if event.listing is None:
         state.next_list_at = event.now + LIST_INTERVAL_S
         return []
-    state.instances = {view.instance: view for view in event.instances}
+    views = {view.instance: view for view in event.listing.instances}
+    state.listing_complete = event.listing.complete
+    # An incomplete list does not show which instances have left the platform.
+    state.instances = views if state.listing_complete else state.instances | views
     state.listed_at = event.now
     state.next_list_at = event.now + LIST_INTERVAL_S
     return []
@@ -115,10 +118,10 @@
     for instance in sorted(wave.repeat):
         effects.append(maintenance_order(state, instance, wave.spec.wave))
     wave.repeat.clear()
-    remaining = [i for i in wave.spec.instances if i not in wave.begun]
+    not_begun = [i for i in wave.spec.instances if i not in wave.begun]
     # Instances that have left the platform need no maintenance.
-    remaining = [i for i in remaining if i in state.instances]
-    if not remaining:
+    remaining = [i for i in not_begun if i in state.instances]
+    if not remaining and (state.listing_complete or not not_begun):
         wave.status = "completed"
         wave.selected.clear()
         effects.append(WriteLog(WAVE_COMPLETED, {"wave": wave.spec.wave}))
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -404,6 +404,7 @@
     :param waits: estimated waits by pool, as last published to the other nodes
     :param waits_sent_at: boot-time clock of that publication
     :param listing_pending: whether a listing of the instances is in progress
+    :param listing_complete: whether every instance of the newest list could be read
     :param moves: moves that have been ordered, by instance
     :param immovable: pairs of instance and pool whose move was refused
     :param share_tokens: jobs that each workspace may still submit within its share, and
@@ -462,6 +463,7 @@
     waves: dict[int, WaveRun] = msgspec.field(default_factory=dict)
     instances: dict[str, InstanceView] = msgspec.field(default_factory=dict)
     listing_pending: bool = False
+    listing_complete: bool = False
     listed_at: float = 0.0
     next_list_at: float = 0.0
     moves: dict[str, InstanceMove] = msgspec.field(default_factory=dict)
--- a/standins/scheduler_world.py
+++ b/standins/scheduler_world.py
@@ -407,6 +407,7 @@
         lost
     :param interference: part of the target latency that a filling run at full rate
         adds to that of serving runs on its endpoint
+    :param unreadable_instances: instances whose entries in the list can't be read
     :param upkeep_once: whether an order to maintain an instance that has been
         maintained in the same wave is answered without effect
     :param deadly_tasks: tasks that crash their endpoint after ``DEADLY_S``
@@ -454,6 +455,7 @@
         self.fewest_up: int | None = None
         self.duration_factors: dict[JobId, int] = {}
         self.list_names_endpoints = True
+        self.unreadable_instances: set[str] = set()
         self.upkeep_once = False
         self.interference = 0.0
         self.instance_order_delay_s = 0.0
@@ -1050,9 +1052,15 @@
 
     def _do_listinstances(self, node: Node, effect: ef.ListInstances) -> None:
         term = node.state.term
-        listed = ev.InstancesListed(self._instance_views(), self.now)
+        listed = ev.InstancesListed(self.list_instances(), self.now)
         self.call_later(LATENCY_S, lambda: self._deliver_answer(node, term, listed))
 
+    def list_instances(self) -> ev.InstanceListing:
+        """Return the platform's list, without the instances that can't be read."""
+        views = self._instance_views()
+        readable = [v for v in views if v.instance not in self.unreadable_instances]
+        return ev.InstanceListing(readable, complete=len(readable) == len(views))
+
     def _instance_views(self) -> list[ev.InstanceView]:
         workers = {w.instance: w for w in self.workers.values() if w.up}
         views = []
