--- a/features/malformed_messages.feature
+++ b/features/malformed_messages.feature
@@ -14,6 +14,13 @@
       | 02fffe0102 |
       | 0561       |
 
+  # Guards against keys that count as removed, since the pages after an empty one were not
+  # read.
+  Scenario: A page without records does not end a list that has more
+    Given the newest records of the store, in pages without records
+    When a node reads the newest records
+    Then the store counts as unavailable
+
   # Guards against 'nothing was appended' where the store does not say so: the job would
   # be refused as not run although it may run.
   Scenario Outline: Only statuses that say so mean that nothing was appended
--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -98,6 +98,21 @@
     assert context.batch.next_offset == 8, context.batch
 
 
+@given("the newest records of the store, in pages without records")
+def step_empty_pages(context):
+    context.body = b'{"items":[],"has_more":true,"end_offset":8}'
+
+
+@when("a node reads the newest records")
+def step_read_newest(context):
+    context.answer = caught(newest_records, context.body)
+
+
+@then("the store counts as unavailable")
+def step_store_unavailable(context):
+    assert isinstance(context.answer, StoreUnavailableError), context.answer
+
+
 @given("a store that answers an append with {status:d} and body {body}")
 def step_append_answer(context, status, body):
     text = b"" if body == "(nothing)" else body.encode()
