Store the runs of a job in records of a limited size

Cause: the runs of all tasks of a job were one record. At 31 to 50 bytes a task it passed `record_bytes` (262,144) at some 5,400 to 8,400 placed tasks. The store refuses such an append, and the scheduler repeated it until the next node claimed.

- Runs are stored in parts of 32 tasks; only changed parts are written.
Jobs of up to 32 tasks have the same key and record as before.
Records of an earlier version are read.
- What grows with events is bounded: a task remembers its 32 newest failed runs and a count, and its 10 newest supposed crashes.
Checkpoints that don't fit into their record are left out of it (`checkpoints_not_stored`), the longest first.
- A commit has a limited size (128 kB), as it delays the heartbeat; the rest follows.
Ends are acknowledged with the commit that stores them.
Members of a gang stay together.
- The building of commits moved to scheduling/commits.py.

The stand-in's store now refuses larger records.

--- a/primrosepitch/events.py
+++ b/primrosepitch/events.py
@@ -418,6 +418,14 @@
     "while, and its tasks are restarted elsewhere.",
     "check the instance if it is named repeatedly",
 )
+CHECKPOINTS_NOT_STORED = event(
+    5022,
+    "checkpoints_not_stored",
+    logging.WARNING,
+    "Checkpoints of running tasks are too large for a record of the store; a successor "
+    "may start these tasks from their begin.",
+    "reduce what the tasks save, or raise record_bytes",
+)
 ENDPOINT_ENDS_CUT = event(
     5210,
     "endpoint_ends_cut",
--- a/primrosepitch/jobs/records.py
+++ b/primrosepitch/jobs/records.py
@@ -2,9 +2,10 @@
 
 The ledger is stored in two compacted partitions, which retain the newest record of each
 key. The first one contains jobs, cancellations, states and the term; every node reads
-it. The second one contains the runs of each job that has not ended; only the scheduler
-writes it, and only its successor reads it. Only the scheduler of the newest term writes
-states, runs, waves and terms, which the store enforces by the producer's epoch.
+it. The second one contains the runs of each job that has not ended, a limited number of
+tasks in each record; only the scheduler writes it, and only its successor reads it.
+Only the scheduler of the newest term writes states, runs, waves and terms, which the
+store enforces by the producer's epoch.
 """
 
 from __future__ import annotations
@@ -33,6 +34,9 @@
     "NodeAddress",
     "Progress",
     "RunCrash",
+    "RunsPart",
+    "StoredRuns",
+    "TASKS_PER_RECORD",
     "TaskRecord",
     "Term",
     "WaveProgress",
@@ -40,6 +44,7 @@
     "job_tombstones",
     "runs_tombstone",
     "encode",
+    "record_size",
 ]
 
 SPEC_PREFIX = "j/"
@@ -49,6 +54,13 @@
 TERM_KEY = "term"
 WAVE_PREFIX = "w/"
 NODE_PREFIX = "n/"
+KEY_LENGTH_BYTES = 1
+"""Size of a record's field for the length of its key."""
+
+TASKS_PER_RECORD = 32
+"""Number of a job's tasks whose runs are stored in one record. It determines the keys,
+so all nodes must use the same."""
+
 BACKLOG_KEY = "backlog"
 
 
@@ -78,10 +90,11 @@
     :param run: number of the newest run
     :param placed: endpoint of the run that may be in progress; empty if there is none
     :param born: incarnation of that endpoint
-    :param failed: numbers of the runs that failed
+    :param failed: numbers of the runs that failed, the newest ones
     :param done: whether a run has succeeded
     :param crashes: runs that were lost with their endpoints and not followed by one
         that survived
+    :param failures: number of all runs that failed
     """
 
     occurrence: int
@@ -94,17 +107,36 @@
     done: bool = False
     checkpoint: str = ""
     crashes: tuple[RunCrash, ...] = ()
+    failures: int = 0
 
     def key(self, job: JobId) -> TaskKey:
         """Return the key of the task within ``job``."""
         return TaskKey(job, self.occurrence, self.step, self.index)
 
 
-class Progress(msgspec.Struct):
-    """States of the started tasks of a job that has not ended."""
+class Progress(msgspec.Struct, omit_defaults=True):
+    """States of the started tasks of one part of a job that has not ended.
+
+    :param part: number of the part, of ``TASKS_PER_RECORD`` tasks
+    """
 
     job: JobId
     tasks: list[TaskRecord]
+    part: int = 0
+
+
+class RunsPart(NamedTuple):
+    """Part of a job whose runs are stored in one record."""
+
+    job: JobId
+    part: int
+
+
+class StoredRuns(NamedTuple):
+    """Runs of a job in the ledger, and the parts that have a record."""
+
+    tasks: list[TaskRecord]
+    parts: set[int]
 
 
 class JobStatus(msgspec.Struct):
@@ -192,6 +224,8 @@
         return BACKLOG_KEY
     if isinstance(record, NodeAddress):
         return NODE_PREFIX + record.name
+    if isinstance(record, Progress):
+        return _runs_key(record.job, record.part)
     return _PREFIXES[type(record)] + record.job
 
 
@@ -199,15 +233,23 @@
     JobSpec: SPEC_PREFIX,
     Cancellation: CANCEL_PREFIX,
     JobStatus: STATUS_PREFIX,
-    Progress: RUNS_PREFIX,
 }
 
 
+def _runs_key(job: JobId, part: int) -> str:
+    return f"{RUNS_PREFIX}{job}/{part}" if part else RUNS_PREFIX + job
+
+
 def encode(record: Record) -> tuple[str, bytes]:
     """Encode a record as its key and value in the store."""
     return record_key(record), msgspec.msgpack.encode(record)
 
 
+def record_size(key: str, value: bytes) -> int:
+    """Return the size that counts towards the store's limit on a record, in bytes."""
+    return KEY_LENGTH_BYTES + len(key.encode()) + len(value)
+
+
 def job_tombstones(job: JobId) -> list[tuple[str, bytes]]:
     """Return the empty records (tombstones) that remove a job from the ledger."""
     return [
@@ -215,22 +257,31 @@
     ]
 
 
-def runs_tombstone(job: JobId) -> tuple[str, bytes]:
-    """Return the empty record (tombstone) that removes a job's runs."""
-    return (RUNS_PREFIX + job, b"")
+def runs_tombstone(runs: RunsPart) -> tuple[str, bytes]:
+    """Return the empty record (tombstone) that removes a part of a job's runs."""
+    return (_runs_key(runs.job, runs.part), b"")
 
 
-def decode_runs(records: Iterable[tuple[str, bytes]]) -> dict[JobId, Progress]:
+def decode_runs(records: Iterable[tuple[str, bytes]]) -> dict[JobId, StoredRuns]:
     """Decode the newest records of the runs partition, by job.
 
+    An earlier version stored all tasks of a job in the first part. Records of a later
+    part are newer than what that one says of the same tasks.
+
     :raises msgspec.DecodeError: if a record can't be decoded
     """
-    found = [
+    decoded: list[Progress] = [
         _decode(value, Progress)
         for key, value in records
         if key.startswith(RUNS_PREFIX)
     ]
-    return {progress.job: progress for progress in found}
+    tasks: dict[JobId, dict[TaskKey, TaskRecord]] = {}
+    parts: dict[JobId, set[int]] = {}
+    for progress in sorted(decoded, key=lambda p: p.part):
+        newest = tasks.setdefault(progress.job, {})
+        newest.update({task.key(progress.job): task for task in progress.tasks})
+        parts.setdefault(progress.job, set()).add(progress.part)
+    return {job: StoredRuns(list(tasks[job].values()), parts[job]) for job in tasks}
 
 
 class JobEntry(msgspec.Struct):
--- a/primrosepitch/jobs/store.py
+++ b/primrosepitch/jobs/store.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple, Protocol
 
 __all__ = [
+    "MAX_APPEND_BYTES",
     "AppendOutcome",
     "Batch",
     "Fence",
@@ -17,6 +18,10 @@
 ]
 
 
+MAX_APPEND_BYTES = 128 * 1024
+"""Maximum size of an append of several records; 0.2 s on a link of 5 Mbit/s."""
+
+
 class KeyedRecord(NamedTuple):
     """Record of a keyed partition; an empty value deletes the key."""
 
--- a/primrosepitch/node/follower.py
+++ b/primrosepitch/node/follower.py
@@ -17,6 +17,7 @@
 )
 from primrosepitch.jobs.records import Backlog, Ledger, Record
 from primrosepitch.jobs.store import (
+    MAX_APPEND_BYTES,
     Batch,
     KeyedRecord,
     LedgerStore,
@@ -57,9 +58,6 @@
 MAX_APPEND_TIMEOUT_S = 2.4
 """Maximum timeout of one append attempt; the store rejects what would wait for 2 s."""
 
-MAX_APPEND_BYTES = 128 * 1024
-"""Maximum size of an append of several records; 0.2 s on a link of 5 Mbit/s."""
-
 
 class LedgerFollower:
     """Applies new records of the store to a local copy of the ledger.
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -24,8 +24,8 @@
 from primrosepitch.jobs.records import (
     Cancellation,
     JobStatus,
-    Progress,
     Record,
+    StoredRuns,
     Term,
     WaveProgress,
     decode_runs,
@@ -378,7 +378,7 @@
 
     async def _claim_runs(
         self, record: KeyedRecord, fence: Fence
-    ) -> dict[JobId, Progress]:
+    ) -> dict[JobId, StoredRuns]:
         """Fence the previous scheduler off the runs partition, and read the runs."""
         retry_until = clock.monotonic() + CLAIM_RUNS_TIMEOUT_S
         while True:
@@ -403,7 +403,7 @@
         self,
         term: Term,
         previous: Term,
-        runs: dict[JobId, Progress],
+        runs: dict[JobId, StoredRuns],
         claimed_at: float,
     ) -> None:
         now = clock.monotonic()
--- a/primrosepitch/scheduling/crashes.py
+++ b/primrosepitch/scheduling/crashes.py
@@ -62,6 +62,9 @@
 MAX_CRASHES = 5
 """Number of crashes after which a task is given up in any case."""
 
+MAX_LISTED_CRASHES = 2 * MAX_CRASHES
+"""Number of supposed crashes of a task that are remembered."""
+
 MAX_ISOLATION_WAIT_S = 2.0
 """Time after which an isolated task starts although its endpoint is not empty yet."""
 
@@ -140,9 +143,9 @@
             len(begun) - 1,
             listed=task.reported_at > 0,
         )
-        task.crashes = (*task.crashes, crash)
+        task.crashes = (*task.crashes, crash)[-MAX_LISTED_CRASHES:]
         state.crashed_tasks[task.key] = task
-        state.dirty_jobs.add(task.key.job)
+        state.mark_dirty(task)
 
 
 def _may_have_begun(task: Task) -> bool:
@@ -161,7 +164,7 @@
     if task.crashes and (ended or _listed_for(task, SURVIVAL_S)):
         task.crashes = ()
         state.crashed_tasks.pop(task.key, None)
-        state.dirty_jobs.add(task.key.job)
+        state.mark_dirty(task)
 
 
 def refute_listed(state: SchedulerState, task: Task, run: int) -> list[Effect]:
@@ -242,7 +245,7 @@
     state: SchedulerState, task: Task, crash: RunCrash, reason: str
 ) -> list[Effect]:
     task.crashes = tuple(other for other in task.crashes if other is not crash)
-    state.dirty_jobs.add(task.key.job)
+    state.mark_dirty(task)
     return [WriteLog(CRASH_REFUTED, {**_fields(task, crash), "why": reason})]
 
 
@@ -251,7 +254,7 @@
 ) -> list[Effect]:
     counted = crash._replace(proof=proof)
     task.crashes = tuple(counted if c is crash else c for c in task.crashes)
-    state.dirty_jobs.add(task.key.job)
+    state.mark_dirty(task)
     if proof == OUTAGE:
         return [WriteLog(CRASH_REFUTED, {**_fields(task, crash), "why": proof})]
     count = sum(bool(c.proof) for c in task.crashes)
--- a/primrosepitch/scheduling/events.py
+++ b/primrosepitch/scheduling/events.py
@@ -15,7 +15,7 @@
     ServiceName,
     TaskKey,
 )
-from primrosepitch.jobs.records import JobEntry, Progress
+from primrosepitch.jobs.records import JobEntry, StoredRuns
 from primrosepitch.scheduling.configuration import Configuration, WaveSpec
 
 __all__ = [
@@ -182,7 +182,7 @@
     claimed_at: float
     term: int
     jobs: dict[JobId, JobEntry]
-    runs: dict[JobId, Progress]
+    runs: dict[JobId, StoredRuns]
     prior_leases_until: float
     waves: dict[int, list[str]]
     prior_orders_until: float
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -45,7 +45,6 @@
     charge_duplicate,
     confirm_soundness,
     find_task,
-    mark_dirty,
     release_duplicates,
     reserve_capacity,
     run_ended,
@@ -194,6 +193,7 @@
         )
     endpoint.contacted = endpoint.reachable = False
     endpoint.processed_end = endpoint.acked_end = endpoint.discarded_end = 0
+    endpoint.unstored_ends.clear()
     endpoint.clock_ms, endpoint.clock_read_at = 0, 0.0
     endpoint.lease_until_ms = 0
     endpoint.next_poll_at = 0.0
@@ -224,7 +224,7 @@
     the endpoint.
     """
     task.born = born
-    mark_dirty(state, state.jobs[task.key.job])
+    state.mark_dirty(task)
     if task.order_tries < 0 or (task.phase is Phase.RUNNING and not task.unanswered):
         return []
     task.started_at = 0.0
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -9,25 +9,13 @@
 from typing import Any
 
 from primrosepitch.events import RUN_START_ANSWERED, TERM_TAKEN
-from primrosepitch.jobs.model import EndpointId, JobId, task_name
-from primrosepitch.jobs.records import (
-    Backlog,
-    JobEntry,
-    JobStatus,
-    Progress,
-    TaskRecord,
-    Term,
-    WaveProgress,
-    encode,
-    job_tombstones,
-    runs_tombstone,
-)
-from primrosepitch.jobs.store import KeyedRecord
+from primrosepitch.jobs.model import task_name
+from primrosepitch.jobs.records import JobEntry, RunsPart
 from primrosepitch.scheduling import events as ev
 from primrosepitch.scheduling.availability import may_disrupt
-from primrosepitch.scheduling.backlog import estimate_waits
+from primrosepitch.scheduling.commits import commit_changes, forget_ended_job
 from primrosepitch.scheduling.crashes import resolve_crashes
-from primrosepitch.scheduling.effects import Commit, Effect, WriteLog
+from primrosepitch.scheduling.effects import Effect, WriteLog
 from primrosepitch.scheduling.forecast import record_arrival
 from primrosepitch.scheduling.leases import (
     due_polls,
@@ -84,16 +72,6 @@
 MAX_PLANNING_INTERVAL_S = 0.25
 """Maximum time between planning passes, for changes that depend on time alone."""
 
-TERM_RENEWAL_INTERVAL_S = 0.25
-"""Maximum time without an append, which is the scheduler's heartbeat to other nodes."""
-
-WAITS_REFRESH_INTERVAL_S = 0.5
-"""Interval at which unchanged waits are published again; nodes consider them valid for
-four times as long."""
-
-EXTRA_RETENTION_S = 60.0
-"""Time beyond ``Limits.status_s`` for which the state of an ended job is kept."""
-
 Handler = Callable[[SchedulerState, Any], list[Effect]]
 _HANDLERS: dict[type, Handler] = {}
 
@@ -144,7 +122,12 @@
         job = restore_job(state, entry, runs)
         if job is not None and not (job.cancelled or job.failing):
             effects += settle_job(state, job)
-    state.ended_jobs += [job for job in event.runs if job not in state.jobs]
+    state.ended_runs += [
+        RunsPart(job, part)
+        for job, runs in event.runs.items()
+        if job not in state.jobs
+        for part in sorted(runs.parts)
+    ]
     fields = {"term": event.term, "jobs": len(state.jobs), "runs": len(event.runs)}
     return [WriteLog(TERM_TAKEN, fields), *effects]
 
@@ -291,7 +274,7 @@
         effects += advance_waves(state)
         effects += lend_instances(state)
         effects += throttle_best_effort(state)
-    effects += _commit(state)
+    effects += commit_changes(state)
     return [*effects, *due_polls(state)]
 
 
@@ -317,103 +300,6 @@
     return state.now + left_s > endpoint.report.leaves_at
 
 
-def _commit(state: SchedulerState) -> list[Effect]:
-    """Commit the changes since the last commit, one commit at a time."""
-    if state.committing:
-        return []
-    renewal = state.now - state.renewed_at >= TERM_RENEWAL_INTERVAL_S
-    waves = [wave for wave in state.waves.values() if wave.dirty]
-    if not (
-        state.dirty_jobs or state.changed_jobs or state.ended_jobs or waves or renewal
-    ):
-        return []
-    runs = _changed_runs(state)
-    shared = [encode(_job_status(state, job)) for job in sorted(state.changed_jobs)]
-    state.changed_jobs.clear()
-    for wave in waves:
-        wave.dirty = False
-        shared.append(encode(WaveProgress(wave.spec.wave, sorted(wave.begun))))
-    if renewal and not shared:
-        shared.append(encode(Term(state.term, state.node, state.nonce)))
-    # The records that follow are no heartbeat to other nodes.
-    if shared:
-        state.renewed_at = state.now
-    shared += _expired_job_records(state)
-    if renewal:
-        shared += _backlog(state)
-    state.committing_acks = {
-        endpoint.id: (endpoint.report.born, endpoint.processed_end)
-        for endpoint in state.endpoints.values()
-        if endpoint.processed_end > endpoint.acked_end
-    }
-    state.commit_count += 1
-    state.committing = state.commit_count
-    return [Commit(state.commit_count, _keyed_records(runs), _keyed_records(shared))]
-
-
-def _backlog(state: SchedulerState) -> list[tuple[str, bytes]]:
-    """Return the record of the waits if they have changed or must be refreshed."""
-    estimated = estimate_waits(state)
-    if not estimated and not state.waits:
-        return []
-    if (
-        estimated == state.waits
-        and state.now - state.waits_sent_at < WAITS_REFRESH_INTERVAL_S
-    ):
-        return []
-    state.waits, state.waits_sent_at = estimated, state.now
-    return [encode(Backlog(estimated))]
-
-
-def _keyed_records(records: list[tuple[str, bytes]]) -> list[KeyedRecord]:
-    return [KeyedRecord(key, value) for key, value in records]
-
-
-def _changed_runs(state: SchedulerState) -> list[tuple[str, bytes]]:
-    """Return the records of changed runs, and tombstones of ended jobs' runs."""
-    records = [runs_tombstone(job) for job in state.ended_jobs]
-    state.ended_jobs = []
-    state.committing_tasks = []
-    for job_id in sorted(state.dirty_jobs):
-        job = state.jobs.get(job_id)
-        if job is None:
-            continue
-        tasks = [_task_record(task) for task in job.tasks() if task.run]
-        records.append(encode(Progress(job_id, tasks)))
-        state.committing_tasks += [
-            (task, task.run) for task in job.tasks() if task.phase is Phase.COMMITTING
-        ]
-    state.dirty_jobs.clear()
-    return records
-
-
-def _job_status(state: SchedulerState, job_id: JobId) -> JobStatus:
-    return JobStatus(job_id, state.jobs[job_id].state, state.finished.get(job_id, 0))
-
-
-def _task_record(task: Task) -> TaskRecord:
-    placed = task.endpoint if task.placed else EndpointId("")
-    return TaskRecord(
-        *task.key[1:],
-        run=task.run,
-        placed=placed,
-        born=task.born if placed else 0,
-        failed=task.failed,
-        done=task.phase is Phase.DONE,
-        checkpoint=task.checkpoint,
-        crashes=task.crashes,
-    )
-
-
-def _expired_job_records(state: SchedulerState) -> list[tuple[str, bytes]]:
-    """Return the tombstones of ended jobs whose state need not be kept any longer."""
-    limit = state.wall_ms - int((state.limits.status_s + EXTRA_RETENTION_S) * 1000)
-    old = [job for job, ended in state.finished.items() if ended and ended < limit]
-    for job in old:
-        del state.finished[job]
-    return [record for job in old for record in job_tombstones(JobId(job))]
-
-
 def _start_obstacle(endpoint: Endpoint | None) -> str:
     """Return why no start order may be sent to an endpoint, or an empty string."""
     if endpoint is None:
@@ -469,7 +355,5 @@
     state.committing_acks = {}
     for job_id in [j.spec.job for j in state.jobs.values() if j.state.final]:
         if job_id not in state.changed_jobs:
-            del state.jobs[job_id]
-            state.dirty_jobs.discard(job_id)
-            state.ended_jobs.append(job_id)
+            forget_ended_job(state, state.jobs.pop(job_id))
     return [*effects, *_advance(state)]
--- a/primrosepitch/scheduling/runs.py
+++ b/primrosepitch/scheduling/runs.py
@@ -19,7 +19,12 @@
     TaskKey,
     task_name,
 )
-from primrosepitch.jobs.records import JobEntry, Progress, TaskRecord
+from primrosepitch.jobs.records import (
+    TASKS_PER_RECORD,
+    JobEntry,
+    StoredRuns,
+    TaskRecord,
+)
 from primrosepitch.scheduling.crashes import clear_survivor, in_trial, refute_listed
 from primrosepitch.scheduling.effects import Effect, StopRun, WriteLog
 from primrosepitch.scheduling.events import EndedRun, EndKind, Outcome
@@ -50,7 +55,6 @@
     "settle_job",
     "stop_task",
     "reserve_capacity",
-    "mark_dirty",
     "confirm_soundness",
 ]
 
@@ -59,6 +63,10 @@
 success subtracts 1. Single failures are normal, as up to 3 % of the tasks of some jobs
 fail. The score never exceeds it, so that one success ends the probation."""
 
+MAX_LISTED_FAILURES = 32
+"""Number of failed runs of a task that are remembered, so that none counts twice when
+its endpoint lists its end again."""
+
 EJECTION_S = 4.0
 """Duration of an ejection after failures; about that of the grey failures that the
 platform documents."""
@@ -79,11 +87,6 @@
 """Reason for which a task whose start order was not answered runs elsewhere."""
 
 
-def mark_dirty(state: SchedulerState, job: JobRun) -> None:
-    """Mark a job's runs as changed since the last commit."""
-    state.dirty_jobs.add(job.spec.job)
-
-
 def set_job_state(state: SchedulerState, job: JobRun, new: JobState) -> None:
     """Change a job's state, which is reported to callers."""
     job.state = new
@@ -124,27 +127,32 @@
         due_ms = job.spec.due_ms(occurrence)
         if due_ms > state.wall_ms:
             break
-        job.steps[occurrence] = [
-            StepRun(
-                step,
-                [
-                    Task(
-                        TaskKey(job.spec.job, occurrence, number, index),
-                        step,
-                        job.spec.workspace,
-                        phase_since=state.now,
-                    )
-                    for index in range(step.tasks)
-                ],
-            )
-            for number, step in enumerate(job.spec.steps)
-        ]
+        _create_occurrence(state, job, occurrence)
         created = True
     return created
 
 
+def _create_occurrence(state: SchedulerState, job: JobRun, occurrence: int) -> None:
+    steps = job.steps[occurrence] = []
+    ordinal = occurrence * sum(step.tasks for step in job.spec.steps)
+    for number, step in enumerate(job.spec.steps):
+        tasks = []
+        for index in range(step.tasks):
+            task = Task(
+                TaskKey(job.spec.job, occurrence, number, index),
+                step,
+                job.spec.workspace,
+                part=ordinal // TASKS_PER_RECORD,
+                phase_since=state.now,
+            )
+            tasks.append(task)
+            job.parts.setdefault(task.part, []).append(task)
+            ordinal += 1
+        steps.append(StepRun(step, tasks))
+
+
 def restore_job(
-    state: SchedulerState, entry: JobEntry, runs: Progress | None
+    state: SchedulerState, entry: JobEntry, runs: StoredRuns | None
 ) -> JobRun | None:
     """Restore a job from the ledger at the start of a term.
 
@@ -162,6 +170,7 @@
     if runs is not None:
         # The job's state may not have been committed together with the runs.
         job.state = JobState.RUNNING
+        job.stored_parts |= runs.parts
         for record in runs.tasks:
             _restore_task(state, job, record)
     if entry.cancelled is not None:
@@ -181,6 +190,7 @@
         return
     task.run = record.run
     task.failed = record.failed
+    task.failures = max(record.failures, len(record.failed))
     task.checkpoint = record.checkpoint
     task.crashes = record.crashes
     if task.crashes and not record.done:
@@ -205,7 +215,7 @@
 
 def _exhausted(job: JobRun, task: Task) -> bool:
     """Return whether a task has used up its attempts; lasting tasks have no limit."""
-    return not task.spec.lasting and len(task.failed) >= job.spec.max_attempts
+    return not task.spec.lasting and task.failures >= job.spec.max_attempts
 
 
 def find_task(state: SchedulerState, key: TaskKey) -> Task | None:
@@ -271,7 +281,7 @@
     job = state.jobs[task.key.job]
     if job.state is JobState.QUEUED:
         set_job_state(state, job, JobState.RUNNING)
-    mark_dirty(state, job)
+    state.mark_dirty(task)
     fields = {
         "job": task.key.job,
         "task": task_name(task.key),
@@ -357,19 +367,21 @@
     if task is None:
         return effects
     job = state.jobs[ended.task.job]
+    endpoint.unstored_ends.append((ended.number, task.stored_in))
     effects += refute_listed(state, task, ended.run)
     if ended.kind is EndKind.FAILED and ended.run not in task.failed:
         # A failure counts even if the run is no longer the current one.
-        task.failed = (*task.failed, ended.run)
+        task.failed = (*task.failed, ended.run)[-MAX_LISTED_FAILURES:]
+        task.failures += 1
         task.avoid_endpoint = endpoint.id
-        mark_dirty(state, job)
+        state.mark_dirty(task)
         if _exhausted(job, task) and task.phase is not Phase.DONE:
             job.failing = True
     if not current:
         if ended.kind is EndKind.DONE and task.spec.duplicates:
             effects += _complete_duplicated(state, job, task)
         return effects + settle_job(state, job)
-    mark_dirty(state, job)
+    state.mark_dirty(task)
     if ended.checkpoint:
         task.checkpoint = ended.checkpoint
     done = ended.kind is EndKind.DONE
@@ -402,7 +414,7 @@
     if endpoint is not None and begun:
         effects.append(stop_order(state, task, endpoint))
         endpoint.reserve_stopping(task, since)
-    mark_dirty(state, job)
+    state.mark_dirty(task)
     return effects
 
 
@@ -412,6 +424,7 @@
     for other in step.tasks:
         if other is not task and other.run == task.run:
             release_task(state, other, Phase.DONE)
+            state.mark_dirty(other)
 
 
 def _count_faults(
@@ -514,7 +527,7 @@
     }
     release_task(state, task, Phase.WAITING)
     job = state.jobs[task.key.job]
-    mark_dirty(state, job)
+    state.mark_dirty(task)
     return [WriteLog(RUN_LOST, fields), *settle_job(state, job)]
 
 
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -19,7 +19,7 @@
     TaskKey,
     WorkspaceName,
 )
-from primrosepitch.jobs.records import RunCrash
+from primrosepitch.jobs.records import RunCrash, RunsPart
 from primrosepitch.scheduling.configuration import Configuration, WaveSpec
 from primrosepitch.scheduling.events import (
     EndpointReport,
@@ -74,11 +74,13 @@
 
     Times are readings of the boot-time clock.
 
+    :param part: part of its job with whose record its runs are stored
     :param run: number of the newest run
     :param endpoint: endpoint of that run; empty if nothing can be running
     :param rack: rack of that endpoint, if known
     :param born: incarnation of that endpoint
-    :param failed: numbers of the runs that failed
+    :param failed: numbers of the runs that failed, the newest ones
+    :param failures: number of all runs that failed
     :param at_full_rate: whether the endpoint last reported it at its full rate
     :param progress: percent of its work, or of its full rate if it is lasting
     :param progress_since: time of the last change of ``progress``, or else of the first
@@ -106,12 +108,14 @@
     key: TaskKey
     spec: StepSpec
     workspace: WorkspaceName
+    part: int = 0
     run: int = 0
     phase: Phase = Phase.WAITING
     endpoint: EndpointId = EndpointId("")
     rack: str = ""
     born: int = 0
     failed: tuple[int, ...] = ()
+    failures: int = 0
     checkpoint: str = ""
     at_full_rate: bool = False
     progress: int = 0
@@ -133,6 +137,11 @@
     throttled_at: float = 0.0
     crashes: tuple[RunCrash, ...] = ()
 
+    @property
+    def stored_in(self) -> RunsPart:
+        """Return the part of its job with whose record its runs are stored."""
+        return RunsPart(self.key.job, self.part)
+
     @property
     def placed(self) -> bool:
         """Return whether capacity of an endpoint is reserved for the task."""
@@ -155,6 +164,8 @@
     """A job that has not ended.
 
     :param steps: steps by occurrence, for the occurrences that are due
+    :param parts: the same tasks, by the part with whose record their runs are stored
+    :param stored_parts: parts that have a record, or will have one
     :param failing: whether a task has used up its attempts
     :param critical_path_ms: estimated duration of the longest chain of steps
     :param deadline_ms: Unix time by which the latency objective is met
@@ -164,6 +175,8 @@
 
     spec: JobSpec
     steps: dict[int, list[StepRun]] = msgspec.field(default_factory=dict)
+    parts: dict[int, list[Task]] = msgspec.field(default_factory=dict)
+    stored_parts: set[int] = msgspec.field(default_factory=set)
     state: JobState = JobState.QUEUED
     cancelled: bool = False
     failing: bool = False
@@ -196,6 +209,8 @@
     :param leases_expire_at: boot-time clock by which all its leases have expired
     :param lease_until_ms: newest end of a lease granted to it, on its own clock
     :param processed_end: number of the newest run end applied to the state
+    :param unstored_ends: applied ends whose effect no commit carries yet, with the
+        part of the job that each changed
     :param acked_end: number of the newest run end whose effect is durable
     :param discarded_end: value of ``acked_end`` that the endpoint has taken note of
     :param polling: whether a poll is in progress
@@ -227,6 +242,7 @@
     leases_expire_at: float = 0.0
     lease_until_ms: int = 0
     processed_end: int = 0
+    unstored_ends: list[tuple[int, RunsPart]] = msgspec.field(default_factory=list)
     acked_end: int = 0
     discarded_end: int = 0
     polling: bool = False
@@ -362,6 +378,7 @@
     :param status_s: time for which the state of an ended job must be kept
     :param fencing_required: whether orders to instances with an outdated fencing token
         are refused
+    :param record_bytes: maximum size of a record in the store
     """
 
     lease_s: float = 3.8
@@ -372,6 +389,7 @@
     instance_lease_s: float = 3.0
     status_s: float = 120.0
     fencing_required: bool = True
+    record_bytes: int = 262_144
 
 
 class SchedulerState(msgspec.Struct, eq=False):
@@ -411,10 +429,10 @@
         the Unix time in ms of that count
     :param advice_requested: endpoints of which advice on a step has been received
     :param advice_pending: steps with a request for advice in progress
-    :param dirty_jobs: jobs whose runs have uncommitted changes
+    :param dirty_runs: parts of jobs whose runs have uncommitted changes, oldest first
     :param changed_jobs: jobs whose state has uncommitted changes
-    :param ended_jobs: jobs whose final state is durable, so that their runs can be
-        deleted
+    :param ended_runs: parts of jobs whose final state is durable, so that the records
+        of their runs can be deleted
     :param committing: number of the commit in progress; 0 if none
     :param renewed_at: boot-time clock at which the newest commit that other nodes read
         was sent
@@ -442,9 +460,9 @@
     unattached: dict[EndpointId, list[Task]] = msgspec.field(default_factory=dict)
     crashed_tasks: dict[TaskKey, Task] = msgspec.field(default_factory=dict)
     reserved_since: dict[EndpointId, float] = msgspec.field(default_factory=dict)
-    dirty_jobs: set[JobId] = msgspec.field(default_factory=set)
+    dirty_runs: dict[RunsPart, None] = msgspec.field(default_factory=dict)
     changed_jobs: set[JobId] = msgspec.field(default_factory=set)
-    ended_jobs: list[JobId] = msgspec.field(default_factory=list)
+    ended_runs: list[RunsPart] = msgspec.field(default_factory=list)
     committing: int = 0
     commit_count: int = 0
     renewed_at: float = 0.0
@@ -493,6 +511,10 @@
         """
         return self.now - self.confirmed_at <= TERM_CONFIRMATION_S
 
+    def mark_dirty(self, task: Task) -> None:
+        """Mark a task's runs as changed since the last commit."""
+        self.dirty_runs[task.stored_in] = None
+
     def set_instance_state(
         self, instance: str, new_state: InstanceState, pool: ServiceName | None = None
     ) -> None:
--- a/standins/scheduler_world.py
+++ b/standins/scheduler_world.py
@@ -25,7 +25,13 @@
     TaskKey,
     WorkspaceName,
 )
-from primrosepitch.jobs.records import Cancellation, Ledger, decode_runs, encode
+from primrosepitch.jobs.records import (
+    Cancellation,
+    Ledger,
+    decode_runs,
+    encode,
+    record_size,
+)
 from primrosepitch.jobs.store import KeyedRecord
 from primrosepitch.scheduling import effects as ef
 from primrosepitch.scheduling import events as ev
@@ -199,10 +205,8 @@
 
     def used_resources(self) -> Resources:
         """Return the resources in use by runs."""
-        total = Resources()
-        for run in self.runs.values():
-            total = total.add(run.spec.needs)
-        return total
+        needs = [run.spec.needs for run in self.runs.values()]
+        return Resources(*map(sum, zip(*needs, strict=True))) if needs else Resources()
 
     def advance(self) -> None:
         """End the runs that are due, and all runs once the lease has expired."""
@@ -228,6 +232,7 @@
         saved = ""
         if run.spec.checkpoints and kind is not ev.EndKind.DONE:
             saved = f"{run.resumed_s + self.world.now - run.began:.3f}"
+            saved = saved.ljust(self.world.checkpoint_length)
         self.ended_at[self.end_count] = self.world.now
         self.unacked_ends.append(
             ev.EndedRun(self.end_count, run.task, run.run, kind, saved)
@@ -394,12 +399,15 @@
     :param only_partition: the only partition to which the store applies a commit to
         two partitions; empty for both
     :param store_s: duration of an append
+    :param refused_records: sizes of the records that the store refused, by key
+    :param largest_append: size of the largest append, in bytes
     :param answer_loss_rate: fraction of orders whose answers are lost
     :param poll_delay_s: delay of the answers to polls
     :param poll_loss_rate: fraction of polls that get no answer
     :param late_order_rate: fraction of orders that get no answer and are carried out
         seconds later
     :param failure_rate: fraction of runs that fail
+    :param checkpoint_length: minimum length of a checkpoint
     :param duration_sigma: sigma of the log-normal factor on the duration of runs
     :param duration_factors: factor on the duration of runs, by job
     :param instance_order_delay_s: delay of the orders of cut nodes to move instances
@@ -429,6 +437,8 @@
         self.newest_term = 0
         self.store_up = True
         self.only_partition = ""
+        self.refused_records: dict[str, int] = {}
+        self.largest_append = 0
         self.queue_order = "urgency"
         self.store_s = APPEND_S
         self.poll_delay_s = 0.0
@@ -436,6 +446,7 @@
         self.late_order_rate = 0.0
         self.poll_loss_rate = 0.0
         self.failure_rate = 0.0
+        self.checkpoint_length = 0
         self.duration_sigma = 0.0
         self.workers: dict[EndpointId, Worker] = {}
         self.nodes: list[Node] = []
@@ -767,7 +778,7 @@
 
     def _check_limit(self, workspace: WorkspaceName, spec: StepSpec) -> None:
         limit = self.cfg.workspaces.get(workspace)
-        if limit is None:
+        if limit is None or not any(limit.limit):
             return
         total = spec.quota_request
         for worker in self.workers.values():
@@ -897,6 +908,12 @@
         if term < self.newest_term:
             self._do_stepdown(node, ef.StepDown("fenced"))
             return
+        for records in (effect.runs, effect.shared):
+            size = sum(record_size(*record) for record in records)
+            self.largest_append = max(self.largest_append, size)
+        if self._refuse_large_records([*effect.runs, *effect.shared]):
+            self._retry_append(node, term, effect)
+            return
         only = self.only_partition if effect.runs and effect.shared else ""
         if only != "shared":
             for key, value in effect.runs:
@@ -911,6 +928,13 @@
             return
         self._deliver_answer(node, term, ev.Committed(effect.number, self.now))
 
+    def _refuse_large_records(self, records: list[KeyedRecord]) -> bool:
+        """Return whether an append has a record beyond the store's limit."""
+        sizes = {record.key: record_size(*record) for record in records}
+        large = {k: s for k, s in sizes.items() if s > self.limits.record_bytes}
+        self.refused_records.update(large)
+        return bool(large)
+
     def _retry_append(self, node: Node, term: int, effect: ef.Commit) -> None:
         def retry() -> None:
             if node in self.nodes:
