Set records aside that the store refuses as invalid

- `StoreRejectedError`: a refusal (400, 403) that a repeat would meet again, also through another node.
- A rejected append is repeated in halves until the record at fault stands alone (node/fenced_log.py, Appender).
It is logged with key and size (`record_rejected`).

--- a/features/intake.feature
+++ b/features/intake.feature
@@ -38,6 +38,26 @@
     Then the store has 400 jobs
     And no append took more than 1 s at 5 Mbit/s
 
+  # Guards against a caller that repeats, without end, a job that can't be stored.
+  Scenario Outline: A job that is too large for a record is refused with the limit
+    Given a job intake and a store
+    When a job with a payload of <size> bytes is submitted over HTTP
+    Then the response has status <status>
+    And the store has <stored> jobs
+
+    Examples:
+      | size   | status | stored |
+      | 261900 | 200    | 1      |
+      | 262144 | 413    | 0      |
+
+  # Guards against jobs that are refused because of another one of the same append.
+  Scenario: The store rejects one job among many
+    Given a job intake and a store
+    And the store rejects an append that has job j42
+    When 100 jobs of 40 bytes are submitted at once
+    Then the store has 99 jobs
+    And all jobs but j42 are accepted, and that one is invalid
+
   # Guards against creating two jobs when the same id is submitted twice at the same
   # time.
   Scenario: A repeated submission joins the first
--- a/features/malformed_messages.feature
+++ b/features/malformed_messages.feature
@@ -34,6 +34,8 @@
       | 200    | {"offset": "x"}                | unknown     |
       | 200    | (nothing)                      | unknown     |
       | 409    | {"reason": "fenced"}           | fenced      |
+      | 400    | (nothing)                      | rejected    |
+      | 403    | (nothing)                      | rejected    |
       | 412    | {"end_offset": 7}              | unavailable |
       | 429    | (nothing)                      | unavailable |
       | 503    | (nothing)                      | unavailable |
--- a/features/record_sizes.feature
+++ b/features/record_sizes.feature
@@ -48,6 +48,31 @@
     And no append was larger than 6000 bytes
     And no rule was broken
 
+  # Guards against all jobs waiting for the record of one that the store refuses.
+  Scenario Outline: The store refuses the runs of one job among many
+    Given a scheduler with 4 endpoints
+    And the store refuses the runs of job j42
+    When 200 small tasks of <ms> ms are accepted, in jobs of up to 2
+    And 2 seconds pass
+    And node b takes the term after 0 seconds
+    And 8 seconds pass
+    Then job j42 is failed
+    And 99 jobs are completed
+    And no task is running
+    And no rule was broken
+
+    Examples:
+      | ms   |
+      | 300  |
+      | 4000 |
+
+  # Guards against the same where the other records of an append are in it.
+  Scenario: The store refuses one record of an append
+    Given a log of term 3 whose store refuses the record k42
+    When records k0 to k99 are appended
+    Then the store has all records but k42, in order and under consecutive numbers
+    And k42 is reported as rejected
+
   # Guards against the same in any mix of faults.
   Scenario Outline: Large jobs, failures, checkpoints and takeovers
     Given random faults of seed <seed> around jobs of up to 600 tasks, with records of up to 16384 bytes
--- a/features/steps/intake.py
+++ b/features/steps/intake.py
@@ -1,8 +1,12 @@
 """Steps for the intake of jobs."""
 
 import asyncio
+import json
+from collections import Counter
 
+from adapter.intake import HttpIntake
 from behave import given, then, when
+from steps.denials import ActiveConfiguration, Connection
 
 from primrosepitch import clock
 from primrosepitch.jobs.model import (
@@ -18,13 +22,19 @@
     AppendOutcome,
     Batch,
     KeyedRecord,
+    StoreRejectedError,
     StoreUnavailableError,
     StoreUnknownError,
 )
+from primrosepitch.metrics import Metrics
+from primrosepitch.net.http_messages import HttpRequest
+from primrosepitch.net.http_server import Exchange
 from primrosepitch.node.follower import Appender, LedgerFollower
 from primrosepitch.node.job_intake import IntakeOutcome, JobIntake
 from primrosepitch.scheduling.configuration import Configuration, QueueSpec
 
+RECORD_BYTES = 262_144
+
 
 class FailingStore:
     """Keyed partition in memory whose appends fail as scripted."""
@@ -33,6 +43,7 @@
         self.records = []
         self.script = []
         self.refuses = False
+        self.rejected_job = None
         self.appends = 0
         self.largest_append_bytes = 0
 
@@ -44,6 +55,8 @@
         await asyncio.sleep(0)
         if self.refuses:
             raise StoreUnavailableError("refused")
+        if any(record.key == f"j/{self.rejected_job}" for record in records):
+            raise StoreRejectedError("400")
         answer = self.script.pop(0) if self.script else "answer"
         if answer == "lost":
             self.records += records
@@ -93,7 +106,7 @@
     follower = LedgerFollower(context.store, lambda record: None)
     follower.loaded = True
     context.appender = Appender(context.store)
-    context.intake = JobIntake(follower, context.appender)
+    context.intake = JobIntake(follower, context.appender, RECORD_BYTES)
 
 
 @given("the store performs one append without a response, then refuses")
@@ -111,6 +124,37 @@
     context.store.refuses = True
 
 
+@given("the store rejects an append that has job {job}")
+def step_rejects_job(context, job):
+    context.store.rejected_job = job
+
+
+@then("all jobs but {job} are accepted, and that one is invalid")
+def step_one_invalid(context, job):
+    invalid = int(job.removeprefix("j"))
+    replies = Counter(context.replies)
+    assert replies[IntakeOutcome.ACCEPTED] == len(context.replies) - 1, replies
+    assert context.replies[invalid] is IntakeOutcome.INVALID, replies
+
+
+@when("a job with a payload of {size:d} bytes is submitted over HTTP")
+def step_submit_large(context, size):
+    body = {"specification": "x" * size, "steps": [{"count": 1}]}
+    headers = [(b"host", b"h"), (b"authorization", b"Bearer right")]
+    target = b"/old/" + b"0" * 16
+    request = HttpRequest(b"POST", target, headers, json.dumps(body).encode())
+    intake = HttpIntake(context.intake, ActiveConfiguration("recent"), Metrics())
+    conn = Connection()
+
+    async def answer():
+        intake.handle(Exchange(request, conn))
+        while intake.busy:
+            await asyncio.sleep(0)
+
+    run_with_appender(context, answer)
+    context.response = conn.response
+
+
 @given("another node has stored job {job}")
 def step_stored(context, job):
     context.store.records.append(KeyedRecord(*encode(spec(job))))
@@ -130,9 +174,11 @@
     specs = [spec(f"j{number}", "x" * size) for number in range(count)]
 
     async def submit():
-        await asyncio.gather(*(context.intake.submit(s, deadline) for s in specs))
+        return await asyncio.gather(
+            *(context.intake.submit(s, deadline) for s in specs)
+        )
 
-    run_with_appender(context, submit)
+    context.replies = run_with_appender(context, submit)
 
 
 @then("the store has {count:d} jobs")
--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -40,6 +40,7 @@
 from primrosepitch.jobs.store import (
     KeyedRecord,
     StoreFencedError,
+    StoreRejectedError,
     StoreUnavailableError,
     StoreUnknownError,
 )
@@ -127,6 +128,7 @@
         StoreUnavailableError: "unavailable",
         StoreUnknownError: "unknown",
         StoreFencedError: "fenced",
+        StoreRejectedError: "rejected",
     }
     work = context.partition.append([KeyedRecord("k", b"v")], clock.monotonic() + 1)
     try:
--- a/features/steps/record_sizes.py
+++ b/features/steps/record_sizes.py
@@ -1,12 +1,20 @@
 """Steps for the size of the records that the scheduler writes to the store."""
 
+import asyncio
 import random
 
 import msgspec
-from behave import given, then
-from steps.scheduler_rules import make_world, submit_job
+from behave import given, then, when
+from steps.scheduler_rules import completed_jobs, make_world, submit_job
 
 from primrosepitch.jobs.model import JobId, StepSpec
+from primrosepitch.jobs.store import (
+    AppendOutcome,
+    Fence,
+    KeyedRecord,
+    StoreRejectedError,
+)
+from primrosepitch.node.fenced_log import FencedLog
 from primrosepitch.scheduling import commits
 from standins.scheduler_faults import FAULTS, FaultDay
 
@@ -75,6 +83,61 @@
     )
 
 
+@given("the store refuses the runs of job {job}")
+def step_refused_job(context, job):
+    context.world.unstorable_jobs.add(job)
+
+
+@then("{count:d} jobs are completed")
+def step_completed_jobs(context, count):
+    found = len(completed_jobs(context))
+    assert found == count, found
+
+
+class PickyPartition:
+    """Partition that refuses an append as a whole if it has a certain record."""
+
+    def __init__(self, refused_key):
+        self.refused_key = refused_key
+        self.keys = []
+        self.fences = []
+
+    async def append(self, records, deadline, fence=None):
+        if any(record.key == self.refused_key for record in records):
+            raise StoreRejectedError("400")
+        self.keys += [record.key for record in records]
+        self.fences.append(fence)
+        return AppendOutcome(0, len(self.keys))
+
+
+@given("a log of term {term:d} whose store refuses the record {key}")
+def step_fenced_log(context, term, key):
+    context.partition = PickyPartition(key)
+    context.log = FencedLog(context.partition, Fence(term, 7))
+
+
+@when("records k{first:d} to k{last:d} are appended")
+def step_append_records(context, first, last):
+    context.keys = [f"k{number}" for number in range(first, last + 1)]
+    records = [KeyedRecord(key, b"1") for key in context.keys]
+    context.rejected = asyncio.run(context.log.append_valid(records, lambda: True))
+
+
+@then(
+    "the store has all records but {key}, in order and under consecutive numbers",
+)
+def step_others_stored(context, key):
+    partition = context.partition
+    assert partition.keys == [k for k in context.keys if k != key], partition.keys
+    numbers = range(8, 8 + len(partition.fences))
+    assert partition.fences == [Fence(3, n) for n in numbers], partition.fences
+
+
+@then("{key} is reported as rejected")
+def step_reported_rejected(context, key):
+    assert context.rejected == [key], context.rejected
+
+
 @then("every task of {job} has failed at least {count:d} times")
 def step_failures(context, job, count):
     failed = {k.number: n for k, n in context.world.failed_runs.items() if k.job == job}
--- a/features/steps/store_relay.py
+++ b/features/steps/store_relay.py
@@ -11,6 +11,7 @@
     Fence,
     KeyedRecord,
     StoreFencedError,
+    StoreRejectedError,
     StoreUnavailableError,
     StoreUnknownError,
 )
@@ -18,6 +19,8 @@
 from primrosepitch.node.peer_pool import PeerPool
 from primrosepitch.node.relay import StoreRelay
 
+RECORD_BYTES = 500_000
+
 
 class SharedLedger:
     """Records and the highest epoch that the store has seen."""
@@ -37,6 +40,8 @@
     async def append(self, records, deadline, fence=None):
         if self.refused:
             raise StoreUnavailableError("503")
+        if any(len(record.value) > RECORD_BYTES for record in records):
+            raise StoreRejectedError("400")
         if fence is not None and fence.epoch < self.ledger.epoch:
             raise StoreFencedError("beaten")
         offset = len(self.ledger.records)
@@ -218,6 +223,11 @@
     assert isinstance(context.error, StoreUnavailableError), context.error
 
 
+@then("{name:w} gets a rejection")
+def step_rejected(context, name):
+    assert isinstance(context.error, StoreRejectedError), context.error
+
+
 @then("{name:w} gets the error that its epoch is outdated")
 def step_fenced(context, name):
     assert isinstance(context.error, StoreFencedError), context.error
--- a/features/store_relay.feature
+++ b/features/store_relay.feature
@@ -32,6 +32,19 @@
     Then a gets a refusal
     And the ledger holds x 0 times
 
+  # Guards against a record that is repeated without end, since its refusal as invalid
+  # became one for another reason on the way.
+  Scenario Outline: A record that the store rejects is rejected <way>
+    Given nodes a and b
+    When the store refuses node <refused>
+    And a appends 1 records of 600000 bytes in one call
+    Then a gets a rejection
+
+    Examples:
+      | way                    | refused |
+      | directly               | b       |
+      | through the other node | a       |
+
   # Guards against an unknown outcome of a call that was sent although the store was
   # known to be silent: the caller can't repeat such a request.
   Scenario: Nothing is appended for callers while the store is known to be silent
--- a/idl/primrose.thrift
+++ b/idl/primrose.thrift
@@ -139,7 +139,8 @@
   UNAVAILABLE = 2,
   UNKNOWN = 3,
   FENCED = 4,
-  TRUNCATED = 5
+  TRUNCATED = 5,
+  REJECTED = 6
 }
 
 struct StoreRecord {
--- a/primrosepitch/events.py
+++ b/primrosepitch/events.py
@@ -418,6 +418,14 @@
     "while, and its tasks are restarted elsewhere.",
     "check the instance if it is named repeatedly",
 )
+RECORD_REJECTED = event(
+    5023,
+    "record_rejected",
+    logging.ERROR,
+    "The store refuses a record as invalid, and it is set aside. A job whose runs can't"
+    " be stored is stopped and fails; everything else goes on.",
+    "compare the record's size with record_bytes, and report it with its log lines",
+)
 CHECKPOINTS_NOT_STORED = event(
     5022,
     "checkpoints_not_stored",
--- a/primrosepitch/gen/primrose/ttypes.py
+++ b/primrosepitch/gen/primrose/ttypes.py
@@ -49,6 +49,7 @@
     UNKNOWN = 3
     FENCED = 4
     TRUNCATED = 5
+    REJECTED = 6
 
     _VALUES_TO_NAMES = {
         1: "DONE",
@@ -56,6 +57,7 @@
         3: "UNKNOWN",
         4: "FENCED",
         5: "TRUNCATED",
+        6: "REJECTED",
     }
 
     _NAMES_TO_VALUES = {
@@ -64,6 +66,7 @@
         "UNKNOWN": 3,
         "FENCED": 4,
         "TRUNCATED": 5,
+        "REJECTED": 6,
     }
 
 
--- a/primrosepitch/jobs/records.py
+++ b/primrosepitch/jobs/records.py
@@ -42,6 +42,7 @@
     "WaveProgress",
     "decode_runs",
     "job_tombstones",
+    "runs_part_of",
     "runs_tombstone",
     "encode",
     "record_size",
@@ -257,6 +258,14 @@
     ]
 
 
+def runs_part_of(key: str) -> RunsPart | None:
+    """Return the part of a job whose runs a record has, or ``None`` for other keys."""
+    if not key.startswith(RUNS_PREFIX):
+        return None
+    job, _, part = key[len(RUNS_PREFIX) :].partition("/")
+    return RunsPart(JobId(job), int(part or 0))
+
+
 def runs_tombstone(runs: RunsPart) -> tuple[str, bytes]:
     """Return the empty record (tombstone) that removes a part of a job's runs."""
     return (_runs_key(runs.job, runs.part), b"")
--- a/primrosepitch/jobs/store.py
+++ b/primrosepitch/jobs/store.py
@@ -12,6 +12,7 @@
     "KeyedRecord",
     "LedgerStore",
     "StoreFencedError",
+    "StoreRejectedError",
     "StoreTruncatedError",
     "StoreUnavailableError",
     "StoreUnknownError",
@@ -68,6 +69,10 @@
     """The store did not carry out the call; it can safely be retried."""
 
 
+class StoreRejectedError(StoreUnavailableError):
+    """The store refused the records as invalid, and would refuse them again."""
+
+
 class StoreUnknownError(Exception):
     """The outcome is unknown: the change may have been made, or may still be."""
 
@@ -98,6 +103,7 @@
 
         :param deadline: boot-time clock by which the call must end
         :raises StoreUnavailableError: if nothing was appended
+        :raises StoreRejectedError: if a record is invalid, for instance too large
         :raises StoreUnknownError: if the outcome is unknown
         :raises StoreFencedError: if the fence is no longer the newest
         """
--- a/primrosepitch/node/follower.py
+++ b/primrosepitch/node/follower.py
@@ -22,10 +22,12 @@
     KeyedRecord,
     LedgerStore,
     StoreFencedError,
+    StoreRejectedError,
     StoreTruncatedError,
     StoreUnavailableError,
     StoreUnknownError,
 )
+from primrosepitch.node.fenced_log import log_rejected_record
 
 __all__ = ["Appender", "LedgerFollower"]
 
@@ -213,6 +215,7 @@
 
         :param deadline: boot-time clock
         :raises StoreUnavailableError: if it was not appended, and will not be
+        :raises StoreRejectedError: if the store refuses it as invalid
         :raises StoreUnknownError: if it may have been appended
         """
         fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
@@ -233,6 +236,8 @@
                 raise StoreUnknownError(
                     "no answer to the append before its deadline"
                 ) from exc
+            except StoreRejectedError:
+                raise
             except StoreUnavailableError:
                 if not unknown:
                     raise
@@ -276,6 +281,15 @@
             self.last_success_at = clock.monotonic()
             self._last_took_s = self.last_success_at - self._sending_since
             self.failing_since = 0.0
+        except StoreRejectedError as exc:
+            if len(batch) > 1:
+                # The store refuses all records of an append because of one.
+                middle = len(batch) // 2
+                await self._send(batch[:middle])
+                await self._send(batch[middle:])
+                return
+            log_rejected_record(batch[0][0], exc)
+            error = exc
         except (StoreUnavailableError, StoreUnknownError) as exc:
             error = exc
         except StoreFencedError as exc:
--- a/primrosepitch/node/job_intake.py
+++ b/primrosepitch/node/job_intake.py
@@ -15,16 +15,17 @@
     emit,
 )
 from primrosepitch.jobs.model import JobId, JobSpec, JobState, QueueName
-from primrosepitch.jobs.records import Cancellation, JobEntry, encode
+from primrosepitch.jobs.records import Cancellation, JobEntry, encode, record_size
 from primrosepitch.jobs.store import (
     KeyedRecord,
+    StoreRejectedError,
     StoreUnavailableError,
     StoreUnknownError,
 )
 from primrosepitch.node.follower import Appender, LedgerFollower
 from primrosepitch.scheduling.backlog import retry_after_s
 
-__all__ = ["IntakeOutcome", "JobIntake", "Rejection"]
+__all__ = ["IntakeOutcome", "JobIntake", "Rejection", "TooLarge"]
 
 
 BACKLOG_MAX_AGE_S = 2.0
@@ -41,6 +42,17 @@
     retry_after_s: int
 
 
+class TooLarge(NamedTuple):
+    """Refusal of a job whose record the store does not take.
+
+    :param size: size of the record in bytes
+    :param limit: maximum size of a record in bytes
+    """
+
+    size: int
+    limit: int
+
+
 class IntakeOutcome(enum.Enum):
     """Result of a submission, a lookup or a cancellation, as reported to the caller."""
 
@@ -49,28 +61,42 @@
     UNKNOWN = "unknown"
     NO_SUCH_JOB = "no_such_job"
     UNAVAILABLE = "unavailable"
+    INVALID = "invalid"
 
 
 class JobIntake:
     """Accepts jobs into the ledger, and reports and cancels them.
 
     A job counts as accepted only when the store has acknowledged its append.
+
+    :param record_bytes: maximum size of a record in the store
     """
 
-    def __init__(self, follower: LedgerFollower, appender: Appender) -> None:
+    def __init__(
+        self, follower: LedgerFollower, appender: Appender, record_bytes: int
+    ) -> None:
         """Serve jobs from the follower's ledger; none is accepted yet."""
         self._follower = follower
         self._appender = appender
+        self._record_bytes = record_bytes
         self._pending: dict[JobId, asyncio.Task[IntakeOutcome]] = {}
         self._accepted: dict[JobId, JobSpec] = {}
 
-    async def submit(self, spec: JobSpec, deadline: float) -> IntakeOutcome | Rejection:
+    async def submit(
+        self, spec: JobSpec, deadline: float
+    ) -> IntakeOutcome | Rejection | TooLarge:
         """Store a job; a repeated id shares the outcome of the first submission.
 
         :param deadline: boot-time clock by which the caller needs the outcome
         """
         if self._is_known(spec.job):
             return IntakeOutcome.ACCEPTED
+        size = record_size(*encode(spec))
+        if size > self._record_bytes:
+            fields = {"job": spec.job, "queue": spec.queue, "workspace": spec.workspace}
+            reason = f"its record of {size} bytes exceeds {self._record_bytes}"
+            emit(JOB_REFUSED, **fields, reason=reason)
+            return TooLarge(size, self._record_bytes)
         task = self._pending.get(spec.job)
         if task is None:
             rejection = await self._check_admission(spec)
@@ -120,6 +146,9 @@
         fields = {"job": spec.job, "queue": spec.queue, "workspace": spec.workspace}
         try:
             await self._appender.append(record, deadline)
+        except StoreRejectedError as exc:
+            emit(JOB_REFUSED, **fields, reason=str(exc))
+            return IntakeOutcome.INVALID
         except StoreUnavailableError as exc:
             emit(JOB_REFUSED, **fields, reason=str(exc))
             return IntakeOutcome.NOT_ACCEPTED
--- a/primrosepitch/node/node.py
+++ b/primrosepitch/node/node.py
@@ -74,7 +74,7 @@
         self._platform = platform
         self._follower = LedgerFollower(platform.ledger, self._handle_record)
         self._appender = Appender(platform.ledger)
-        self.intake = JobIntake(self._follower, self._appender)
+        self.intake = JobIntake(self._follower, self._appender, limits.record_bytes)
         self.scheduler = SchedulerRunner(
             identity.name,
             platform,
--- a/primrosepitch/node/relay.py
+++ b/primrosepitch/node/relay.py
@@ -36,6 +36,7 @@
     KeyedRecord,
     LedgerStore,
     StoreFencedError,
+    StoreRejectedError,
     StoreTruncatedError,
     StoreUnavailableError,
     StoreUnknownError,
@@ -226,6 +227,8 @@
         deadline = clock.monotonic() + min(DIRECT_TIMEOUT_S, body.time_ms / 1000)
         try:
             done = await store.append(records, deadline, fence)
+        except StoreRejectedError as exc:
+            return _append_answer(StoreOutcome.REJECTED, reason=str(exc))
         except StoreUnavailableError as exc:
             return _append_answer(StoreOutcome.UNAVAILABLE, reason=str(exc))
         except StoreUnknownError as exc:
@@ -325,6 +328,8 @@
         if self._relay.store_reachable:
             try:
                 return await self._direct.append(records, deadline, fence)
+            except StoreRejectedError:
+                raise
             except StoreUnavailableError as exc:
                 failure = exc
                 self._relay.mark_unreachable(self._partition, self._direct, str(exc))
@@ -355,6 +360,8 @@
         answer = messages[-1]
         if answer.outcome == StoreOutcome.FENCED:
             raise StoreFencedError(answer.reason)
+        if answer.outcome == StoreOutcome.REJECTED:
+            raise StoreRejectedError(answer.reason)
         return AppendOutcome(answer.offset, answer.end_offset)
 
     async def read(self, offset: int, wait_s: float, deadline: float) -> Batch:
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -34,12 +34,16 @@
 from primrosepitch.jobs.store import (
     Fence,
     KeyedRecord,
-    LedgerStore,
     StoreFencedError,
     StoreUnavailableError,
     StoreUnknownError,
 )
 from primrosepitch.node.dependency import DependencyMonitor
+from primrosepitch.node.fenced_log import (
+    APPEND_RETRY_DELAY_S,
+    APPEND_TIMEOUT_S,
+    FencedLog,
+)
 from primrosepitch.node.follower import LedgerFollower
 from primrosepitch.node.platform_api import Platform
 from primrosepitch.node.term import (
@@ -83,10 +87,6 @@
 HANDOVER_PAUSE_S = 3.0
 """Time after a handover in which this node claims no term, so that another one does."""
 
-COMMIT_TIMEOUT_S = 0.6
-"""Timeout of one commit attempt; retries use the same sequence number. A slow store
-answers in 0.3 s; after an outage, the next attempt comes before other nodes claim."""
-
 CLAIM_REPEAT_S = 2.5
 """Time for which an unanswered claim is repeated: the store carries out what waits for
 up to 2 s, and rejects more."""
@@ -98,9 +98,6 @@
 READ_RUNS_TIMEOUT_S = 1.5
 """Timeout of reading the runs of all open jobs at the start of a term."""
 
-COMMIT_RETRY_DELAY_S = 0.1
-"""Pause before a commit is retried."""
-
 REPORTS_READ_PAUSE_S = 0.1
 """Pause between reads of the endpoints' reports."""
 
@@ -160,8 +157,8 @@
         self._waves: dict[int, WaveSpec] = {}
         self._configured_at = 0.0
         self._heartbeat_at = 0.0
-        self._ledger_sequence = 0
-        self._runs_sequence = 0
+        self._ledger_log = FencedLog(platform.ledger, Fence(0, 0))
+        self._runs_log = FencedLog(platform.runs, Fence(0, 0))
         self._started_at = clock.monotonic()
         self._claim_not_before = 0.0
         self._claim_nonces: set[int] = set()
@@ -347,7 +344,8 @@
             )
             await asyncio.sleep(CLAIM_PAUSE_S)
             return
-        self._ledger_sequence = self._runs_sequence = fence.sequence
+        self._ledger_log = FencedLog(self._platform.ledger, fence)
+        self._runs_log = FencedLog(self._platform.runs, fence)
         self._begin_term(term, previous, runs, claimed_at)
 
     async def _append_claim(self, record: KeyedRecord, fence: Fence) -> None:
@@ -365,7 +363,7 @@
         sent = False
         while self._follower.ledger.term.number < fence.epoch:
             try:
-                deadline = clock.monotonic() + COMMIT_TIMEOUT_S
+                deadline = clock.monotonic() + APPEND_TIMEOUT_S
                 outcome = await self._platform.ledger.append([record], deadline, fence)
                 sent = True
                 await self._follower.catch_up(outcome.offset + 1)
@@ -374,7 +372,7 @@
                 sent = sent or isinstance(exc, StoreUnknownError)
                 if not sent or clock.monotonic() > repeat_until:
                     raise
-                await asyncio.sleep(COMMIT_RETRY_DELAY_S)
+                await asyncio.sleep(APPEND_RETRY_DELAY_S)
 
     async def _claim_runs(
         self, record: KeyedRecord, fence: Fence
@@ -383,13 +381,13 @@
         retry_until = clock.monotonic() + CLAIM_RUNS_TIMEOUT_S
         while True:
             try:
-                deadline = clock.monotonic() + COMMIT_TIMEOUT_S
+                deadline = clock.monotonic() + APPEND_TIMEOUT_S
                 await self._platform.runs.append([record], deadline, fence)
                 break
             except (StoreUnavailableError, StoreUnknownError):
                 if clock.monotonic() > retry_until:
                     raise
-                await asyncio.sleep(COMMIT_RETRY_DELAY_S)
+                await asyncio.sleep(APPEND_RETRY_DELAY_S)
         batch = await self._platform.runs.read_newest(
             clock.monotonic() + READ_RUNS_TIMEOUT_S
         )
@@ -524,14 +522,9 @@
         if self._instance_orders:
             await asyncio.wait(self._instance_orders)
         await asyncio.sleep(max(0.0, orders_until - clock.monotonic()))
-        self._ledger_sequence += 1
         record = KeyedRecord(*encode(Term(number, "", self.state.nonce)))
         try:
-            await self._platform.ledger.append(
-                [record],
-                clock.monotonic() + COMMIT_TIMEOUT_S,
-                Fence(number, self._ledger_sequence),
-            )
+            await self._ledger_log.append([record])
         except (StoreUnavailableError, StoreUnknownError, StoreFencedError) as exc:
             emit(TERM_LOST, term=number, reason=f"the release was not written: {exc}")
 
@@ -583,48 +576,49 @@
 
     def _commit(self, effect: ef.Commit) -> None:
         term = self.state.term
-        appends = []
-        if effect.runs:
-            self._runs_sequence += 1
-            fence = Fence(term, self._runs_sequence)
-            appends.append(self._append(self._platform.runs, effect.runs, fence))
-        if effect.shared:
-            self._ledger_sequence += 1
-            fence = Fence(term, self._ledger_sequence)
-            appends.append(self._append(self._platform.ledger, effect.shared, fence))
+        appends = [
+            self._append(log, records, term)
+            for log, records in (
+                (self._runs_log, effect.runs),
+                (self._ledger_log, effect.shared),
+            )
+            if records
+        ]
         self._spawn(self._append_all(effect.number, term, appends))
 
     async def _append_all(
-        self, number: int, term: int, appends: list[Coroutine[Any, Any, bool]]
+        self,
+        number: int,
+        term: int,
+        appends: list[Coroutine[Any, Any, list[str] | None]],
     ) -> None:
         """Append to both partitions concurrently, since neither depends on the other.
 
         If only the state becomes durable, a job recorded as ended has ended; if only
         the runs do, the next scheduler resolves them.
         """
-        if all(await asyncio.gather(*appends)):
-            self._dispatch_in_term(term, ev.Committed(number, clock.monotonic()))
+        rejected: list[str] = []
+        for keys in await asyncio.gather(*appends):
+            if keys is None:
+                return
+            rejected += keys
+        now = clock.monotonic()
+        self._dispatch_in_term(term, ev.Committed(number, now, frozenset(rejected)))
 
     async def _append(
-        self, store: LedgerStore, records: list[KeyedRecord], fence: Fence
-    ) -> bool:
+        self, log: FencedLog, records: list[KeyedRecord], term: int
+    ) -> list[str] | None:
         """Retry an append until the store acknowledges or fences it, or the term ends.
 
-        :returns: whether the store acknowledged it
+        :returns: keys of the records that the store rejects; ``None`` if the term has
+            ended
         """
-        while self.state.term == fence.epoch:
-            deadline = clock.monotonic() + COMMIT_TIMEOUT_S
-            try:
-                await store.append(records, deadline, fence)
-            except (StoreUnavailableError, StoreUnknownError):
-                await asyncio.sleep(COMMIT_RETRY_DELAY_S)
-                continue
-            except StoreFencedError as exc:
-                if self.state.term == fence.epoch:
-                    self._step_down(ef.StepDown(f"the store fenced an append: {exc}"))
-                return False
-            return True
-        return False
+        try:
+            return await log.append_valid(records, lambda: self.state.term == term)
+        except StoreFencedError as exc:
+            if self.state.term == term:
+                self._step_down(ef.StepDown(f"the store fenced an append: {exc}"))
+            return None
 
     def _step_down(self, effect: ef.StepDown) -> None:
         emit(TERM_LOST, term=self.state.term, reason=effect.reason)
@@ -742,7 +736,7 @@
         while self.state.term == term:
             if await self._platform.report_wave_status(effect.wave, effect.completed):
                 return
-            await asyncio.sleep(COMMIT_RETRY_DELAY_S)
+            await asyncio.sleep(APPEND_RETRY_DELAY_S)
 
     def _request_advice(self, request: ef.RequestAdvice) -> None:
         self._spawn(self._send_advice_request(self.state.term, request))
--- a/primrosepitch/scheduling/commits.py
+++ b/primrosepitch/scheduling/commits.py
@@ -20,11 +20,13 @@
     encode,
     job_tombstones,
     record_size,
+    runs_part_of,
     runs_tombstone,
 )
 from primrosepitch.jobs.store import MAX_APPEND_BYTES, KeyedRecord
 from primrosepitch.scheduling.backlog import estimate_waits
 from primrosepitch.scheduling.effects import Commit, Effect, WriteLog
+from primrosepitch.scheduling.runs import settle_job
 from primrosepitch.scheduling.state import (
     Endpoint,
     JobRun,
@@ -33,7 +35,12 @@
     Task,
 )
 
-__all__ = ["commit_changes", "forget_ended_job"]
+__all__ = [
+    "acknowledge_ends",
+    "commit_changes",
+    "fail_unstorable_jobs",
+    "forget_ended_job",
+]
 
 TERM_RENEWAL_INTERVAL_S = 0.25
 """Maximum time without an append, which is the scheduler's heartbeat to other nodes."""
@@ -76,6 +83,26 @@
     state.ended_runs += [RunsPart(job.spec.job, p) for p in sorted(job.stored_parts)]
 
 
+def fail_unstorable_jobs(
+    state: SchedulerState, rejected: frozenset[str]
+) -> list[Effect]:
+    """Let the jobs fail whose runs the store does not take.
+
+    Nothing more of them is started, since a successor would not know of it. Their
+    final state is stored in another, small record.
+
+    :param rejected: keys of the records that the store has rejected
+    """
+    effects: list[Effect] = []
+    for key in sorted(rejected):
+        runs = runs_part_of(key)
+        job = state.jobs.get(runs.job) if runs is not None else None
+        if job is not None:
+            job.unstorable = job.failing = True
+            effects += settle_job(state, job)
+    return effects
+
+
 def _runs_records(
     state: SchedulerState, effects: list[Effect]
 ) -> list[tuple[str, bytes]]:
@@ -86,7 +113,7 @@
     size = sum(record_size(*record) for record in records)
     for first in list(state.dirty_runs):
         job = state.jobs.get(first.job)
-        if job is None:
+        if job is None or job.unstorable:
             state.dirty_runs.pop(first, None)
             continue
         if size >= MAX_APPEND_BYTES:
@@ -176,11 +203,21 @@
 
 def _newest_stored_end(state: SchedulerState, endpoint: Endpoint) -> int:
     """Return the newest end that, with all before it, is in this or earlier commits."""
-    endpoint.unstored_ends = [
-        end for end in endpoint.unstored_ends if end[1] in state.dirty_runs
-    ]
-    first_unstored = min((number for number, _ in endpoint.unstored_ends), default=0)
-    return first_unstored - 1 if first_unstored else endpoint.processed_end
+    left_out = (n for n, runs in endpoint.unstored_ends if runs in state.dirty_runs)
+    return min(left_out, default=endpoint.processed_end + 1) - 1
+
+
+def acknowledge_ends(state: SchedulerState) -> None:
+    """Let the next polls acknowledge the ends that the newest commit has stored."""
+    for endpoint_id, (born, number) in state.committing_acks.items():
+        endpoint = state.endpoints.get(endpoint_id)
+        if endpoint is not None and endpoint.report.born == born:
+            endpoint.acked_end = max(endpoint.acked_end, number)
+            endpoint.next_poll_at = state.now
+            endpoint.unstored_ends = [
+                end for end in endpoint.unstored_ends if end[0] > endpoint.acked_end
+            ]
+    state.committing_acks = {}
 
 
 def _shared_records(state: SchedulerState, renewal: bool) -> list[tuple[str, bytes]]:
--- a/primrosepitch/scheduling/events.py
+++ b/primrosepitch/scheduling/events.py
@@ -270,10 +270,14 @@
 
 
 class Committed(NamedTuple):
-    """All records of a commit have become durable."""
+    """All records of a commit have become durable, or were rejected for good.
+
+    :param rejected: keys of the records that the store rejects
+    """
 
     number: int
     now: float
+    rejected: frozenset[str] = frozenset()
 
 
 class WaveRequested(NamedTuple):
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -13,7 +13,12 @@
 from primrosepitch.jobs.records import JobEntry, RunsPart
 from primrosepitch.scheduling import events as ev
 from primrosepitch.scheduling.availability import may_disrupt
-from primrosepitch.scheduling.commits import commit_changes, forget_ended_job
+from primrosepitch.scheduling.commits import (
+    acknowledge_ends,
+    commit_changes,
+    fail_unstorable_jobs,
+    forget_ended_job,
+)
 from primrosepitch.scheduling.crashes import resolve_crashes
 from primrosepitch.scheduling.effects import Effect, WriteLog
 from primrosepitch.scheduling.forecast import record_arrival
@@ -320,7 +325,7 @@
     state.now = max(state.now, event.now)
     state.committing = 0
     state.confirmed_at = state.renewed_at
-    effects: list[Effect] = []
+    effects = fail_unstorable_jobs(state, event.rejected)
     gang_obstacles = {
         task.key[:3]: obstacle
         for task, _ in state.committing_tasks
@@ -347,12 +352,7 @@
                 # restarted: the order is sent after the next commit or poll.
                 task.order_tries = 1
     state.committing_tasks = []
-    for endpoint_id, (born, number) in state.committing_acks.items():
-        endpoint = state.endpoints.get(endpoint_id)
-        if endpoint is not None and endpoint.report.born == born:
-            endpoint.acked_end = max(endpoint.acked_end, number)
-            endpoint.next_poll_at = state.now
-    state.committing_acks = {}
+    acknowledge_ends(state)
     for job_id in [j.spec.job for j in state.jobs.values() if j.state.final]:
         if job_id not in state.changed_jobs:
             forget_ended_job(state, state.jobs.pop(job_id))
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -166,7 +166,8 @@
     :param steps: steps by occurrence, for the occurrences that are due
     :param parts: the same tasks, by the part with whose record their runs are stored
     :param stored_parts: parts that have a record, or will have one
-    :param failing: whether a task has used up its attempts
+    :param failing: whether a task has used up its attempts, or its runs can't be stored
+    :param unstorable: whether the store rejects a record of its runs
     :param critical_path_ms: estimated duration of the longest chain of steps
     :param deadline_ms: Unix time by which the latency objective is met
     :param unplaceable: whether it was logged that a task fits no endpoint
@@ -180,6 +181,7 @@
     state: JobState = JobState.QUEUED
     cancelled: bool = False
     failing: bool = False
+    unstorable: bool = False
     critical_path_ms: int = 0
     deadline_ms: float = 0.0
     unplaceable: bool = False
@@ -209,8 +211,8 @@
     :param leases_expire_at: boot-time clock by which all its leases have expired
     :param lease_until_ms: newest end of a lease granted to it, on its own clock
     :param processed_end: number of the newest run end applied to the state
-    :param unstored_ends: applied ends whose effect no commit carries yet, with the
-        part of the job that each changed
+    :param unstored_ends: applied ends that are not acknowledged, each with the part of
+        its job that it changed
     :param acked_end: number of the newest run end whose effect is durable
     :param discarded_end: value of ``acked_end`` that the endpoint has taken note of
     :param polling: whether a poll is in progress
--- a/standins/scheduler_world.py
+++ b/standins/scheduler_world.py
@@ -400,6 +400,7 @@
         two partitions; empty for both
     :param store_s: duration of an append
     :param refused_records: sizes of the records that the store refused, by key
+    :param unstorable_jobs: jobs whose records of runs the store refuses
     :param largest_append: size of the largest append, in bytes
     :param answer_loss_rate: fraction of orders whose answers are lost
     :param poll_delay_s: delay of the answers to polls
@@ -438,6 +439,7 @@
         self.store_up = True
         self.only_partition = ""
         self.refused_records: dict[str, int] = {}
+        self.unstorable_jobs: set[str] = set()
         self.largest_append = 0
         self.queue_order = "urgency"
         self.store_s = APPEND_S
@@ -911,29 +913,33 @@
         for records in (effect.runs, effect.shared):
             size = sum(record_size(*record) for record in records)
             self.largest_append = max(self.largest_append, size)
-        if self._refuse_large_records([*effect.runs, *effect.shared]):
-            self._retry_append(node, term, effect)
-            return
+        rejected = self._rejected_records([*effect.runs, *effect.shared])
         only = self.only_partition if effect.runs and effect.shared else ""
         if only != "shared":
             for key, value in effect.runs:
+                if key in rejected:
+                    continue
                 self.stored_runs[key] = value
                 if not value:
                     del self.stored_runs[key]
         if only != "runs":
             for record in effect.shared:
-                self._apply(record)
+                if record.key not in rejected:
+                    self._apply(record)
         if only:
             self._retry_append(node, term, effect)
             return
-        self._deliver_answer(node, term, ev.Committed(effect.number, self.now))
+        self._deliver_answer(
+            node, term, ev.Committed(effect.number, self.now, rejected)
+        )
 
-    def _refuse_large_records(self, records: list[KeyedRecord]) -> bool:
-        """Return whether an append has a record beyond the store's limit."""
+    def _rejected_records(self, records: list[KeyedRecord]) -> frozenset[str]:
+        """Return the keys of records that the store does not take."""
         sizes = {record.key: record_size(*record) for record in records}
         large = {k: s for k, s in sizes.items() if s > self.limits.record_bytes}
         self.refused_records.update(large)
-        return bool(large)
+        unstorable = {f"r/{job}" for job in self.unstorable_jobs}
+        return frozenset(large.keys() | (unstorable & sizes.keys()))
 
     def _retry_append(self, node: Node, term: int, effect: ef.Commit) -> None:
         def retry() -> None:
