Acknowledge ends only over the connection that listed them

Cause: a poll that acknowledges ends of one incarnation and gets no answer is repeated. The repeat may reach the next incarnation, whose own ends up to that number it discards unread; their runs then count as lost. The id of an endpoint doesn't tell incarnations apart, so no check of ours or of the endpoint could.

Polls now have connections of their own, and an acknowledgement is sent only over the one that carried an answer of that incarnation. A connection ends with its process, so no other incarnation can get it; if it has been closed, the poll goes without one over a new connection, and the next poll acknowledges. `discarded_end` is what polls carried, no longer a guess from the lists.

--- a/features/restarted_endpoints.feature
+++ b/features/restarted_endpoints.feature
@@ -38,6 +38,21 @@
     And 16 runs were started
     And no rule was broken
 
+  # Guards against the same with real connections: an acknowledgement that is repeated
+  # over another connection reaches the next incarnation.
+  Scenario Outline: Ends are acknowledged to an endpoint that <restarts>
+    Given an endpoint that has answered a poll
+    When the endpoint <restarts>
+    And a poll acknowledges end 7 over the connection of that answer
+    And a poll acknowledges end 7 over the connection of that answer
+    Then the endpoint gets the acknowledged ends <received>
+
+    Examples:
+      | restarts                            | received |
+      | goes on                             | 7, 7     |
+      | restarts                            | 0, 0     |
+      | restarts, and the old one is silent | 0        |
+
   # Guards against a start order to an endpoint that has fallen silent since the placement
   # was decided: a new incarnation runs the task for longer than the scheduler assumes.
   Scenario: An endpoint restarts in silence while a placement is not durable
--- a/features/scripted_client.py
+++ b/features/scripted_client.py
@@ -19,11 +19,11 @@
     def __init__(self, status, body):
         self.response = HttpResponse(status, [], body)
 
-    async def call(self, address, request, deadline, send_by=0.0):
+    async def call(self, address, request, deadline, send_by=0.0, connection=0):
         return self.response
 
 
-def platform_client(body, status=200):
+def platform_client(body, status=200, poll_client=None):
     address = "127.0.0.1:1"
     settings_of_node = PlatformSettings(
         node_name="n",
@@ -36,4 +36,10 @@
         cloud=CloudSettings(address),
     )
     client = ScriptedClient(status, body)
-    return PlatformClient(settings_of_node, client, Metrics(), lambda _, s, p: s)
+    return PlatformClient(
+        settings_of_node,
+        client,
+        poll_client or client,
+        Metrics(),
+        lambda _, s, p: s,
+    )
--- a/features/steps/cut_lists.py
+++ b/features/steps/cut_lists.py
@@ -48,7 +48,7 @@
     task = "0123456789abcdef.0.0"
     rows = [[n, f"{task}.{n}", 1, "done", ""] for n in range(1, count + 1)]
     lists = {"clock_ms": 1, "running": [], "ended": rows, "born": 1_700_000_000_000}
-    order = ef.PollEndpoint(EndpointId("w1"), "a:1", 0, 0, 0, 1)
+    order = ef.PollEndpoint(EndpointId("w1"), "a:1", 0, 0, 0, 0, 1)
     client = platform_client(json.dumps(lists).encode())
     context.answer = asyncio.run(client.poll_endpoint(order))
 
--- a/features/steps/instance_orders.py
+++ b/features/steps/instance_orders.py
@@ -297,7 +297,7 @@
         for report in reports:
             self.feed(ev.EndpointReported(report, self.now))
             polled = ev.EndpointPolled(
-                report.endpoint, report.born, 100.0, 100.0, 1, [], [], True
+                report.endpoint, report.born, 100.0, 100.0, 1, [], [], 0, 0, True
             )
             self.feed(polled)
         self.run(0.5)
--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -144,7 +144,7 @@
 
 
 def poll(body):
-    order = ef.PollEndpoint(EndpointId("w1"), "a:1", 0, 0, 0, 1)
+    order = ef.PollEndpoint(EndpointId("w1"), "a:1", 0, 0, 0, 0, 1)
     answer = asyncio.run(platform_client(body).poll_endpoint(order))
     if isinstance(answer, ev.EndpointPolled):
         state = SchedulerState(node="a")
@@ -586,7 +586,7 @@
 
 
 def poll_outcome(body):
-    order = ef.PollEndpoint(EndpointId("w1"), "a:1", 0, 0, 0, 1)
+    order = ef.PollEndpoint(EndpointId("w1"), "a:1", 0, 0, 0, 0, 1)
     return asyncio.run(platform_client(body).poll_endpoint(order))
 
 
@@ -731,7 +731,7 @@
     def __init__(self):
         self.started = []
 
-    async def call(self, address, request, deadline, send_by=0.0):
+    async def call(self, address, request, deadline, send_by=0.0, connection=0):
         if address != REPORT["address"]:
             raise NotSentError(f"cannot connect to {address}")
         if request.target == b"/run-start":
@@ -777,7 +777,11 @@
     }
     context.client = OneEndpoint()
     platform = PlatformClient(
-        settings_of_node, context.client, Metrics(), lambda name, s, p: partitions[name]
+        settings_of_node,
+        context.client,
+        context.client,
+        Metrics(),
+        lambda name, s, p: partitions[name],
     )
     follower = context.follower = LedgerFollower(
         platform.ledger, lambda record: context.runner.handle_record(record)
--- a/features/steps/restarted_endpoints.py
+++ b/features/steps/restarted_endpoints.py
@@ -1,10 +1,18 @@
 """Steps for endpoints that restart under the same id."""
 
+import asyncio
+import json
 from collections import Counter
 
 import msgspec
-from behave import then, when
-
+from behave import given, then, when
+
+from features.scripted_client import platform_client
+from primrosepitch.jobs.model import EndpointId
+from primrosepitch.net.http_messages import HttpResponse
+from primrosepitch.net.http_pool import PooledHttpClient
+from primrosepitch.net.http_server import HttpServer
+from primrosepitch.scheduling import effects as ef
 from primrosepitch.scheduling import events as ev
 
 
@@ -124,3 +132,77 @@
 @then("endpoint {name} was polled at most {count:d} times")
 def step_max_polls(context, name, count):
     assert context.polls[name] <= count, context.polls
+
+
+class RestartingEndpoint:
+    """Endpoint on a loopback socket that may restart, and a client that polls it."""
+
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        self.client = PooledHttpClient()
+        self.platform = platform_client(b"", poll_client=self.client)
+        self.server = HttpServer(self.answer)
+        self.silent = set()
+        self.received = []
+        port = self.loop.run_until_complete(self.server.listen("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{port}"
+
+    def answer(self, exchange):
+        if exchange._conn in self.silent:
+            return
+        self.received.append(json.loads(exchange.request.body)["last_seen"])
+        lists = {"clock_ms": 1, "running": [], "ended": [], "born": 1_700_000_000_000}
+        exchange.respond(HttpResponse(200, [], json.dumps(lists).encode()))
+
+    def restart(self, silent):
+        if silent:
+            self.silent |= self.server.connections
+            return
+        for conn in list(self.server.connections):
+            conn.abort()
+        self.loop.run_until_complete(asyncio.sleep(0.01))
+
+    def poll(self, acked_end, connection):
+        endpoint = EndpointId("e1")
+        order = ef.PollEndpoint(endpoint, self.address, 0, acked_end, connection, 0, 1)
+        return self.loop.run_until_complete(self.platform.poll_endpoint(order))
+
+    def close(self):
+        self.client.close()
+        self.server.abort()
+        self.loop.run_until_complete(asyncio.sleep(0.01))
+        self.loop.close()
+
+
+@given("an endpoint that has answered a poll")
+def step_answered_poll(context):
+    context.endpoint = RestartingEndpoint()
+    context.add_cleanup(context.endpoint.close)
+    context.connection = context.endpoint.poll(0, 0).connection
+    context.endpoint.received.clear()
+
+
+@when("the endpoint goes on")
+def step_goes_on(context):
+    assert context.connection
+
+
+@when("the endpoint restarts")
+def step_restarts(context):
+    context.endpoint.restart(silent=False)
+
+
+@when("the endpoint restarts, and the old one is silent")
+def step_restarts_silently(context):
+    context.endpoint.restart(silent=True)
+
+
+@when("a poll acknowledges end {number:d} over the connection of that answer")
+def step_acknowledge(context, number):
+    context.endpoint.poll(number, context.connection)
+
+
+@then("the endpoint gets the acknowledged ends {numbers}")
+def step_received(context, numbers):
+    expected = [int(number) for number in numbers.split(",")]
+    assert context.endpoint.received == expected, context.endpoint.received
--- a/primrosepitch/net/http_messages.py
+++ b/primrosepitch/net/http_messages.py
@@ -48,11 +48,16 @@
 
 
 class HttpResponse(msgspec.Struct):
-    """HTTP response with its complete body."""
+    """HTTP response with its complete body.
+
+    :param connection: number of the connection that carried it, unique in its client;
+        0 if it is not kept open
+    """
 
     status: int
     headers: Headers
     body: bytes = b""
+    connection: int = 0
 
 
 def header(headers: Headers, name: bytes) -> bytes | None:
--- a/primrosepitch/net/http_pool.py
+++ b/primrosepitch/net/http_pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import socket
 import struct
 from collections import defaultdict
@@ -59,6 +60,7 @@
         """Create an empty pool."""
         self._idle: dict[str, list[_Connection]] = defaultdict(list)
         self._user_timeout_ms = user_timeout_ms
+        self._numbers = itertools.count(1)
 
     async def call(
         self,
@@ -66,6 +68,7 @@
         request: HttpRequest,
         deadline: float,
         send_by: float = inf,
+        connection: int = 0,
     ) -> HttpResponse:
         """Send a request and wait for its complete response.
 
@@ -76,11 +79,14 @@
         :param deadline: boot-time clock at which the call times out; a response that is
             still arriving, for instance over a slow link, is read to its end
         :param send_by: boot-time clock after which the request must not be sent
+        :param connection: number of the idle connection to use, and no other; 0 for any
         :raises NotSentError: if nothing was sent
         :raises NoResponseError: if the outcome is unknown
         """
-        conn = self._take_idle(address)
+        conn = self._take_idle(address, connection)
         if conn is None:
+            if connection:
+                raise NotSentError(f"connection {connection} is not idle any more")
             conn = await self._open(address, deadline)
         try:
             async with asyncio.timeout(
@@ -100,6 +106,7 @@
         if conn.reusable and len(self._idle[address]) < MAX_IDLE_CONNECTIONS:
             conn.idle_until = clock.monotonic() + IDLE_TIMEOUT_S
             self._idle[address].append(conn)
+            response.connection = conn.number
         else:
             conn.abort()
         return response
@@ -114,13 +121,17 @@
         for address in list(self._idle):
             self.close_idle(address)
 
-    def _take_idle(self, address: str) -> _Connection | None:
-        idle = self._idle.get(address)
-        while idle:
-            conn = idle.pop()
+    def _take_idle(self, address: str, number: int) -> _Connection | None:
+        """Return an idle connection, the one of a number unless that is 0."""
+        idle = self._idle.get(address, [])
+        for conn in reversed(idle):
             if conn.open and clock.monotonic() < conn.idle_until:
-                return conn
-            conn.abort()
+                if conn.number == number or not number:
+                    idle.remove(conn)
+                    return conn
+            else:
+                idle.remove(conn)
+                conn.abort()
         return None
 
     async def _open(self, address: str, deadline: float) -> _Connection:
@@ -135,6 +146,7 @@
             # out of range, and its host no valid name.
             raise NotSentError(f"cannot connect to {address}: {exc!r}") from exc
         conn.set_socket_options(self._user_timeout_ms)
+        conn.number = next(self._numbers)
         return conn
 
 
@@ -142,6 +154,7 @@
     """Connection that carries one request and its response at a time."""
 
     def __init__(self) -> None:
+        self.number = 0
         self.open = False
         self.reusable = False
         self.idle_until = 0.0
--- a/primrosepitch/scheduling/effects.py
+++ b/primrosepitch/scheduling/effects.py
@@ -71,6 +71,8 @@
     :param until_ms: end of the leases, on the endpoint's clock; 0 extends none
     :param acked_end: number up to which the endpoint may discard run ends, since their
         effects are durable
+    :param connection: number of the connection over which ``acked_end`` is sent; if it
+        has been closed, 0 is sent over another one
     :param wait_ms: time for which the endpoint may delay its answer (long poll)
     """
 
@@ -78,6 +80,7 @@
     address: str
     until_ms: int
     acked_end: int
+    connection: int
     wait_ms: int
     token: int
 
--- a/primrosepitch/scheduling/events.py
+++ b/primrosepitch/scheduling/events.py
@@ -227,6 +227,9 @@
     :param clock_ms: endpoint's clock
     :param running: all runs in progress
     :param ended: ends that have not been acknowledged, oldest first
+    :param acked_end: number up to which the poll let the endpoint discard ends
+    :param connection: number of the connection that carried the answer, which no other
+        incarnation can be reached by; 0 if it is not kept open
     :param lists_all_ends: whether ``ended`` is complete; an endpoint lists a limited
         number at a time, and the next ones after these have been acknowledged
     """
@@ -238,6 +241,8 @@
     clock_ms: int
     running: list[ActiveRun]
     ended: list[EndedRun]
+    acked_end: int
+    connection: int
     lists_all_ends: bool
 
 
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -317,12 +317,14 @@
     extend_leases = (
         extend_leases and may_grant_leases(state) and not endpoint.failed_polls
     )
+    # Another incarnation would discard its own ends up to that number.
+    acked_end = endpoint.acked_end if endpoint.poll_connection else 0
     return PollEndpoint(
         endpoint.id,
         _poll_address(endpoint),
         grant_lease(state, endpoint) if extend_leases else 0,
-        # A new incarnation would discard its own ends up to that number.
-        endpoint.acked_end if endpoint.acked_end > endpoint.discarded_end else 0,
+        acked_end if acked_end > endpoint.discarded_end else 0,
+        endpoint.poll_connection,
         POLL_WAIT_MS if extend_leases else 0,
         state.term,
     )
@@ -347,6 +349,7 @@
     if endpoint is None:
         return []
     endpoint.polling = False
+    endpoint.poll_connection = 0
     endpoint.next_poll_at = event.now + POLL_RETRY_PAUSE_S * min(
         4, endpoint.failed_polls
     )
@@ -402,8 +405,8 @@
     if event.sent_at >= endpoint.in_doubt_since:
         endpoint.in_doubt_since = 0.0
     endpoint.clock_ms, endpoint.clock_read_at = event.clock_ms, event.now
-    if all(ended.number > endpoint.acked_end for ended in event.ended):
-        endpoint.discarded_end = endpoint.acked_end
+    endpoint.discarded_end = max(endpoint.discarded_end, event.acked_end)
+    endpoint.poll_connection = event.connection
     already_processed = endpoint.processed_end
     for ended in event.ended:
         if ended.number > endpoint.processed_end:
@@ -452,6 +455,8 @@
     if endpoint.processed_end > endpoint.acked_end:
         # The next poll acknowledges the ends; it follows when they are durable.
         return state.now + 1.0
+    if endpoint.acked_end > endpoint.discarded_end:
+        return state.now + POLL_PAUSE_S
     if not endpoint.tasks and not endpoint.stopping:
         return state.now + IDLE_POLL_INTERVAL_S
     return state.now if first_contact else state.now + POLL_PAUSE_S
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -215,6 +215,8 @@
         its job that it changed
     :param acked_end: number of the newest run end whose effect is durable
     :param discarded_end: value of ``acked_end`` that the endpoint has taken note of
+    :param poll_connection: number of the connection that carried the newest answer to a
+        poll; 0 if it may have been closed
     :param polling: whether a poll is in progress
     :param next_poll_at: boot-time clock of the next poll
     :param failed_polls: polls that failed in succession
@@ -247,6 +249,7 @@
     unstored_ends: list[tuple[int, RunsPart]] = msgspec.field(default_factory=list)
     acked_end: int = 0
     discarded_end: int = 0
+    poll_connection: int = 0
     polling: bool = False
     next_poll_at: float = 0.0
     failed_polls: int = 0
--- a/standins/instance_service.py
+++ b/standins/instance_service.py
@@ -101,7 +101,11 @@
             cloud=CloudSettings(f"{SERVICE_IP}:{PORT}"),
         )
         self.client = PlatformClient(
-            settings, PooledHttpClient(), Metrics(), lambda _, store, peer: store
+            settings,
+            PooledHttpClient(),
+            PooledHttpClient(),
+            Metrics(),
+            lambda _, store, peer: store,
         )
 
     def run(self, awaitable: Any) -> Any:
--- a/standins/scheduler_world.py
+++ b/standins/scheduler_world.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import heapq
+import itertools
 import random
 from collections import Counter, defaultdict
 from collections.abc import Callable
@@ -125,6 +126,7 @@
     :param unhealthy: whether it refuses starts, even repeats of those carried out
     :param hangs_on_start: whether it neither carries out nor answers starts
     :param slower: factor on the duration of new runs; infinite if they never end
+    :param connection: number of the connections to this incarnation
     :param highest_runs: highest run number ordered, by task
     :param unacked_ends: ends of runs that no poll has acknowledged yet
     """
@@ -146,6 +148,7 @@
         self.capacity = capacity
         self.instance = instance
         self.born = world.wall_ms
+        self.connection = next(world.connections)
         self.started_at = world.now
         self.slow_clock = 0.0
         self.up = True
@@ -310,7 +313,7 @@
             ]
         return ev.Outcome.DONE
 
-    def poll_response(self, sent: float) -> ev.EndpointPolled:
+    def poll_response(self, sent: float, acked_end: int) -> ev.EndpointPolled:
         """Return the answer to a poll: active runs and the oldest ends not acked."""
         running = []
         for run in self.runs.values():
@@ -329,6 +332,8 @@
             self.clock_ms(),
             running,
             ended,
+            acked_end,
+            self.connection,
             lists_all_ends=len(ended) < MAX_LISTED_ENDS,
         )
 
@@ -343,6 +348,7 @@
         """Start again under the same id, without state."""
         self.up = True
         self.born = self.world.wall_ms
+        self.connection = next(self.world.connections)
         self.started_at = self.world.now
         self.ended_at, self.lease_expired_at = {}, 0.0
         self.end_count = self.acked_end = self.fencing_token = self.lease_expiry_ms = 0
@@ -450,6 +456,7 @@
         self.failure_rate = 0.0
         self.checkpoint_length = 0
         self.duration_sigma = 0.0
+        self.connections = itertools.count(1)
         self.workers: dict[EndpointId, Worker] = {}
         self.nodes: list[Node] = []
         self.specs: dict[JobId, JobSpec] = {}
@@ -1032,6 +1039,9 @@
         def arrive() -> None:
             self.counts["looks"] += 1
             lost = self.rng.random() < self.poll_loss_rate
+            if order.acked_end and worker is not None:
+                # The connection ended with the incarnation that it was opened to.
+                lost = lost or order.connection != worker.connection
             if worker is None or not worker.up or worker.cut or lost:
                 self.call_later(order.wait_ms / 1000 + POLL_TIMEOUT_S, failed)
                 return
@@ -1042,12 +1052,14 @@
                 self.call_later(order.wait_ms / 1000 + POLL_TIMEOUT_S, failed)
                 return
             waits = order.wait_ms and not worker.unacked_ends
+            connection = worker.connection
             answered = [False]
 
             def answer() -> None:
-                if not answered[0] and worker.up and not (worker.cut or worker.mute):
+                lives = worker.up and worker.connection == connection
+                if not answered[0] and lives and not (worker.cut or worker.mute):
                     answered[0] = True
-                    lists = worker.poll_response(sent)
+                    lists = worker.poll_response(sent, order.acked_end)
                     delay_s = LATENCY_S + self.poll_delay_s
                     self.call_later(
                         delay_s, lambda: self._deliver_answer(node, term, lists)
--- a/standins/waiting_jobs.py
+++ b/standins/waiting_jobs.py
@@ -72,7 +72,9 @@
         )
         step(state, ev.EndpointReported(report, 1.0))
         state.planned_at = state.now
-        polled = ev.EndpointPolled(report.endpoint, 1, 1.0, 1.0, 1000, [], [], True)
+        polled = ev.EndpointPolled(
+            report.endpoint, 1, 1.0, 1.0, 1000, [], [], 0, 0, True
+        )
         step(state, polled)
     for number in range(jobs):
         step(state, ev.JobAccepted(_draw_job(rng, number)))
