Store the intention of an order to an instance before it is sent

An order of a killed scheduler, not answered, had been carried out seconds after its successor had ordered another instance.

Cause: only answered orders reached the ledger. A successor knew of no open one: it gave the instance tasks, ordered another, and so left the open order's token the highest that the instance had seen.

Orders to move or maintain an instance are now planned, stored as open (`w/N`, `moves` in the runs partition) and sent once the commit is durable. A successor gives such an instance no task, counts it as down in its wave, and repeats the order under its own token, which voids the earlier one. Answers leave the record with the next heartbeat.

Changed tests: two harnesses ignored the effects of a durable commit, from which orders come now. In "Orders of a scheduler that can't write" the scheduler sent new orders after its last durable commit, which can't occur any more; it now repeats unanswered ones in that time.

--- a/features/instance_orders.feature
+++ b/features/instance_orders.feature
@@ -126,3 +126,56 @@
     When its orders end as unknown
     Then the order is repeated once within 0.4 s
     And it is not repeated while the store answers no commit for 5 s
+
+  # Guards against an order that a successor does not know: it takes effect while another
+  # instance of the wave is down.
+  Scenario Outline: A maintenance order is carried out late, after its sender was lost
+    Given a scheduler with 4 endpoints
+    And the first order to instances is carried out late and not answered
+    When a wave over all instances, at most 1 at once, is requested
+    And the first order to instances has been sent
+    And node a is killed after <seconds> seconds
+    And node b takes the term after 1.5 seconds
+    And endpoints other than that of this order refuse starts for 1.5 seconds
+    And job j1 of 3 lasting tasks with an availability budget of 1 is accepted
+    And the first order to instances is carried out when another one has been
+    And 40 seconds pass
+    Then the wave is completed
+    And 3 lasting tasks of j1 are running
+    And no rule was broken
+
+    Examples:
+      | seconds |
+      | 0       |
+      | 0.5     |
+      | 2       |
+
+  # Guards against the same with a move: tasks are placed on an instance that a late order
+  # then takes away.
+  Scenario Outline: A move is carried out late, after its sender was lost
+    Given a scheduler with 4 endpoints that may be switched off
+    And the first order to instances is carried out late and not answered
+    When the first order to instances has been sent
+    And node a is killed after 0.1 seconds
+    And node b takes the term after 1.5 seconds
+    And job j1 of 4 lasting tasks on separate endpoints with an availability budget of 1 is accepted
+    And <seconds> seconds pass
+    And the first order to instances is carried out
+    And 10 seconds pass
+    Then 4 lasting tasks of j1 are running
+    And no run was ended by an order to its instance
+    And no rule was broken
+
+    Examples:
+      | seconds |
+      | 0.3     |
+      | 3       |
+      | 8       |
+
+  # Guards against orders that a successor could not know, since their intention was not
+  # durable when they were sent.
+  Scenario: No new order is sent while the store is down
+    Given a scheduler with 4 endpoints that may be switched off
+    When the store goes down
+    And 0.9 seconds pass
+    Then no instance got an order
--- a/features/steps/claims_of_terms.py
+++ b/features/steps/claims_of_terms.py
@@ -278,7 +278,7 @@
 @given("a scheduler whose queue waits have changed")
 def step_waits_changed(context):
     context.state = SchedulerState(node="a", limits=Limits())
-    taken = ev.TermTaken(10.0, 10.0, 1, {}, {}, 10.0, {}, 10.0)
+    taken = ev.TermTaken(10.0, 10.0, 1, {}, {}, 10.0, {}, {}, 10.0)
     step(context.state, taken)
     context.state.waits = {"pressing": 900}
 
--- a/features/steps/instance_orders.py
+++ b/features/steps/instance_orders.py
@@ -9,6 +9,7 @@
 
 from adapter.settings import SETTINGS_VARIABLE, load_settings
 from behave import given, then, when
+from steps.scheduler_rules import make_world
 
 from primrosepitch import clock
 from primrosepitch.errors import SettingsError
@@ -23,7 +24,7 @@
 )
 from primrosepitch.scheduling import events as ev
 from primrosepitch.scheduling.configuration import Configuration, ServiceSpec
-from primrosepitch.scheduling.effects import MoveInstance
+from primrosepitch.scheduling.effects import MoveInstance, StartMaintenance
 from primrosepitch.scheduling.reducer import step
 from primrosepitch.scheduling.state import Limits, SchedulerState
 from standins.instance_service import NODE_IP, SERVICE_IP, OrderWorld
@@ -125,11 +126,11 @@
     step(state, ev.ConfigurationChanged(lending_configuration()))
     while now < end:
         now += TICK_S
-        for effect in step(state, ev.Tick(now, round(now * 1000))):
-            if isinstance(effect, MoveInstance):
-                return now
+        effects = step(state, ev.Tick(now, round(now * 1000)))
         if state.committing:
-            step(state, ev.Committed(state.committing, now))
+            effects += step(state, ev.Committed(state.committing, now))
+        if any(isinstance(effect, MoveInstance) for effect in effects):
+            return now
         if not state.instances:
             view = ev.InstanceView(
                 "m1",
@@ -217,12 +218,18 @@
         world.run(2.0)
     # The instances return to the spare pool, so that both bursts need them again.
     world.run(14.0)
-    world.cut_nodes.add("a")
-    heartbeat_at = node.state.confirmed_at
-    world.run(0.6)
+    # What has no answer 0.7 s later is repeated while the term is confirmed.
+    world.instance_answer_loss_rate = 1.0
+    delay_s, world.instance_order_delay_s = world.instance_order_delay_s, 0.7
+    world.delayed_nodes.add("a")
     submit_burst(world, 4, "pressing")
     submit_burst(world, 5, "off")
+    world.run(0.6)
+    world.instance_order_delay_s = delay_s
+    world.cut_nodes.add("a")
+    heartbeat_at = node.state.confirmed_at
     world.run(heartbeat_at + silence - world.now)
+    world.instance_answer_loss_rate = 0.0
     world.take_term("b", heartbeat_at=heartbeat_at)
     for number in range(6, 10):
         submit_burst(world, number, ("pressing", "off")[number % 2])
@@ -291,7 +298,7 @@
         self.commits = True
         self.orders = []
         step(self.state, ev.ConfigurationChanged(lending_configuration()))
-        step(self.state, ev.TermTaken(100.0, 100.0, 1, {}, {}, 100.0, {}, 100.0))
+        step(self.state, ev.TermTaken(100.0, 100.0, 1, {}, {}, 100.0, {}, {}, 100.0))
         world = SchedulerWorld(1)
         reports = [world.add_worker(f"w{n}", "off").report() for n in range(3)]
         for report in reports:
@@ -366,3 +373,74 @@
     reducer.answer(ev.Outcome.UNKNOWN)
     reducer.run(seconds - 1.2)
     assert len(reducer.orders) == sent, reducer.orders
+
+
+@given("a scheduler with {count:d} endpoints that may be switched off")
+def step_switchable(context, count):
+    make_world(context, count)
+    spare = ServiceSpec(ServiceName("spare"), spare=True)
+    context.world.cfg.services[spare.name] = spare
+
+
+@given("the first order to instances is carried out late and not answered")
+def step_late_first_order(context):
+    world = context.world
+    context.late_order = None
+    handlers = {
+        StartMaintenance: world._do_startmaintenance,
+        MoveInstance: world._do_moveinstance,
+    }
+    answers = {StartMaintenance: ev.MaintenanceAnswered, MoveInstance: ev.MoveAnswered}
+    context.instance_handlers = handlers
+
+    def order_instance(node, order):
+        if context.late_order is not None:
+            handlers[type(order)](node, order)
+            return
+        context.late_order = (node, order)
+        term = node.state.term
+        answer = answers[type(order)](*order[:2], ev.Outcome.UNKNOWN, world.now + 1.5)
+        world.call_later(1.5, lambda: world._deliver_answer(node, term, answer))
+
+    world._do_startmaintenance = world._do_moveinstance = order_instance
+
+
+@when("the first order to instances has been sent")
+def step_first_order_sent(context):
+    sent = context.world.run_until(lambda: context.late_order is not None, 20.0)
+    assert sent, "no order was sent"
+
+
+@when("endpoints other than that of this order refuse starts for {seconds:g} seconds")
+def step_others_refuse(context, seconds):
+    world = context.world
+    instance = context.late_order[1].instance
+    for worker in world.workers.values():
+        worker.unhealthy = worker.instance != instance
+        world.call_later(seconds, lambda w=worker: setattr(w, "unhealthy", False))
+
+
+@when("the first order to instances is carried out")
+def step_carry_out_late(context):
+    node, order = context.late_order
+    # The node has sent it in time.
+    order = order._replace(send_by=context.world.now)
+    context.instance_handlers[type(order)](node, order)
+
+
+@when("the first order to instances is carried out when another one has been")
+def step_carry_out_after_another(context):
+    world = context.world
+    assert world.run_until(lambda: any(world.maintained.values()), 20.0)
+    step_carry_out_late(context)
+
+
+@then("no run was ended by an order to its instance")
+def step_none_killed(context):
+    killed = context.world.counts["killed by a planned stop"]
+    assert not killed, killed
+
+
+@then("no instance got an order")
+def step_no_order(context):
+    assert not context.world.instance_orders, context.world.instance_orders
--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -148,7 +148,7 @@
     answer = asyncio.run(platform_client(body).poll_endpoint(order))
     if isinstance(answer, ev.EndpointPolled):
         state = SchedulerState(node="a")
-        step(state, ev.TermTaken(1.0, 1.0, 1, {}, {}, 1.0, {}, 1.0))
+        step(state, ev.TermTaken(1.0, 1.0, 1, {}, {}, 1.0, {}, {}, 1.0))
         step(state, answer)
 
 
@@ -339,7 +339,7 @@
     ledger.apply(*encode(spec))
     assert ledger.jobs[spec.job].spec == spec
     state = SchedulerState(node="a")
-    step(state, ev.TermTaken(1.0, 1.0, 1, {}, {}, 1.0, {}, 1.0))
+    step(state, ev.TermTaken(1.0, 1.0, 1, {}, {}, 1.0, {}, {}, 1.0))
     step(state, ev.JobAccepted(spec))
     for tick in range(3):
         step(state, ev.Tick(2.0 + tick, 2000))
--- a/features/steps/pool_growth.py
+++ b/features/steps/pool_growth.py
@@ -47,14 +47,15 @@
 
 
 def tick_until(context, at):
-    """Advance to a time; commits are acknowledged at once, and moves are recorded."""
+    """Advance to a time; commits are durable at once, and moves are recorded."""
     state = context.state
     while state.now < at:
         now = state.now + TICK_S
         effects = step(state, ev.Tick(now, WALL_MS + round(now * 1000)))
-        for effect in effects:
+        while effects:
+            effect = effects.pop(0)
             if isinstance(effect, Commit):
-                step(state, ev.Committed(effect.number, now))
+                effects += step(state, ev.Committed(effect.number, now))
             elif isinstance(effect, MoveInstance) and effect.pool == POOL:
                 context.moves.append((state.now, effect.instance))
 
--- a/primrosepitch/jobs/records.py
+++ b/primrosepitch/jobs/records.py
@@ -32,6 +32,7 @@
     "JobStatus",
     "Ledger",
     "NodeAddress",
+    "OpenMoves",
     "Progress",
     "RunCrash",
     "RunsPart",
@@ -40,6 +41,7 @@
     "TaskRecord",
     "Term",
     "WaveProgress",
+    "decode_moves",
     "decode_runs",
     "job_tombstones",
     "runs_part_of",
@@ -63,6 +65,7 @@
 so all nodes must use the same."""
 
 BACKLOG_KEY = "backlog"
+MOVES_KEY = "moves"
 
 
 class RunCrash(NamedTuple):
@@ -174,11 +177,25 @@
     nonce: int
 
 
-class WaveProgress(msgspec.Struct):
-    """Instances of a maintenance wave whose maintenance has begun."""
+class WaveProgress(msgspec.Struct, omit_defaults=True):
+    """Progress of a maintenance wave.
+
+    :param begun: instances whose maintenance has begun
+    :param ordered: instances whose maintenance order may take effect at any time
+    """
 
     wave: int
     begun: list[str]
+    ordered: list[str] = []
+
+
+class OpenMoves(msgspec.Struct):
+    """Orders to move instances that may take effect at any time.
+
+    :param pools: pool to which each instance is moved
+    """
+
+    pools: dict[str, ServiceName]
 
 
 class Backlog(msgspec.Struct):
@@ -204,7 +221,8 @@
 
 
 Record = (
-    JobSpec
+    OpenMoves
+    | JobSpec
     | Cancellation
     | JobStatus
     | Progress
@@ -223,6 +241,8 @@
         return f"{WAVE_PREFIX}{record.wave}"
     if isinstance(record, Backlog):
         return BACKLOG_KEY
+    if isinstance(record, OpenMoves):
+        return MOVES_KEY
     if isinstance(record, NodeAddress):
         return NODE_PREFIX + record.name
     if isinstance(record, Progress):
@@ -293,6 +313,16 @@
     return {job: StoredRuns(list(tasks[job].values()), parts[job]) for job in tasks}
 
 
+def decode_moves(records: Iterable[tuple[str, bytes]]) -> dict[str, ServiceName]:
+    """Decode the orders to move instances in the newest records of the runs partition.
+
+    :raises msgspec.DecodeError: if the record can't be decoded
+    """
+    values = [value for key, value in records if key == MOVES_KEY]
+    moves: OpenMoves = _decode(values[-1], OpenMoves) if values else OpenMoves({})
+    return moves.pools
+
+
 class JobEntry(msgspec.Struct):
     """Records of one job in the ledger; they may arrive in any order."""
 
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -20,7 +20,7 @@
     TERM_LOST,
     emit,
 )
-from primrosepitch.jobs.model import EndpointId, JobId, JobSpec
+from primrosepitch.jobs.model import EndpointId, JobId, JobSpec, ServiceName
 from primrosepitch.jobs.records import (
     Cancellation,
     JobStatus,
@@ -28,6 +28,7 @@
     StoredRuns,
     Term,
     WaveProgress,
+    decode_moves,
     decode_runs,
     encode,
 )
@@ -330,7 +331,9 @@
             emit(TERM_LOST, term=number, reason="another claim of the term came first")
             return
         try:
-            runs = await self._claim_runs(record, fence)
+            records = await self._claim_runs(record, fence)
+            with unreadable_as_decode_error():
+                runs, moves = decode_runs(records), decode_moves(records)
         except (
             StoreUnavailableError,
             StoreUnknownError,
@@ -346,7 +349,7 @@
             return
         self._ledger_log = FencedLog(self._platform.ledger, fence)
         self._runs_log = FencedLog(self._platform.runs, fence)
-        self._begin_term(term, previous, runs, claimed_at)
+        self._begin_term(term, previous, runs, moves, claimed_at)
 
     async def _append_claim(self, record: KeyedRecord, fence: Fence) -> None:
         """Append a claim, and read the ledger up to it.
@@ -374,10 +377,8 @@
                     raise
                 await asyncio.sleep(APPEND_RETRY_DELAY_S)
 
-    async def _claim_runs(
-        self, record: KeyedRecord, fence: Fence
-    ) -> dict[JobId, StoredRuns]:
-        """Fence the previous scheduler off the runs partition, and read the runs."""
+    async def _claim_runs(self, record: KeyedRecord, fence: Fence) -> list[KeyedRecord]:
+        """Fence the previous scheduler off the runs partition, and read it."""
         retry_until = clock.monotonic() + CLAIM_RUNS_TIMEOUT_S
         while True:
             try:
@@ -391,8 +392,7 @@
         batch = await self._platform.runs.read_newest(
             clock.monotonic() + READ_RUNS_TIMEOUT_S
         )
-        with unreadable_as_decode_error():
-            return decode_runs(batch.records)
+        return batch.records
 
     def _heartbeat_age_s(self) -> float:
         return clock.monotonic() - max(self._heartbeat_at, self._follower.connected_at)
@@ -402,6 +402,7 @@
         term: Term,
         previous: Term,
         runs: dict[JobId, StoredRuns],
+        moves: dict[str, ServiceName],
         claimed_at: float,
     ) -> None:
         now = clock.monotonic()
@@ -427,7 +428,6 @@
             if previous.number
             else now
         )
-        waves = {number: w.begun for number, w in ledger.waves.items()}
         # A release follows the answers to all orders. Where fencing tokens are checked,
         # a late order of an earlier scheduler is refused.
         if not previous.holder or self._limits.fencing_required:
@@ -448,7 +448,8 @@
             ledger.jobs,
             runs,
             prior_leases_until,
-            waves,
+            ledger.waves,
+            moves,
             prior_orders_until,
         )
         self._dispatch(event)
--- a/primrosepitch/scheduling/commits.py
+++ b/primrosepitch/scheduling/commits.py
@@ -12,6 +12,7 @@
 from primrosepitch.jobs.records import (
     Backlog,
     JobStatus,
+    OpenMoves,
     Progress,
     RunsPart,
     TaskRecord,
@@ -62,14 +63,14 @@
         return []
     renewal = state.now - state.renewed_at >= TERM_RENEWAL_INTERVAL_S
     waves = any(wave.dirty for wave in state.waves.values())
-    if not (
-        state.dirty_runs or state.changed_jobs or state.ended_runs or waves or renewal
-    ):
+    jobs = state.dirty_runs or state.changed_jobs or state.ended_runs
+    if not (jobs or waves or state.planned_orders or renewal):
         return []
     effects: list[Effect] = []
-    runs = _runs_records(state, effects)
+    runs = [*_runs_records(state, effects), *_open_moves(state, renewal)]
     shared = _shared_records(state, renewal)
     state.committing_acks = _stored_ends(state)
+    state.committing_orders, state.planned_orders = state.planned_orders, []
     state.commit_count += 1
     state.committing = state.commit_count
     commit = Commit(state.commit_count, _keyed_records(runs), _keyed_records(shared))
@@ -131,6 +132,19 @@
     return records
 
 
+def _open_moves(state: SchedulerState, renewal: bool) -> list[tuple[str, bytes]]:
+    """Return the record of the orders to move instances if it has changed.
+
+    New orders wait for it. The answers to others are stored with the next heartbeat.
+    """
+    planned = any(order.wave is None for order in state.planned_orders)
+    moves = {i: move.pool for i, move in state.moves.items() if move.open}
+    if not (planned or renewal) or moves == state.stored_moves:
+        return []
+    state.stored_moves = moves
+    return [encode(OpenMoves(moves))]
+
+
 def _committed_together(
     state: SchedulerState, job: JobRun, first: RunsPart
 ) -> list[RunsPart]:
@@ -228,7 +242,8 @@
     for wave in state.waves.values():
         if wave.dirty:
             wave.dirty = False
-            records.append(encode(WaveProgress(wave.spec.wave, sorted(wave.begun))))
+            begun, ordered = sorted(wave.begun), sorted(wave.ordered)
+            records.append(encode(WaveProgress(wave.spec.wave, begun, ordered)))
     if renewal and not records:
         records.append(encode(Term(state.term, state.node, state.nonce)))
     # The records that follow are no heartbeat to other nodes.
--- a/primrosepitch/scheduling/events.py
+++ b/primrosepitch/scheduling/events.py
@@ -15,7 +15,7 @@
     ServiceName,
     TaskKey,
 )
-from primrosepitch.jobs.records import JobEntry, StoredRuns
+from primrosepitch.jobs.records import JobEntry, StoredRuns, WaveProgress
 from primrosepitch.scheduling.configuration import Configuration, WaveSpec
 
 __all__ = [
@@ -173,7 +173,9 @@
     :param runs: runs of the jobs that have not ended
     :param prior_leases_until: boot-time clock until which runs of an earlier term may
         continue on endpoints that do not answer
-    :param waves: instances of each wave whose maintenance has begun
+    :param waves: progress of each wave
+    :param moves: orders of earlier terms to move instances, which may take effect at
+        any time
     :param prior_orders_until: boot-time clock until which orders of an earlier term may
         reach instances
     """
@@ -184,7 +186,8 @@
     jobs: dict[JobId, JobEntry]
     runs: dict[JobId, StoredRuns]
     prior_leases_until: float
-    waves: dict[int, list[str]]
+    waves: dict[int, WaveProgress]
+    moves: dict[str, ServiceName]
     prior_orders_until: float
 
 
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -39,6 +39,7 @@
     Outcome,
     PollFailed,
 )
+from primrosepitch.scheduling.instance_orders import prior_order
 from primrosepitch.scheduling.runs import (
     CAPACITY_SHRUNK,
     abandon_start,
@@ -122,6 +123,7 @@
     endpoint = state.endpoints.get(report.endpoint)
     if endpoint is None:
         endpoint = Endpoint(report, idle_since=state.now)
+        endpoint.evacuation_reason = prior_order(state, report.instance, report.service)
         state.add_endpoint(endpoint)
         fields = {"endpoint": report.endpoint, "service": report.service}
         _attach_tasks(state, endpoint)
--- a/primrosepitch/scheduling/lending.py
+++ b/primrosepitch/scheduling/lending.py
@@ -27,6 +27,8 @@
 )
 from primrosepitch.scheduling.forecast import expected_cpu
 from primrosepitch.scheduling.instance_orders import (
+    JOIN_SLACK_S,
+    LENDING_REASON,
     leaves_uncertain,
     may_order_instances,
     move_order,
@@ -38,6 +40,7 @@
     SMALL_JOB_COUNT,
     Endpoint,
     InstanceMove,
+    PlannedOrder,
     SchedulerState,
 )
 
@@ -82,12 +85,6 @@
 MOVE_SLACK_S = 0.2
 """Time beyond the duration of a move after which an instance can be ordered again."""
 
-JOIN_SLACK_S = 3.0
-"""Time beyond the duration of a move after which the new endpoint is no longer
-expected."""
-
-LENDING_REASON = "lending"
-
 
 class Pool(msgspec.Struct):
     """Demand and supply of a pool, in endpoints.
@@ -391,8 +388,8 @@
         "coming": pool.incoming,
         "from": endpoint.report.service if endpoint is not None else "",
     }
-    order = move_order(state, instance, pool.service)
-    return [WriteLog(INSTANCE_MOVING, fields), order]
+    state.planned_orders.append(PlannedOrder(instance))
+    return [WriteLog(INSTANCE_MOVING, fields)]
 
 
 def _switch_off_surplus(
--- a/primrosepitch/scheduling/maintenance.py
+++ b/primrosepitch/scheduling/maintenance.py
@@ -21,14 +21,17 @@
     Outcome,
 )
 from primrosepitch.scheduling.instance_orders import (
+    MAINTENANCE_REASON,
     leaves_uncertain,
     maintenance_order,
     may_order_instances,
+    restore_wave,
 )
 from primrosepitch.scheduling.runs import stop_task
 from primrosepitch.scheduling.state import (
     Endpoint,
     Phase,
+    PlannedOrder,
     SchedulerState,
     Task,
     WaveRun,
@@ -62,14 +65,13 @@
 LIST_INTERVAL_S = 1.5
 """Interval between listings of the instances during a wave."""
 
-MAINTENANCE_REASON = "maintenance"
-
 
 def wave_requested(state: SchedulerState, spec: WaveSpec) -> list[Effect]:
     """Add a wave that an operator requests."""
     if spec.wave in state.waves:
         return []
-    state.waves[spec.wave] = WaveRun(spec)
+    wave = state.waves[spec.wave] = WaveRun(spec)
+    restore_wave(state, wave)
     fields = {
         "wave": spec.wave,
         "instances": len(spec.instances),
@@ -127,7 +129,7 @@
         effects.append(WriteLog(WAVE_COMPLETED, {"wave": wave.spec.wave}))
         return [*effects, ReportWaveStatus(wave.spec.wave, completed=True)]
     wave.selected &= set(remaining)
-    effects += _maintain_drained(state, wave)
+    _maintain_drained(state, wave)
     effects += _select_next(state, wave, remaining)
     for instance in sorted(wave.selected - wave.ordered):
         endpoint = _endpoint_on(state, state.instances[instance])
@@ -149,9 +151,8 @@
     return len(down | wave.ordered)
 
 
-def _maintain_drained(state: SchedulerState, wave: WaveRun) -> list[Effect]:
-    """Order the maintenance of selected instances that have no tasks."""
-    effects: list[Effect] = []
+def _maintain_drained(state: SchedulerState, wave: WaveRun) -> None:
+    """Plan the maintenance of selected instances that have no tasks."""
     for instance in sorted(wave.selected - wave.ordered):
         if _down_count(state, wave) >= wave.spec.most_at_once:
             break
@@ -162,8 +163,8 @@
         if endpoint is not None and (endpoint.tasks or not endpoint.contacted):
             continue
         wave.ordered.add(instance)
-        effects.append(maintenance_order(state, instance, wave.spec.wave))
-    return effects
+        wave.dirty = True
+        state.planned_orders.append(PlannedOrder(instance, wave.spec.wave))
 
 
 def _select_next(
@@ -277,11 +278,11 @@
         return effects
     wave.ordered.discard(event.instance)
     wave.uncertain.discard(event.instance)
+    wave.dirty = True
     if event.outcome is Outcome.DONE:
         state.set_instance_state(event.instance, InstanceState.MAINTENANCE)
         wave.begun.add(event.instance)
         wave.selected.discard(event.instance)
-        wave.dirty = True
     elif event.outcome is Outcome.REFUSED:
         wave.begun.add(event.instance)
         wave.selected.discard(event.instance)
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -22,6 +22,11 @@
 from primrosepitch.scheduling.crashes import resolve_crashes
 from primrosepitch.scheduling.effects import Effect, WriteLog
 from primrosepitch.scheduling.forecast import record_arrival
+from primrosepitch.scheduling.instance_orders import (
+    restore_moves,
+    restore_wave,
+    send_stored_orders,
+)
 from primrosepitch.scheduling.leases import (
     due_polls,
     endpoint_polled,
@@ -118,9 +123,10 @@
     state.term = event.term
     state.prior_leases_until = event.prior_leases_until
     state.prior_orders_until = event.prior_orders_until
-    for number, begun in event.waves.items():
-        if number in state.waves:
-            state.waves[number].begun.update(begun)
+    state.stored_waves = event.waves
+    for wave in state.waves.values():
+        restore_wave(state, wave)
+    restore_moves(state, event.moves)
     effects: list[Effect] = []
     for entry in sorted(event.jobs.values(), key=_accepted_ms):
         runs = event.runs.get(entry.spec.job) if entry.spec is not None else None
@@ -326,6 +332,7 @@
     state.committing = 0
     state.confirmed_at = state.renewed_at
     effects = fail_unstorable_jobs(state, event.rejected)
+    effects += send_stored_orders(state)
     gang_obstacles = {
         task.key[:3]: obstacle
         for task, _ in state.committing_tasks
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -19,7 +19,7 @@
     TaskKey,
     WorkspaceName,
 )
-from primrosepitch.jobs.records import RunCrash, RunsPart
+from primrosepitch.jobs.records import RunCrash, RunsPart, WaveProgress
 from primrosepitch.scheduling.configuration import Configuration, WaveSpec
 from primrosepitch.scheduling.events import (
     EndpointReport,
@@ -36,6 +36,7 @@
     "JobRun",
     "Limits",
     "Phase",
+    "PlannedOrder",
     "SchedulerState",
     "StepRun",
     "Task",
@@ -321,12 +322,13 @@
 
     :param begun: instances whose maintenance has begun
     :param down_until: boot-time clock until which an instance counts as down
-    :param ordered: instances whose maintenance order has not been answered
+    :param ordered: instances whose maintenance order has not been answered, or is about
+        to be sent
     :param uncertain: instances whose order was sent and not answered, so that their
         maintenance may have begun or may still begin
     :param repeat: instances whose order is to be sent again
     :param selected: instances that are drained for maintenance
-    :param dirty: whether ``begun`` has changes that are not committed
+    :param dirty: whether ``begun`` or ``ordered`` has changes that are not committed
     """
 
     spec: WaveSpec
@@ -357,6 +359,21 @@
     repeat: bool = False
     ends_at: float = inf
 
+    @property
+    def open(self) -> bool:
+        """Return whether its order may still take effect."""
+        return self.ends_at == inf
+
+
+class PlannedOrder(NamedTuple):
+    """An order to an instance that is sent once the intention is durable.
+
+    :param wave: wave of a maintenance; ``None`` for a move to another pool
+    """
+
+    instance: str
+    wave: int | None = None
+
 
 class ArrivalRate(msgspec.Struct, eq=False):
     """Exponentially decaying arrival rate of a pool's work, for one time constant.
@@ -438,6 +455,10 @@
     :param changed_jobs: jobs whose state has uncommitted changes
     :param ended_runs: parts of jobs whose final state is durable, so that the records
         of their runs can be deleted
+    :param stored_waves: progress of each wave at the begin of the term
+    :param stored_moves: orders to move instances that the ledger has as open
+    :param planned_orders: orders to instances that no commit contains yet
+    :param committing_orders: orders that are sent once the newest commit is durable
     :param committing: number of the commit in progress; 0 if none
     :param renewed_at: boot-time clock at which the newest commit that other nodes read
         was sent
@@ -468,6 +489,10 @@
     dirty_runs: dict[RunsPart, None] = msgspec.field(default_factory=dict)
     changed_jobs: set[JobId] = msgspec.field(default_factory=set)
     ended_runs: list[RunsPart] = msgspec.field(default_factory=list)
+    stored_waves: dict[int, WaveProgress] = msgspec.field(default_factory=dict)
+    stored_moves: dict[str, ServiceName] = msgspec.field(default_factory=dict)
+    planned_orders: list[PlannedOrder] = msgspec.field(default_factory=list)
+    committing_orders: list[PlannedOrder] = msgspec.field(default_factory=list)
     committing: int = 0
     commit_count: int = 0
     renewed_at: float = 0.0
--- a/standins/scheduler_world.py
+++ b/standins/scheduler_world.py
@@ -29,6 +29,7 @@
 from primrosepitch.jobs.records import (
     Cancellation,
     Ledger,
+    decode_moves,
     decode_runs,
     encode,
     record_size,
@@ -400,7 +401,8 @@
 class SchedulerWorld:
     """Simulated environment of the scheduler.
 
-    ``cut_nodes`` names the nodes whose appends don't reach the store.
+    ``cut_nodes`` names the nodes whose appends don't reach the store, and
+    ``delayed_nodes`` those whose orders to move instances are delayed.
 
     :param only_partition: the only partition to which the store applies a commit to
         two partitions; empty for both
@@ -417,7 +419,7 @@
     :param checkpoint_length: minimum length of a checkpoint
     :param duration_sigma: sigma of the log-normal factor on the duration of runs
     :param duration_factors: factor on the duration of runs, by job
-    :param instance_order_delay_s: delay of the orders of cut nodes to move instances
+    :param instance_order_delay_s: delay of the orders of ``delayed_nodes``
     :param instance_answer_loss_rate: fraction of orders to instances whose answers are
         lost
     :param interference: part of the target latency that a filling run at full rate
@@ -482,6 +484,7 @@
         self.instance_answer_loss_rate = 0.0
         self.instance_orders: list[InstanceOrder] = []
         self.cut_nodes: set[str] = set()
+        self.delayed_nodes: set[str] = set()
         self._ending_gang = False
         self._carrying_out_late = False
         self.violations: list[str] = []
@@ -630,8 +633,8 @@
         for wave in self.waves:
             node.feed(ev.WaveRequested(wave))
         quiet = self.now + takeover_wait_s(self.limits) if has_predecessor else self.now
-        waves = {number: w.begun for number, w in self.ledger.waves.items()}
         jobs, runs = self.ledger.jobs, decode_runs(self.stored_runs.items())
+        moves = decode_moves(self.stored_runs.items())
         orders_until = self.now
         if has_predecessor and not self.limits.fencing_required:
             newest = self.now if heartbeat_at is None else heartbeat_at
@@ -644,7 +647,8 @@
                 jobs,
                 runs,
                 quiet,
-                waves,
+                dict(self.ledger.waves),
+                moves,
                 orders_until,
             )
         )
@@ -1171,7 +1175,8 @@
             self._answer_move(node, order, ev.Outcome.NOT_SENT)
             return
         sent_at = self.now
-        delay_s = self.instance_order_delay_s if node.name in self.cut_nodes else 0.0
+        delayed = node.name in self.delayed_nodes
+        delay_s = self.instance_order_delay_s if delayed else 0.0
         self.call_later(delay_s, lambda: self._move(node, order, sent_at))
 
     def _move(self, node: Node, order: ef.MoveInstance, sent_at: float) -> None:
--- a/standins/waiting_jobs.py
+++ b/standins/waiting_jobs.py
@@ -56,7 +56,7 @@
     services[spare] = ServiceSpec(spare, spare=True)
     cfg = Configuration(version=1, services=services)
     step(state, ev.ConfigurationChanged(cfg))
-    step(state, ev.TermTaken(1.0, 1.0, 1, {}, {}, 1.0, {}, 1.0))
+    step(state, ev.TermTaken(1.0, 1.0, 1, {}, {}, 1.0, {}, {}, 1.0))
     state.wall_ms = WALL_MS
     for number in range(endpoints):
         report = ev.EndpointReport(
