Don't cut newest records like a page of the log

Cause: reads of the ledger may be under way at once, the node's own and one for each caller who asks for an unknown job. A page is cut by what another read has applied meanwhile. The newest records, which are read when the history is gone, were cut in the same way, though they are in the order of their keys: the first keys were dropped, and with them jobs that no other read had returned. The offset passed them, so they never came again.

Newest records are now applied whole, or not at all if the node has read beyond them.

--- a/primrosepitch/node/follower.py
+++ b/primrosepitch/node/follower.py
@@ -87,7 +87,6 @@
         self.backlog_received_at = 0.0
         self._store = store
         self._on_record = on_record
-        self._lock = asyncio.Lock()
         self._unavailable = False
 
     async def run(self) -> None:
@@ -138,18 +137,20 @@
         deadline = started_at + wait_s + READ_TIMEOUT_S
         try:
             batch = await self._store.read(offset, wait_s, deadline)
+            # A concurrent read may have applied some of these records already.
+            applied = max(0, self.offset - offset)
         except StoreTruncatedError:
             batch = await self._store.read_newest(
                 clock.monotonic() + 4 * READ_TIMEOUT_S
             )
+            # They are in the order of their keys, so none can be left out.
+            applied = 0
         if not batch.records:
             # The store waited the full long-poll time; the rest is its latency.
             self.latency_s = max(0.0, clock.monotonic() - started_at - wait_s)
         if batch.next_offset > self.offset:
-            # A concurrent read may have applied some of these records already.
-            new = batch.records[max(0, self.offset - offset) :]
             self.offset = batch.next_offset
-            self._apply(new)
+            self._apply(batch.records[applied:])
         return batch
 
     def _apply(self, records: list[KeyedRecord]) -> None:
