Read the ledger again if it lacks jobs that have runs

In addition, a node that takes the term compares the stored runs with its ledger. Runs of a job are deleted before the job, so one that is missing shows a loss: it is logged (`ledger_incomplete`), and the newest record of each key is read before the term begins.

Red before: "A node whose ledger lacks a job that has runs reads it again" (term.feature).

--- a/features/steps/claims_of_terms.py
+++ b/features/steps/claims_of_terms.py
@@ -8,8 +8,23 @@
 from behave import given, then, when
 
 from primrosepitch import clock
-from primrosepitch.jobs.model import ServiceName
-from primrosepitch.jobs.records import Ledger, NodeAddress, Term, encode
+from primrosepitch.jobs.model import (
+    EndpointId,
+    JobId,
+    JobSpec,
+    QueueName,
+    ServiceName,
+    StepSpec,
+    WorkspaceName,
+)
+from primrosepitch.jobs.records import (
+    Ledger,
+    NodeAddress,
+    Progress,
+    TaskRecord,
+    Term,
+    encode,
+)
 from primrosepitch.jobs.store import Fence, KeyedRecord
 from primrosepitch.node.follower import LedgerFollower
 from primrosepitch.node.scheduler import SchedulerRunner
@@ -69,6 +84,32 @@
     context.heartbeat_at = runner._heartbeat_at = clock.monotonic() - age
 
 
+@given("a lasting job that runs, whose record node a has missed")
+def step_missed_job(context):
+    job = JobId("1" * 16)
+    spec = JobSpec(
+        job,
+        QueueName("q"),
+        ServiceName("s"),
+        WorkspaceName("w"),
+        "",
+        (StepSpec(1, lasting=True),),
+        0,
+    )
+    runs = Progress(job, [TaskRecord(0, 0, 0, 1, EndpointId("e1"), 1)])
+    platform, follower = context.platform, context.follower
+    platform.ledger.records.append(KeyedRecord(*encode(spec)))
+    platform.runs.records.append(KeyedRecord(*encode(runs)))
+    follower.offset = len(platform.ledger.records)
+    assert job not in follower.ledger.jobs
+
+
+@then("node a schedules the job")
+def step_schedules_job(context):
+    jobs = context.runner.state.jobs
+    assert list(jobs) == ["1" * 16], jobs
+
+
 @when("node a claims the next term without a response")
 def step_claim_unanswered(context):
     context.platform.ledger.loses_responses = True
--- a/features/term.feature
+++ b/features/term.feature
@@ -108,6 +108,14 @@
     Given a small and a large instance that get the first manifest 5 s after they have read the ledger
     Then the large one claims the first term before the small one
 
+  # Guards against a job whose tasks are stopped and never run again: the node that takes
+  # the term does not know it.
+  Scenario: A node whose ledger lacks a job that has runs reads it again
+    Given a scheduler b whose last heartbeat is 1.3 s old
+    And a lasting job that runs, whose record node a has missed
+    When node a claims the next term
+    Then node a schedules the job
+
   # Guards against nodes that claim a term which another one has just claimed: each such
   # claim is an append, and nearly a hundred nodes see a release at once.
   Scenario Outline: A node reads to the end of the ledger before it claims
--- a/primrosepitch/events.py
+++ b/primrosepitch/events.py
@@ -418,6 +418,14 @@
     "while, and its tasks are restarted elsewhere.",
     "check the instance if it is named repeatedly",
 )
+LEDGER_INCOMPLETE = event(
+    5024,
+    "ledger_incomplete",
+    logging.ERROR,
+    "A node that takes the term finds runs of jobs that its copy of the ledger lacks, "
+    "and reads the whole ledger again.",
+    "report it with the log lines around it; the node may have denied these jobs",
+)
 RECORD_REJECTED = event(
     5023,
     "record_rejected",
--- a/primrosepitch/node/follower.py
+++ b/primrosepitch/node/follower.py
@@ -131,6 +131,15 @@
         self.offset = batch.next_offset
         self.loaded = True
 
+    async def read_again(self) -> None:
+        """Apply the newest record of each key, in case some were missed.
+
+        :raises StoreUnavailableError: if the store can't be read
+        """
+        batch = await self._store.read_newest(clock.monotonic() + 4 * READ_TIMEOUT_S)
+        self._apply(batch.records)
+        await self.catch_up()
+
     async def _read(self, wait_s: float) -> Batch:
         offset = self.offset
         started_at = clock.monotonic()
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -13,6 +13,7 @@
 from primrosepitch import clock
 from primrosepitch.decoding import unreadable_as_decode_error
 from primrosepitch.events import (
+    LEDGER_INCOMPLETE,
     SCHEDULER_LATE,
     TASK_FAILED,
     TERM_CLAIMED,
@@ -334,6 +335,7 @@
             records = await self._claim_runs(record, fence)
             with unreadable_as_decode_error():
                 runs, moves = decode_runs(records), decode_moves(records)
+            await self._require_jobs(number, runs)
         except (
             StoreUnavailableError,
             StoreUnknownError,
@@ -394,6 +396,17 @@
         )
         return batch.records
 
+    async def _require_jobs(self, term: int, runs: dict[JobId, StoredRuns]) -> None:
+        """Read the ledger again if it lacks a job that has runs.
+
+        Runs of a job are deleted before the job is.
+        """
+        ledger = self._follower.ledger
+        missing = [job for job in runs if ledger.accepted_entry(job) is None]
+        if missing:
+            emit(LEDGER_INCOMPLETE, term=term, jobs=len(missing), job=missing[0])
+            await self._follower.read_again()
+
     def _heartbeat_age_s(self) -> float:
         return clock.monotonic() - max(self._heartbeat_at, self._follower.connected_at)
 
