Keep a starved scheduler from feeding its own queue of orders

Callers saw (review, "starved scheduler"): with too little processor time for the scheduler and some 270 open submissions, nearly nothing ended for 20 to 40 s, also when the load was over. 18,166 start orders were dropped unsent, 6,363 runs counted as lost.

Cause: metastable. Orders that had waited for over 1 s were dropped and issued again; after six times their task was stopped, and its stop order was issued again every 50 ms.

- node/order_queue.py: an order waits once; what is issued again replaces it, and a stop takes an unsent start of its run out.
- An order whose turn comes late is decided on again and sent.
- A start that was never sent withdraws the run (`run_withdrawn`): no stop, no fault.
- scheduling/order_window.py: starts under way at an endpoint are limited to what it answered within a second, at least 32; the rest waits by rank.
- Planning passes are as far apart as late ticks, at most 0.5 s.

Red without each part, one at a time: renewed orders (3 of 13 scenarios of starved_scheduler.feature), the window, withdrawn runs, pending stops (1 each) and the replacement (4). All features: 893 passed.

--- a/primrosepitch/events.py
+++ b/primrosepitch/events.py
@@ -418,6 +418,13 @@
     "while, and its tasks are restarted elsewhere.",
     "check the instance if it is named repeatedly",
 )
+RUN_WITHDRAWN = event(
+    5025,
+    "run_withdrawn",
+    logging.WARNING,
+    "A start order waited for too long and was not sent; the task is placed again.",
+    "the scheduler gets too little processor time if this recurs, see scheduler_late",
+)
 LEDGER_INCOMPLETE = event(
     5024,
     "ledger_incomplete",
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-from collections import defaultdict
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
@@ -21,7 +20,7 @@
     TERM_LOST,
     emit,
 )
-from primrosepitch.jobs.model import EndpointId, JobId, JobSpec, ServiceName
+from primrosepitch.jobs.model import JobId, JobSpec, ServiceName
 from primrosepitch.jobs.records import (
     Cancellation,
     JobStatus,
@@ -47,6 +46,7 @@
     FencedLog,
 )
 from primrosepitch.node.follower import LedgerFollower
+from primrosepitch.node.order_queue import MAX_ORDER_AGE_S, Order, OrderQueue
 from primrosepitch.node.platform_api import Platform
 from primrosepitch.node.term import (
     CLAIM_RECONNECTED_SILENCE_S,
@@ -60,7 +60,7 @@
 from primrosepitch.scheduling import events as ev
 from primrosepitch.scheduling.configuration import Configuration, WaveSpec
 from primrosepitch.scheduling.instance_orders import instance_orders_expire_at
-from primrosepitch.scheduling.leases import takeover_wait_s
+from primrosepitch.scheduling.leases import renewed_order, takeover_wait_s
 from primrosepitch.scheduling.ordering import ready_steps
 from primrosepitch.scheduling.reducer import step
 from primrosepitch.scheduling.state import Limits, SchedulerState
@@ -103,20 +103,9 @@
 REPORTS_READ_PAUSE_S = 0.1
 """Pause between reads of the endpoints' reports."""
 
-MAX_CONCURRENT_ORDERS_PER_ENDPOINT = 3
-"""Maximum concurrent orders to one endpoint; further ones wait and reuse the
-connections."""
-
-MAX_CONCURRENT_ORDERS = 48
-"""Maximum concurrent orders to all endpoints, so that commits and polls need not wait
-when a thousand tasks start at once. At 5 ms per answer, that is 9,000 a second."""
-
 MAX_CONCURRENT_MOVES = 16
 """Maximum concurrent moves sent to the instance service, which accepts 64 a second."""
 
-MAX_ORDER_AGE_S = 1.0
-"""Age beyond which an order is dropped unsent, since the process was paused."""
-
 
 class SchedulerRunner:
     """Claims terms, passes events to the reducer and carries out its effects.
@@ -167,10 +156,7 @@
         self._tick_delay = TickDelay(TICK_INTERVAL_S)
         self._start_orders = 0
         self._stopping = False
-        self._endpoint_slots: dict[EndpointId, asyncio.Semaphore] = defaultdict(
-            lambda: asyncio.Semaphore(MAX_CONCURRENT_ORDERS_PER_ENDPOINT)
-        )
-        self._order_slots = asyncio.Semaphore(MAX_CONCURRENT_ORDERS)
+        self._order_queue = OrderQueue()
         self._move_slots = asyncio.Semaphore(MAX_CONCURRENT_MOVES)
         self._tasks: set[asyncio.Task[Any]] = set()
         self._instance_orders: set[asyncio.Task[Any]] = set()
@@ -639,56 +625,62 @@
         nonce = self.state.nonce
         self.state = SchedulerState(node=self._node, limits=self._limits)
         self.state.nonce = nonce
+        self._order_queue = OrderQueue()
         self._follower.leading = False
         self._heartbeat_at = clock.monotonic()
 
     def _start_run(self, order: ef.StartRun) -> None:
         self._start_orders += 1
-
-        def answered(outcome: ev.Outcome) -> ev.Event:
-            now = clock.monotonic()
-            return ev.StartAnswered(order.task, order.run, order.endpoint, outcome, now)
-
-        self._issue_order(order, self._platform.start_run, answered)
+        self._issue_order(order)
 
     def _stop_run(self, order: ef.StopRun) -> None:
-        def answered(outcome: ev.Outcome) -> ev.Event:
-            now = clock.monotonic()
-            return ev.StopAnswered(order.task, order.run, order.endpoint, outcome, now)
-
-        self._issue_order(order, self._platform.stop_run, answered)
+        self._issue_order(order)
 
     def _throttle_run(self, order: ef.ThrottleRun) -> None:
-        self._issue_order(order, self._platform.throttle_run, lambda _: None)
+        self._issue_order(order)
 
-    def _issue_order(
-        self,
-        order: Any,
-        send: Callable[[Any], Awaitable[ev.Outcome]],
-        answered: Callable[[ev.Outcome], ev.Event | None],
-    ) -> None:
-        self._spawn(self._send_order(order, send, answered, clock.monotonic()))
+    def _issue_order(self, order: Order) -> None:
+        unsent = self._order_queue.put(order, clock.monotonic())
+        if unsent is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._answer_order, unsent, ev.Outcome.EXPIRED)
+        self._send_orders()
+
+    def _send_orders(self) -> None:
+        """Send the queued orders whose turn it is."""
+        queue = self._order_queue
+        while (queued := queue.take()) is not None:
+            self._spawn(self._send_order(queue, *queued))
 
     async def _send_order(
-        self,
-        order: Any,
-        send: Callable[[Any], Awaitable[ev.Outcome]],
-        answered: Callable[[ev.Outcome], ev.Event | None],
-        issued_at: float,
+        self, queue: OrderQueue, order: Order, issued_at: float
     ) -> None:
-        async with self._endpoint_slots[order.endpoint], self._order_slots:
+        try:
             if self.state.term != order.token:
                 return
-            if clock.monotonic() - issued_at > MAX_ORDER_AGE_S:
-                outcome = ev.Outcome.NOT_SENT
-            else:
-                outcome = await send(order)
+            now = clock.monotonic()
+            timely: Order | None = order
+            if now - issued_at > MAX_ORDER_AGE_S:
+                timely = renewed_order(self.state, order, now)
+            outcome = ev.Outcome.EXPIRED
+            if timely is not None:
+                outcome = await _SENDERS[type(order)](self._platform, timely)
+        finally:
+            queue.finish(order)
+            self._send_orders()
         if outcome is ev.Outcome.FENCED and self.state.term == order.token:
             reason = f"{order.endpoint} has a higher fencing token"
             self._step_down(ef.StepDown(reason))
             return
-        event = answered(outcome)
-        if event is not None:
+        self._answer_order(order, outcome)
+
+    def _answer_order(self, order: Order, outcome: ev.Outcome) -> None:
+        """Dispatch the answer to an order to start or stop a run."""
+        answered = _ANSWERS.get(type(order))
+        if answered is not None:
+            event = answered(
+                order.task, order.run, order.endpoint, outcome, clock.monotonic()
+            )
             self._dispatch_in_term(order.token, event)
 
     def _poll_endpoint(self, order: ef.PollEndpoint) -> None:
@@ -762,3 +754,15 @@
         else:
             self._advice_monitor.record_success()
         self._dispatch_in_term(term, answer)
+
+
+_SENDERS: dict[type, Callable[[Platform, Any], Awaitable[ev.Outcome]]] = {
+    ef.StartRun: lambda platform, order: platform.start_run(order),
+    ef.StopRun: lambda platform, order: platform.stop_run(order),
+    ef.ThrottleRun: lambda platform, order: platform.throttle_run(order),
+}
+
+_ANSWERS: dict[type, Callable[..., ev.Event]] = {
+    ef.StartRun: ev.StartAnswered,
+    ef.StopRun: ev.StopAnswered,
+}
--- a/primrosepitch/scheduling/events.py
+++ b/primrosepitch/scheduling/events.py
@@ -53,7 +53,8 @@
 
     An endpoint answers ``SUPERSEDED`` to a start or stop order whose run number is not
     higher than that of a run that was stopped or has ended there. ``NOT_SENT`` means
-    that the call was certainly not made, ``UNKNOWN`` that it may have been.
+    that the call was certainly not made, ``UNKNOWN`` that it may have been. ``EXPIRED``
+    means that it was not made because it had waited for too long.
     """
 
     DONE = "done"
@@ -67,6 +68,7 @@
     REFUSED = "refused"
     BUSY = "busy"
     NOT_SENT = "not_sent"
+    EXPIRED = "expired"
     UNKNOWN = "unknown"
 
 
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -28,6 +28,7 @@
     StartRun,
     StepDown,
     StopRun,
+    ThrottleRun,
     WriteLog,
 )
 from primrosepitch.scheduling.events import (
@@ -66,6 +67,8 @@
     "endpoint_polled",
     "poll_failed",
     "takeover_wait_s",
+    "renewed_order",
+    "start_obstacle",
     "start_order",
     "exclusion",
     "expire_leases",
@@ -553,6 +556,41 @@
     )
 
 
+def start_obstacle(endpoint: Endpoint | None) -> str:
+    """Return why no start order may be sent to an endpoint, or an empty string."""
+    if endpoint is None:
+        return ""
+    if endpoint.report.draining:
+        return "endpoint draining"
+    if not endpoint.reachable:
+        return "endpoint silent"
+    if endpoint.in_doubt_since:
+        return "endpoint may have restarted"
+    return CAPACITY_SHRUNK if endpoint.overcommitted else ""
+
+
+def renewed_order(
+    state: SchedulerState, order: StartRun | StopRun | ThrottleRun, now: float
+) -> StartRun | StopRun | ThrottleRun | None:
+    """Return an order that has waited for its turn as it would be given now.
+
+    :param now: boot-time clock
+    :returns: ``None`` if it would not be given
+    """
+    state.now = max(state.now, now)
+    if not may_grant_leases(state):
+        return None
+    if not isinstance(order, StartRun):
+        return order
+    task, endpoint = find_task(state, order.task), state.endpoints.get(order.endpoint)
+    if task is None or endpoint is None or start_obstacle(endpoint):
+        return None
+    starting = task.phase in (Phase.STARTING, Phase.RUNNING)
+    if not starting or task.run != order.run or endpoint.failed_polls:
+        return None
+    return start_order(state, task, endpoint)
+
+
 def expire_leases(state: SchedulerState) -> list[Effect]:
     """Mark runs as lost whose leases have expired, and repeat unanswered orders."""
     effects: list[Effect] = []
@@ -628,7 +666,7 @@
         ):
             task.phase_since = state.now
             effects.append(start_order(state, task, endpoint))
-        elif task.phase is Phase.STOPPING:
+        elif task.phase is Phase.STOPPING and not task.stop_pending:
             task.phase_since = state.now
             effects.append(stop_order(state, task, endpoint))
     return effects
--- a/primrosepitch/scheduling/placement.py
+++ b/primrosepitch/scheduling/placement.py
@@ -18,7 +18,7 @@
 from primrosepitch.scheduling.limits import within_limit
 from primrosepitch.scheduling.ordering import ReadyStep, ready_steps
 from primrosepitch.scheduling.runs import EJECTION_FAULT_SCORE, place_task
-from primrosepitch.scheduling.state import Endpoint, SchedulerState, Task
+from primrosepitch.scheduling.state import Endpoint, Phase, SchedulerState, Task
 
 __all__ = ["StepCandidates", "start_waiting"]
 
@@ -39,6 +39,10 @@
 be lost."""
 
 
+MIN_STARTS_PER_ENDPOINT = 32
+"""Number of starts that may always be under way at one endpoint."""
+
+
 class PlanningCapacity:
     """Endpoints on which a planning pass may place tasks, by pool.
 
@@ -51,6 +55,7 @@
         for endpoint in state.endpoints.values():
             if usable(state, endpoint) and not endpoint.failed_polls:
                 self.pools[endpoint.report.service].append(endpoint)
+        _limit_starts(state)
         self.isolated = IsolatedTrials(state, self.pools)
         self.full: set[tuple[ServiceName, Resources, str]] = set()
         self.capped: set[object] = set()
@@ -77,6 +82,17 @@
     return effects
 
 
+def _limit_starts(state: SchedulerState) -> None:
+    """Compute how many starts this pass may decide on, see ``order_window``."""
+    for endpoint in state.endpoints.values():
+        starting = sum(
+            task.phase in (Phase.COMMITTING, Phase.STARTING)
+            for task in endpoint.tasks.values()
+        )
+        limit = endpoint.window.limit(state.now, MIN_STARTS_PER_ENDPOINT)
+        endpoint.starts_left = limit - starting
+
+
 def _start_tasks(
     state: SchedulerState, capacity: PlanningCapacity, ready: ReadyStep
 ) -> list[Effect]:
@@ -268,6 +284,8 @@
     """Return why an endpoint refuses all tasks with a step's needs and label."""
     if not endpoint.has_room(spec.needs):
         return "no room"
+    if endpoint.starts_left <= 0:
+        return "orders waiting"
     if endpoint.fault_score >= EJECTION_FAULT_SCORE and any(
         not task.started_at or task.started_at > endpoint.last_fault_at
         for task in endpoint.tasks.values()
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -35,6 +35,7 @@
     expire_leases,
     may_grant_leases,
     poll_failed,
+    start_obstacle,
     start_order,
 )
 from primrosepitch.scheduling.lending import lend_instances, move_answered
@@ -46,7 +47,6 @@
 )
 from primrosepitch.scheduling.placement import start_waiting
 from primrosepitch.scheduling.runs import (
-    CAPACITY_SHRUNK,
     add_job,
     cancel_job,
     create_due_tasks,
@@ -82,6 +82,9 @@
 MAX_PLANNING_INTERVAL_S = 0.25
 """Maximum time between planning passes, for changes that depend on time alone."""
 
+MAX_SLOWED_INTERVAL_S = 0.5
+"""Maximum time between planning passes of a scheduler whose ticks are late."""
+
 Handler = Callable[[SchedulerState, Any], list[Effect]]
 _HANDLERS: dict[type, Handler] = {}
 
@@ -199,8 +202,12 @@
             "outcome": event.outcome.value,
         }
         effects.append(WriteLog(RUN_START_ANSWERED, fields))
-        task.order_tries = max(1, task.order_tries + 1)
+        if event.outcome is not ev.Outcome.EXPIRED:
+            task.order_tries = max(1, task.order_tries + 1)
         task.phase_since = state.now
+    if event.outcome not in (ev.Outcome.EXPIRED, ev.Outcome.UNKNOWN):
+        endpoint.window.record_answer(event.now)
+        state.replan = state.replan or endpoint.starts_left <= 0
     state.now = max(state.now, event.now)
     effects += start_answered(state, task, endpoint, event.outcome)
     if (
@@ -221,9 +228,10 @@
 @_handles(ev.StopAnswered)
 def _stop_answered(state: SchedulerState, event: ev.StopAnswered) -> list[Effect]:
     task = find_task(state, event.task)
-    if event.outcome is not ev.Outcome.DONE or task is None:
+    if task is None or task.run != event.run or task.phase is not Phase.STOPPING:
         return []
-    if task.run != event.run or task.phase is not Phase.STOPPING:
+    task.stop_pending = False
+    if event.outcome is not ev.Outcome.DONE:
         return []
     if not task.started_at:
         # From now on, a poll that doesn't list the run proves that it has ended.
@@ -249,6 +257,8 @@
 
 @_handles(ev.Tick)
 def _tick(state: SchedulerState, event: ev.Tick) -> list[Effect]:
+    state.tick_gap_s = event.now - state.ticked_at if state.ticked_at else 0.0
+    state.ticked_at = event.now
     state.now = max(state.now, event.now)
     state.wall_ms = event.wall_ms
     return _advance(state)
@@ -265,6 +275,8 @@
         interval_s = MIN_PLANNING_INTERVAL_S
     elif not state.replan:
         interval_s = max(interval_s, MAX_PLANNING_INTERVAL_S)
+    # A pass leaves the loop time for orders and answers when it falls behind.
+    interval_s = max(interval_s, min(state.tick_gap_s, MAX_SLOWED_INTERVAL_S))
     if state.now - state.planned_at >= interval_s:
         state.planned_at = state.now
         state.replan = False
@@ -311,19 +323,6 @@
     return state.now + left_s > endpoint.report.leaves_at
 
 
-def _start_obstacle(endpoint: Endpoint | None) -> str:
-    """Return why no start order may be sent to an endpoint, or an empty string."""
-    if endpoint is None:
-        return ""
-    if endpoint.report.draining:
-        return "endpoint draining"
-    if not endpoint.reachable:
-        return "endpoint silent"
-    if endpoint.in_doubt_since:
-        return "endpoint may have restarted"
-    return CAPACITY_SHRUNK if endpoint.overcommitted else ""
-
-
 @_handles(ev.Committed)
 def _committed(state: SchedulerState, event: ev.Committed) -> list[Effect]:
     if event.number != state.committing:
@@ -337,7 +336,7 @@
         task.key[:3]: obstacle
         for task, _ in state.committing_tasks
         if task.spec.gang
-        and (obstacle := _start_obstacle(state.endpoints.get(task.endpoint)))
+        and (obstacle := start_obstacle(state.endpoints.get(task.endpoint)))
     }
     for task, run in state.committing_tasks:
         endpoint = state.endpoints.get(task.endpoint)
@@ -345,7 +344,7 @@
             continue
         if task.phase is not Phase.COMMITTING:
             continue
-        obstacle = _start_obstacle(endpoint) or gang_obstacles.get(task.key[:3], "")
+        obstacle = start_obstacle(endpoint) or gang_obstacles.get(task.key[:3], "")
         if obstacle:
             # No order was sent, so the task can start elsewhere.
             effects += run_lost(state, task, obstacle)
--- a/primrosepitch/scheduling/runs.py
+++ b/primrosepitch/scheduling/runs.py
@@ -9,6 +9,7 @@
     RUN_LOST,
     RUN_STARTING,
     RUN_STOPPING,
+    RUN_WITHDRAWN,
 )
 from primrosepitch.jobs.model import (
     EndpointId,
@@ -275,9 +276,10 @@
     task.started_at = 0.0
     task.rate_percent = 100
     task.order_tries = 0
-    task.unanswered = task.order_pending = task.listed = False
+    task.unanswered = task.order_pending = task.stop_pending = task.listed = False
     charge_usage(state, task, 1)
     reserve_capacity(endpoint, task)
+    endpoint.starts_left -= 1
     job = state.jobs[task.key.job]
     if job.state is JobState.QUEUED:
         set_job_state(state, job, JobState.RUNNING)
@@ -338,6 +340,7 @@
 
 def stop_order(state: SchedulerState, task: Task, endpoint: Endpoint) -> StopRun:
     """Return the order that stops a task's run."""
+    task.stop_pending = True
     address = endpoint.report.address
     return StopRun(endpoint.id, address, task.key, task.run, state.term)
 
@@ -539,6 +542,9 @@
     ``SUPERSEDED`` means that an earlier order, whose answer was lost, has started the
     run. The run may have ended or been stopped since; the next poll lists its end.
     """
+    not_told = outcome is Outcome.EXPIRED and not task.unanswered
+    if not_told and task.phase in (Phase.STARTING, Phase.STOPPING):
+        return _withdraw_run(state, task)
     if outcome in (Outcome.DONE, Outcome.SUPERSEDED):
         task.started_at = state.now
         if task.phase is Phase.STARTING:
@@ -547,7 +553,7 @@
         return []
     if task.phase is Phase.STOPPING:
         return []
-    if outcome in (Outcome.UNKNOWN, Outcome.NOT_SENT):
+    if outcome in (Outcome.UNKNOWN, Outcome.NOT_SENT, Outcome.EXPIRED):
         task.unanswered = task.unanswered or outcome is Outcome.UNKNOWN
         return []
     if outcome is Outcome.UNHEALTHY:
@@ -564,3 +570,17 @@
             state, task, f"start refused after an unanswered order: {outcome.value}"
         )
     return run_lost(state, task, f"start refused: {outcome.value}")
+
+
+def _withdraw_run(state: SchedulerState, task: Task) -> list[Effect]:
+    """Release a task whose endpoint was never told of its run."""
+    fields = {
+        "job": task.key.job,
+        "task": task_name(task.key),
+        "run": task.run,
+        "endpoint": task.endpoint,
+    }
+    release_task(state, task, Phase.WAITING)
+    state.mark_dirty(task)
+    job = state.jobs[task.key.job]
+    return [WriteLog(RUN_WITHDRAWN, fields), *settle_job(state, job)]
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -26,6 +26,7 @@
     InstanceState,
     InstanceView,
 )
+from primrosepitch.scheduling.order_window import OrderWindow
 
 __all__ = [
     "SMALL_JOB_COUNT",
@@ -99,6 +100,7 @@
         takeover, if the earlier scheduler may not have sent the order
     :param unanswered: whether a start order for this run remained unanswered
     :param order_pending: whether a start order for this run is under way
+    :param stop_pending: whether a stop order for this run is under way
     :param listed: whether a poll of its endpoint has listed this run
     :param near_target_at: last time that a serving task on its endpoint was near its
         latency target
@@ -133,6 +135,7 @@
     order_tries: int = 0
     unanswered: bool = False
     order_pending: bool = False
+    stop_pending: bool = False
     listed: bool = False
     near_target_at: float = 0.0
     throttled_at: float = 0.0
@@ -221,6 +224,8 @@
     :param polling: whether a poll is in progress
     :param next_poll_at: boot-time clock of the next poll
     :param failed_polls: polls that failed in succession
+    :param window: answers to its start orders, which limit those under way
+    :param starts_left: starts that the present planning pass may still decide on here
     :param used: capacity reserved for its tasks
     :param stopping: capacity of runs that are being stopped although their tasks are
         done, and the boot-time clock from which a poll that doesn't list them proves
@@ -254,6 +259,8 @@
     polling: bool = False
     next_poll_at: float = 0.0
     failed_polls: int = 0
+    window: OrderWindow = msgspec.field(default_factory=OrderWindow)
+    starts_left: int = 0
     used: Resources = Resources()
     tasks: dict[TaskKey, Task] = msgspec.field(default_factory=dict)
     stopping: dict[TaskKey, tuple[Resources, float]] = msgspec.field(
@@ -435,6 +442,8 @@
         reach instances
     :param commits: number of commits so far
     :param replan: whether a planning pass is due without waiting for the idle interval
+    :param ticked_at: boot-time clock of the newest tick
+    :param tick_gap_s: time between the newest two ticks
     :param pass_cut_short: whether the newest planning pass left waiting tasks to the
         next one
     :param passed_over: lasting steps that the newest planning pass left waiting, and
@@ -503,6 +512,8 @@
     )
     planned_at: float = 0.0
     replan: bool = False
+    ticked_at: float = 0.0
+    tick_gap_s: float = 0.0
     pass_cut_short: bool = False
     passed_over: dict[tuple[JobId, int, int], str] = msgspec.field(default_factory=dict)
     lasting_waits_logged_at: float = 0.0
