Test what exceeds each limit of the platform's pages

The stand-ins obey these limits: the log store and the partitions in memory refuse records and calls that are too large, endpoints list 500 ends, more than 100 advised endpoints break a rule; standins.feature shows the store's.

--- a/features/cut_lists.feature
+++ b/features/cut_lists.feature
@@ -19,6 +19,7 @@
       | 500   |
       | 501   |
       | 2000  |
+      | 5000  |
 
   # Guards against the same at one scheduler: ends are acknowledged only once they are
   # durable, so they accumulate while the store is down.
--- a/features/standins.feature
+++ b/features/standins.feature
@@ -138,3 +138,27 @@
       | sends each request twice               | doubled  |
       | gives the answer of another request    | wrong    |
       | refuses as not run what it has sent    | untrue   |
+
+  # Guards against a stand-in that takes what the platform refuses.
+  Scenario Outline: The log store refuses an append that is too large as a whole
+    Given a store without records
+    When a node appends <count> records of <bytes> bytes in one call
+    Then the store <answer> them
+
+    Examples:
+      | count | bytes  | answer  |
+      | 8     | 262144 | takes   |
+      | 1     | 262145 | refuses |
+      | 9     | 262144 | refuses |
+
+  # Guards against a stand-in that answers with more than the platform does.
+  Scenario Outline: The log store returns newest records in pages
+    Given a store with <count> keys of <bytes> bytes
+    When a page of newest records is read
+    Then it has <found> of them, and there are more
+
+    Examples:
+      | count | bytes  | found |
+      | 501   | 100    | 500   |
+      | 5000  | 100    | 500   |
+      | 80    | 100000 | 7     |
--- a/standins/log_store.py
+++ b/standins/log_store.py
@@ -15,7 +15,7 @@
 from standins.http import Close, HandlerResult, Hang, Peer, Request, Response, Server
 from standins.http import json_response as _json
 
-__all__ = ["LogStore", "Refusal"]
+__all__ = ["CALL_BYTES", "RECORD_BYTES", "LogStore", "Refusal"]
 
 REQUEST_S = 0.004
 """Processing time of a request, on top of the transfer time of an append."""
@@ -27,6 +27,11 @@
 MAX_NEWEST_BYTES = 1 << 20
 """Maximum items and bytes in a page of newest records."""
 
+RECORD_BYTES = 262_144
+CALL_BYTES = 2_097_152
+"""Maximum bytes of a record, and of all records of an append. The platform does not say
+how it refuses a larger one; here the answer is 400."""
+
 READ_ONLY_TOPICS = frozenset(("keyed.op", "keyed.servers"))
 """Topics to which nodes must not append; only operators and endpoints do."""
 
@@ -86,6 +91,15 @@
         """Start listening."""
         await self._server.start(host, port)
 
+    @property
+    def port(self) -> int:
+        """Return the port on which the store listens."""
+        return self._server.port
+
+    async def stop(self) -> None:
+        """Stop listening, and end all requests."""
+        await self._server.stop(grace_s=0.0)
+
     def write(self, topic: str, key: str, value: bytes) -> int:
         """Append a record to partition 0 of a topic, bypassing the protocol.
 
@@ -140,6 +154,9 @@
         return answer
 
     async def _append(self, partition: _Partition, request: Request) -> Response:
+        sizes = _record_sizes(request.body)
+        if sum(sizes) > CALL_BYTES or any(size > RECORD_BYTES for size in sizes):
+            return Response(400)
         producer = request.query.get("producer", "")
         epoch = int(request.query.get("epoch", 0))
         sequence = int(request.query.get("sequence", 0))
@@ -193,6 +210,17 @@
     return struct.pack(">I", len(content)) + content
 
 
+def _record_sizes(body: bytes) -> list[int]:
+    """Return the sizes of the records in the body of an append."""
+    sizes = []
+    pos = 0
+    while pos < len(body):
+        (size,) = struct.unpack_from(">I", body, pos)
+        sizes.append(size)
+        pos += 4 + size
+    return sizes
+
+
 def _decode_records(body: bytes) -> list[tuple[str, bytes]]:
     """Decode the keys and values from the body of an append."""
     rows = []
--- a/standins/memory_platform.py
+++ b/standins/memory_platform.py
@@ -6,14 +6,17 @@
 from collections.abc import Coroutine, Iterable
 from typing import Any
 
+from primrosepitch.jobs.records import record_size
 from primrosepitch.jobs.store import (
     AppendOutcome,
     Batch,
     Fence,
     KeyedRecord,
     StoreFencedError,
+    StoreRejectedError,
     StoreUnknownError,
 )
+from standins.log_store import RECORD_BYTES
 from standins.network import VirtualLoop
 
 __all__ = [
@@ -42,6 +45,8 @@
         self, records: list[KeyedRecord], deadline: float, fence: Fence | None = None
     ) -> AppendOutcome:
         """Append records; the response may be lost."""
+        if any(record_size(*record) > RECORD_BYTES for record in records):
+            raise StoreRejectedError("a record is too large")
         offset = len(self.records)
         self.records += records
         if self.loses_responses:
--- a/standins/scheduler_world.py
+++ b/standins/scheduler_world.py
@@ -76,6 +76,9 @@
 MAX_LISTED_ENDS = 500
 """Number of ends that an endpoint lists at a time."""
 
+MAX_ADVISED_ENDPOINTS = 100
+"""Maximum number of endpoints in a request for advice."""
+
 DEADLY_S = 0.01
 """Time after its start at which a deadly task crashes its endpoint."""
 
@@ -1081,6 +1084,10 @@
         self.call_later(LATENCY_S, arrive)
 
     def _do_requestadvice(self, node: Node, request: ef.RequestAdvice) -> None:
+        if len(request.endpoints) > MAX_ADVISED_ENDPOINTS:
+            self._record_violation(
+                "advice", f"{len(request.endpoints)} endpoints in a request"
+            )
         allowed = {
             e: self.workers[e].ticket() for e in request.endpoints if is_advised(e)
         }
