--- a/primrosepitch/jobs/records.py
+++ b/primrosepitch/jobs/records.py
@@ -57,15 +57,15 @@
 TERM_KEY = "term"
 WAVE_PREFIX = "w/"
 NODE_PREFIX = "n/"
-KEY_LENGTH_BYTES = 1
-"""Size of a record's field for the length of its key."""
+BACKLOG_KEY = "backlog"
+MOVES_KEY = "moves"
 
 TASKS_PER_RECORD = 32
 """Number of a job's tasks whose runs are stored in one record. It determines the keys,
 so all nodes must use the same."""
 
-BACKLOG_KEY = "backlog"
-MOVES_KEY = "moves"
+KEY_LENGTH_BYTES = 1
+"""Size of a record's field for the length of its key."""
 
 
 class RunCrash(NamedTuple):
@@ -221,13 +221,13 @@
 
 
 Record = (
-    OpenMoves
-    | JobSpec
+    JobSpec
     | Cancellation
     | JobStatus
     | Progress
     | Term
     | WaveProgress
+    | OpenMoves
     | NodeAddress
     | Backlog
 )
--- a/primrosepitch/node/follower.py
+++ b/primrosepitch/node/follower.py
@@ -205,7 +205,6 @@
         self._queue: list[tuple[KeyedRecord, asyncio.Future[None]]] = []
         self._wake = asyncio.Event()
         self.last_success_at = 0.0
-        self.failing_since = 0.0
         self._sending_since = 0.0
         self._last_took_s = 0.0
 
@@ -290,7 +289,6 @@
             await self._store.append([record for record, _ in batch], deadline)
             self.last_success_at = clock.monotonic()
             self._last_took_s = self.last_success_at - self._sending_since
-            self.failing_since = 0.0
         except StoreRejectedError as exc:
             if len(batch) > 1:
                 # The store refuses all records of an append because of one.
@@ -306,8 +304,6 @@
             error = StoreUnavailableError(str(exc))
         finally:
             self._sending_since = 0.0
-        if error is not None and not self.failing_since:
-            self.failing_since = clock.monotonic()
         for _, fut in batch:
             if fut.done():
                 continue
