Count the placements of isolated tasks within a pass

Callers could see (ROUTE): two tasks of a step start on one endpoint, beyond its limit on tasks per endpoint.

Cause: lasting tasks that were lost in two supposed crashes start together, and the pass did not count those that it had just placed on the reserved endpoint. As old as that code.

--- a/features/random_faults.feature
+++ b/features/random_faults.feature
@@ -108,6 +108,13 @@
     When all faults of each seed have ended
     Then no seed broke a rule
 
+  # Guards against two tasks of a step on one endpoint, against its limit: each was lost in
+  # two supposed crashes, and they start together.
+  Scenario: Lasting tasks on separate endpoints start again after crashes
+    Given random faults of seeds 38 to 38
+    When all faults of each seed have ended
+    Then no seed broke a rule
+
   # Guards against a task that is started again, because the endpoint restarted while an
   # acknowledgement of ends was under way.
   Scenario: An endpoint restarts while an acknowledgement is under way
--- a/primrosepitch/scheduling/placement.py
+++ b/primrosepitch/scheduling/placement.py
@@ -166,6 +166,7 @@
             continue
         inputs = _decision_fields(state, endpoint, pool, ready)
         effects += place_task(state, task, endpoint, inputs)
+        candidates.record_placement(endpoint)
         capacity.isolated.record_start(task, endpoint)
         if not starts_with_job(task):
             break
