Count leases that polls from before a restart extended

Callers could see (TWICE): a lasting task ran on two endpoints at once, for up to 0.4 s in virtual time, after its endpoint had restarted under its id and was then cut off.

Cause: a poll that was sent before the restart was noticed reaches the next incarnation and extends the leases of all that starts there, by the clock of the earlier one, up to the maximum. The scheduler counted that only if a run was kept across the restart. As old as that code.

--- a/features/restarted_endpoints.feature
+++ b/features/restarted_endpoints.feature
@@ -38,6 +38,25 @@
     And 16 runs were started
     And no rule was broken
 
+  # Guards against a run that is started elsewhere while it goes on: a poll from before the
+  # restart has extended its lease by the clock of the earlier incarnation.
+  Scenario Outline: An endpoint that has restarted is cut off
+    Given a scheduler with 2 endpoints
+    When job j1 of 8 lasting tasks is accepted
+    And <seconds> seconds pass
+    And every endpoint restarts with the same id, cut off from the store
+    And 0.8 seconds pass
+    And the endpoint of task 0 of j1 is cut off for 8 seconds
+    And 12 seconds pass
+    Then 8 lasting tasks of j1 are running
+    And no rule was broken
+
+    Examples:
+      | seconds |
+      | 1       |
+      | 5       |
+      | 60      |
+
   # Guards against the same with real connections: an acknowledgement that is repeated
   # over another connection reaches the next incarnation.
   Scenario Outline: Ends are acknowledged to an endpoint that <restarts>
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -192,10 +192,8 @@
             effects += run_lost(state, task, "endpoint restarted")
         else:
             effects += _await_restarted(state, task, born)
-    if endpoint.tasks:
-        endpoint.leases_expire_at = max(
-            endpoint.leases_expire_at, _latest_expiry(state)
-        )
+    # A poll that was sent before may have extended the leases of all that starts there.
+    endpoint.leases_expire_at = max(endpoint.leases_expire_at, _latest_expiry(state))
     endpoint.contacted = endpoint.reachable = False
     endpoint.processed_end = endpoint.acked_end = endpoint.discarded_end = 0
     endpoint.unstored_ends.clear()
