Don't repeat a start order to an endpoint that drains

Callers could see (DRAIN): a task starts on an endpoint that began to drain 2.3 s before, and is killed when the endpoint shuts down.

Cause: whether a start may be sent was asked when its placement became durable, and not when an order without an answer was repeated. An endpoint that had been silent meanwhile got it. Now the run is stopped instead, as where the capacity has shrunk. As old as that code.

--- a/features/scheduler_rules.feature
+++ b/features/scheduler_rules.feature
@@ -397,6 +397,18 @@
     And 8 seconds pass
     Then 4 lasting tasks of j1 are running
 
+  # Guards against a start on an endpoint that has long begun to drain: an order without an
+  # answer was repeated when the endpoint answered again.
+  Scenario: An endpoint begins to drain while a start is not answered
+    Given a scheduler with 1 endpoints
+    When job j1 of steps 4x1000 is accepted
+    And endpoint e1 is cut off for 2.8 seconds
+    And 0.3 seconds pass
+    And endpoint e1 begins to drain
+    And 4 seconds pass
+    Then 0 runs were started
+    And no rule was broken
+
   # Guards against new runs on a draining endpoint, and against runs that are killed
   # when it shuts down.
   Scenario: A draining endpoint gets no new runs, and its lasting tasks move one by one
--- a/features/steps/scheduler_rules.py
+++ b/features/steps/scheduler_rules.py
@@ -453,14 +453,29 @@
     context.world.publish_report(worker)
 
 
-@when("the endpoint of task {number:d} of {job} drains")
-def step_drain(context, number, job):
-    worker = find_worker(context, number, job)
+def drain(context, worker):
     worker.draining = True
     worker.draining_since = context.world.now
     context.world.publish_report(worker)
 
 
+@when("the endpoint of task {number:d} of {job} drains")
+def step_drain(context, number, job):
+    drain(context, find_worker(context, number, job))
+
+
+@when("endpoint {name:w} begins to drain")
+def step_drain_endpoint(context, name):
+    drain(context, context.world.workers[name])
+
+
+@when("endpoint {name:w} is cut off for {seconds:g} seconds")
+def step_cut_off_endpoint(context, name, seconds):
+    worker = context.world.workers[name]
+    worker.cut = True
+    context.world.call_later(seconds, lambda: setattr(worker, "cut", False))
+
+
 @when("node {name} is killed after {seconds:g} seconds")
 def step_kill(context, name, seconds):
     context.world.run(seconds)
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -653,8 +653,8 @@
         if task.phase is Phase.STARTING and task.order_tries < 0:
             # The first poll shows whether the run exists.
             continue
-        if task.phase is Phase.STARTING and task.order_tries and endpoint.overcommitted:
-            effects += stop_task(state, task, CAPACITY_SHRUNK)
+        if task.phase is Phase.STARTING and task.order_tries and _takes_none(endpoint):
+            effects += stop_task(state, task, start_obstacle(endpoint))
         elif (
             task.phase is Phase.STARTING
             and task.order_tries
@@ -670,6 +670,11 @@
     return effects
 
 
+def _takes_none(endpoint: Endpoint) -> bool:
+    """Return whether an endpoint that answers must not get a start order."""
+    return endpoint.report.draining or endpoint.overcommitted
+
+
 def takeover_wait_s(limits: Limits, ended: bool = False) -> float:
     """Return how long runs of an earlier term may continue after its last append.
 
