Let a poll decide before a refused start is stopped

Callers could see (AVAIL): two tasks of a step that may miss one were stopped at once, while they were at work. Their start had been carried out without an answer, and its repeat was refused by an endpoint that had become unhealthy.

Cause: a refused repeat was answered by a stop, since the first order might have been carried out or still arrive. The stop is needed only if it has not been carried out. Now the next poll decides: a listed run goes on, one that is not listed is stopped.

--- a/features/scheduler_rules.feature
+++ b/features/scheduler_rules.feature
@@ -451,6 +451,21 @@
       | 2    | 2    |
       | 3    | 3    |
 
+  # Guards against stops of tasks at work, beyond the availability budget of their step:
+  # their start was carried out without an answer, and its repeat refused.
+  Scenario: The repeat of a start that has been carried out is refused
+    Given a scheduler with 2 endpoints
+    And 1 of the responses to orders are lost and 0 of orders are carried out late
+    When job j1 of 4 lasting tasks with an availability budget of 1 is accepted
+    And the responses to polls are delayed by 0.8 seconds
+    And 0.2 seconds pass
+    And every endpoint refuses starts
+    And responses to orders arrive again
+    And 2 seconds pass
+    Then 4 lasting tasks of j1 are running
+    And 4 runs were started
+    And no rule was broken
+
   # Guards against spending the availability budget of a step on a planned stop while
   # the endpoint of another of its tasks does not respond.
   Scenario: Tasks on an unreachable endpoint count as unavailable
--- a/features/steps/scheduler_rules.py
+++ b/features/steps/scheduler_rules.py
@@ -222,6 +222,11 @@
     context.world.late_order_rate = 0.0
 
 
+@when("the responses to polls are delayed by {seconds:g} seconds")
+def step_delay_polls(context, seconds):
+    context.world.poll_delay_s = seconds
+
+
 @when("responses to polls are no longer delayed")
 def step_polls_not_delayed(context):
     context.world.poll_delay_s = 0.0
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -483,6 +483,10 @@
             confirm_soundness(state, endpoint, task)
         elif _confirmed_absent(task, event):
             effects += run_lost(state, task, "not listed by its endpoint")
+        elif _refused_and_unlisted(task, event):
+            # The unanswered order may still arrive: a stop order precludes it.
+            reason = "start refused after an unanswered order"
+            effects += stop_task(state, task, reason)
     for row in listed.values():
         effects += _stop_orphan(state, endpoint, row)
     return effects
@@ -501,6 +505,12 @@
     return False
 
 
+def _refused_and_unlisted(task: Task, event: EndpointPolled) -> bool:
+    """Return whether an unanswered start was refused, and has not been carried out."""
+    refused = task.phase is Phase.STARTING and 0 < task.refused_at < event.sent_at
+    return refused and event.lists_all_ends
+
+
 def _update_run(state: SchedulerState, task: Task, row: ActiveRun) -> None:
     task.listed = True
     if task.phase is Phase.STARTING:
@@ -650,8 +660,8 @@
             continue
         if state.now - task.phase_since < ORDER_RETRY_PAUSE_S:
             continue
-        if task.phase is Phase.STARTING and task.order_tries < 0:
-            # The first poll shows whether the run exists.
+        if task.phase is Phase.STARTING and (task.order_tries < 0 or task.refused_at):
+            # The next poll shows whether the run exists.
             continue
         if task.phase is Phase.STARTING and task.order_tries and _takes_none(endpoint):
             effects += stop_task(state, task, start_obstacle(endpoint))
--- a/primrosepitch/scheduling/runs.py
+++ b/primrosepitch/scheduling/runs.py
@@ -273,7 +273,7 @@
     task.at_full_rate = False
     task.progress = 0
     task.progress_since = task.last_progress_at = task.reported_at = 0.0
-    task.started_at = 0.0
+    task.started_at = task.refused_at = 0.0
     task.rate_percent = 100
     task.order_tries = 0
     task.unanswered = task.order_pending = task.stop_pending = task.listed = False
@@ -564,11 +564,10 @@
     if outcome is Outcome.NO_TICKET:
         state.forget_advice(task.key[:3], endpoint.id)
     if task.unanswered:
-        # The earlier order may have been carried out, or may still be: only a stop
-        # order and a poll after it prove that the run does not exist.
-        return stop_task(
-            state, task, f"start refused after an unanswered order: {outcome.value}"
-        )
+        # The earlier order may have been carried out: the next poll shows whether the
+        # run exists. It is stopped only if it does not.
+        task.refused_at = state.now
+        return []
     return run_lost(state, task, f"start refused: {outcome.value}")
 
 
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -99,6 +99,8 @@
     :param order_tries: number of unanswered or refused start orders; -1 after a
         takeover, if the earlier scheduler may not have sent the order
     :param unanswered: whether a start order for this run remained unanswered
+    :param refused_at: time at which a repeat of an unanswered start order was refused,
+        or 0
     :param order_pending: whether a start order for this run is under way
     :param stop_pending: whether a stop order for this run is under way
     :param listed: whether a poll of its endpoint has listed this run
@@ -134,6 +136,7 @@
     avoid_endpoint: EndpointId = EndpointId("")
     order_tries: int = 0
     unanswered: bool = False
+    refused_at: float = 0.0
     order_pending: bool = False
     stop_pending: bool = False
     listed: bool = False
