--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,49 +1,51 @@
-"""Case 10: a graceful stop breaks off requests that are still arriving.
+"""Case 10: a queue is said to have nothing waiting although nothing has begun.
 
-Clients with a slow link submit through one node; each takes ``SENDING_S`` to send its
-request, in equal parts. Others use the other nodes. The platform stops the node with
-SIGTERM and would kill it ``grace_s`` later.
+One of ten workers of a pool has the label ``a``. For ``SHED_S`` it is unhealthy: it
+answers each start with 503 and does nothing, while its lists of runs are good. Clients
+hand in submissions that require ``a`` at the begin of that time, and ask each node for
+the number of submissions that wait.
 
-The check is the rule LOST: around a SIGTERM of the machine that took the request, a
-process has read a whole request and the connection ends without a complete answer,
-later than ``loss_slack_ms`` after its last byte was sent. A request counts as read if
-its last byte was sent and the process ended its connection afterwards.
+The check is the rule MIXED: a machine in touch gives as ``waiting`` under half of the
+submissions without times that were accepted over ``visible_ms`` + 2 s before and
+haven't begun.
 """
 
 from __future__ import annotations
 
 import asyncio
 import json
-import signal
 from pathlib import Path
 
 from review.parts2.deployment import (
     BROKEN,
     FAILED_TO_RUN,
     HELD,
-    HOST,
     Deployment,
-    Node,
     job_id,
     main,
 )
-from standins.http import split_address
 
 FOLDER = Path(__file__).resolve().parent
 
-TRAFFIC_S = 16.0
-STOP_AT_S = 8.0
+CALM_S = 4.0
+SHED_S = 6.5
+AFTER_S = 4.0
+SUBMISSIONS = 10
 INTERVAL_S = 0.1
-SENDING_S = 0.8
-PARTS = 8
-LOSS_SLACK_S = 0.2
-GRACE_S = 6.0
-ANSWER_S = 3.0
+ASK_INTERVAL_S = 0.25
+OLD_S = 5.0
+"""``visible_ms`` + 2 s."""
+
+WORK_MS = 800
+CPU = 900
 
 
 async def _run(folder: Path, trouble: bool) -> int:
     world = Deployment(
-        folder, services={"rota-office": 6}, tenants={"growers": ["key-growers"]}
+        folder,
+        services={"rota-office": 10},
+        tenants={"growers": ["key-growers"]},
+        labels=lambda service, n: ["b" if n else "a", f"r{n // 4}"],
     )
     world.record_to(FOLDER / "record.txt")
     try:
@@ -54,104 +56,80 @@
         await world.stop()
 
 
-def _request() -> tuple[str, bytes]:
-    """Return the path and the bytes of a submission with a long specification."""
-    path = f"/rota-office/{job_id()}"
-    specification = json.dumps({"ms": 200, "cpu": 100, "text": "x" * 3000})
-    steps = [{"count": 1, "cpu": 100, "memory_request_mb": 8, "estimated_ms": 200}]
-    body = json.dumps({"specification": specification, "steps": steps}).encode()
-    head = (
-        f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer key-growers\r\n"
-        "Content-Type: application/json\r\n"
-        "Primrosepitch-Deadline-Milliseconds: 3000\r\n"
-        f"Content-Length: {len(body)}\r\n\r\n"
-    )
-    return path, head.encode() + body
-
-
 async def _play(world: Deployment, trouble: bool) -> int:
     loop = asyncio.get_running_loop()
-    node = world.nodes[-1]
-    stopped_at = 0.0
-    counts = {"answered": 0, "not sent": 0, "lost": 0, "late end": 0}
-
-    async def submit_slowly() -> None:
-        path, data = _request()
-        try:
-            reader, writer = await asyncio.open_connection(*split_address(node.front))
-        except OSError:
-            counts["not sent"] += 1
-            return
-        size = -(-len(data) // PARTS)
-        try:
-            for at in range(0, len(data), size):
-                if at:
-                    await asyncio.sleep(SENDING_S / (PARTS - 1))
-                if reader.at_eof():
-                    raise ConnectionResetError
-                writer.write(data[at : at + size])
-                await writer.drain()
-        except OSError:
-            counts["not sent"] += 1
-            writer.close()
-            return
-        sent_at = loop.time()
-        status, ended_s = b"", 0.0
-        try:
-            async with asyncio.timeout(ANSWER_S):
-                status = await reader.readline()
-        except TimeoutError:
-            world.record("no answer in time", path=path)
-        except OSError:
-            pass
-        ended_s = loop.time() - sent_at
-        writer.close()
-        if status:
-            counts["answered"] += 1
-            return
-        lost = bool(stopped_at) and ended_s > LOSS_SLACK_S
-        counts["lost" if lost else "late end"] += 1
-        world.record(
-            "the connection ends without an answer",
-            path=path,
-            after_last_byte_s=round(ended_s, 3),
-            last_byte_after_sigterm_s=round(sent_at - stopped_at, 3),
-        )
-
-    begin = loop.time()
-    tasks: list[asyncio.Task[None]] = []
-    ended: asyncio.Task[None] | None = None
-    while (at := loop.time() - begin) < TRAFFIC_S:
-        if trouble and at >= STOP_AT_S and not stopped_at:
-            stopped_at = loop.time()
-            assert node.process is not None
-            node.process.send_signal(signal.SIGTERM)
-            world.record("SIGTERM", node=node.name)
-            ended = asyncio.create_task(_await_end(world, node, stopped_at))
-        if not stopped_at:
-            tasks.append(asyncio.create_task(submit_slowly()))
-        await asyncio.sleep(INTERVAL_S)
-    await asyncio.gather(*tasks)
-    if ended is not None:
-        await ended
-    rule = "LOST broken" if counts["lost"] else "held"
-    world.record("result", counts=counts, rule=rule)
+    special = world.workers[0]
+    accepted_at: dict[str, float] = {}
+    begun: set[str] = set()
+    special.on_start = lambda worker, run: begun.add(run.task.partition(".")[0])
+    answers = wrong = 0
+
+    async def submit(number: int) -> None:
+        await asyncio.sleep(number * INTERVAL_S)
+        job = job_id()
+        step = {
+            "count": 1,
+            "cpu": CPU,
+            "memory_request_mb": 910,
+            "estimated_ms": WORK_MS,
+            "requirements": "a",
+        }
+        body = {
+            "specification": json.dumps({"ms": WORK_MS, "cpu": CPU}),
+            "steps": [step],
+        }
+        if await world.submit(f"/rota-office/{job}", "key-growers", body, number):
+            accepted_at[job] = loop.time()
+
+    async def ask() -> None:
+        nonlocal answers, wrong
+        number = 0
+        while True:
+            await asyncio.sleep(ASK_INTERVAL_S)
+            number += 1
+            node = world.nodes[number % len(world.nodes)]
+            sent_at = loop.time()
+            answer = await world.ask(node, "GET", "/rota-office/", "key-growers")
+            if answer is None or answer.status != 200:
+                continue
+            # Only those count that are old when the call is sent and don't begin
+            # before it is answered.
+            old = [
+                job
+                for job, at in accepted_at.items()
+                if sent_at - at > OLD_S and job not in begun
+            ]
+            waiting = int(answer.json()["waiting"])
+            answers += 1
+            if waiting < len(old) / 2:
+                wrong += 1
+                world.record(
+                    "wrong answer", node=node.name, waiting=waiting, not_begun=len(old)
+                )
+
+    await asyncio.sleep(CALM_S)
+    special.sheds = trouble
+    world.record("the worker sheds", trouble=trouble)
+    asking = asyncio.create_task(ask())
+    end = loop.time() + SHED_S
+    await asyncio.gather(*(submit(number) for number in range(SUBMISSIONS)))
+    await asyncio.sleep(end - loop.time())
+    special.sheds = False
+    world.record("the worker is healthy", begun=len(begun))
+    await asyncio.sleep(AFTER_S)
+    asking.cancel()
+    world.record(
+        "result",
+        accepted=len(accepted_at),
+        begun=len(begun),
+        answers=answers,
+        wrong=wrong,
+        rule="MIXED broken" if wrong else "held",
+    )
     print(world.lines[-1])
-    if not counts["answered"]:
+    if len(accepted_at) < SUBMISSIONS or len(begun) < SUBMISSIONS or not answers:
         return FAILED_TO_RUN
-    return BROKEN if counts["lost"] else HELD
-
-
-async def _await_end(world: Deployment, node: Node, stopped_at: float) -> None:
-    """Record when the process ends, and kill it after the grace period."""
-    loop = asyncio.get_running_loop()
-    while node.alive:
-        if loop.time() - stopped_at > GRACE_S:
-            assert node.process is not None
-            node.process.kill()
-        await asyncio.sleep(0.01)
-    took_s = round(loop.time() - stopped_at, 3)
-    world.record("the process has ended", node=node.name, after_sigterm_s=took_s)
+    return BROKEN if wrong else HELD
 
 
 if __name__ == "__main__":
