Log why best-effort tasks wait

No log line names a best-effort task that waits, so a workspace's limit, a full pool, advice and room that is kept for other work look alike.

Change: best_effort_tasks_waiting (5027), every 2 s for the ten longest waits, with the fields of lasting_tasks_waiting: what stopped the planning pass, and the endpoints of the pool by the first reason that excludes each.

--- a/features/steps/lasting_tasks.py
+++ b/features/steps/lasting_tasks.py
@@ -3,7 +3,7 @@
 import msgspec
 from behave import given, then, when
 
-from primrosepitch.events import LASTING_TASKS_WAITING
+from primrosepitch.events import BEST_EFFORT_TASKS_WAITING, LASTING_TASKS_WAITING
 from primrosepitch.jobs.model import (
     JobId,
     JobSpec,
@@ -28,12 +28,24 @@
     "with endpoints {reasons}"
 )
 def step_logged_wait(context, obstacle, reasons):
+    check_logged_wait(context, LASTING_TASKS_WAITING, obstacle, reasons)
+
+
+@then(
+    "the log says that best-effort tasks wait because of {obstacle}, "
+    "with endpoints {reasons}"
+)
+def step_logged_best_effort_wait(context, obstacle, reasons):
+    check_logged_wait(context, BEST_EFFORT_TASKS_WAITING, obstacle, reasons)
+
+
+def check_logged_wait(context, event, obstacle, reasons):
     expected = {}
     for part in reasons.split(", "):
         reason, _, count = part.rpartition(" ")
         expected[reason] = int(count)
-    fields = context.world.newest_fields.get(LASTING_TASKS_WAITING.number)
-    assert fields is not None, "no line on lasting tasks"
+    fields = context.world.newest_fields.get(event.number)
+    assert fields is not None, f"no line {event.name}"
     assert fields["stopped_by"] == obstacle, fields
     assert fields["endpoints"] == expected, fields
 
--- a/features/steps/yielding.py
+++ b/features/steps/yielding.py
@@ -46,6 +46,12 @@
     assert sum(len(w.runs) for w in world.workers.values()) == count
 
 
+@when("{count:d} more filling tasks of {memory:d} MB are accepted")
+def step_more_filling(context, count, memory):
+    spec = StepSpec(count, 0, memory, estimate_ms=1000, fills=True)
+    submit_job(context, "more", [spec])
+
+
 def accept(context, name, count, memory, seconds):
     submit_job(
         context, name, [StepSpec(count, 1000, memory, estimate_ms=seconds * 1000)]
--- a/features/yielding.feature
+++ b/features/yielding.feature
@@ -28,3 +28,11 @@
     And 4 seconds pass
     Then the job met its objective
     And 0 filling tasks were stopped, and each went on from its checkpoint
+
+  # Guards against best-effort tasks that wait while no log line says why.
+  Scenario: The log names the room that best-effort tasks wait for
+    Given a scheduler with 2 endpoints
+    When 8 filling tasks of 8000 MB and 20 s with checkpoints fill the endpoints
+    And 4 more filling tasks of 8000 MB are accepted
+    And 4 seconds pass
+    Then the log says that best-effort tasks wait because of no endpoint, with endpoints no room 2
--- a/primrosepitch/events.py
+++ b/primrosepitch/events.py
@@ -290,6 +290,14 @@
     "the first reason that excludes each.",
     "see 'A lasting task does not run' in OPERATIONS.md",
 )
+BEST_EFFORT_TASKS_WAITING = event(
+    5027,
+    "best_effort_tasks_waiting",
+    logging.INFO,
+    "Best-effort tasks of a step have waited for over 2 s; written every 2 s, for the "
+    "longest waits, with the fields of lasting_tasks_waiting.",
+    "see 'A lasting task does not run' in OPERATIONS.md",
+)
 TERM_TAKEN = event(5101, "term_taken", logging.INFO, "This node became the scheduler.")
 TERM_LOST = event(
     5102, "term_lost", logging.WARNING, "This node is no longer the scheduler."
--- a/primrosepitch/scheduling/placement.py
+++ b/primrosepitch/scheduling/placement.py
@@ -146,8 +146,8 @@
 
 
 def _pass_over(state: SchedulerState, ready: ReadyStep, obstacle: str) -> None:
-    """Record what keeps a lasting step waiting in this pass, for its log line."""
-    if ready.step.spec.lasting:
+    """Record what keeps a step waiting in this pass, if its waits are logged."""
+    if ready.step.spec.lasting or ready.step.spec.fills:
         state.passed_over[ready.key] = obstacle
 
 
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -74,7 +74,7 @@
     Ticket,
 )
 from primrosepitch.scheduling.throttling import throttle_best_effort
-from primrosepitch.scheduling.waiting import log_lasting_waits
+from primrosepitch.scheduling.waiting import log_waits
 from primrosepitch.scheduling.yielding import yield_best_effort
 
 __all__ = ["step"]
@@ -312,7 +312,7 @@
         effects += assess_endpoints(state)
         effects += start_waiting(state)
         effects += yield_best_effort(state)
-        effects += log_lasting_waits(state)
+        effects += log_waits(state)
         effects += log_evacuations(state)
         effects += advance_waves(state)
         effects += lend_instances(state)
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -489,10 +489,10 @@
     :param tick_gap_s: time between the newest two ticks
     :param pass_cut_short: whether the newest planning pass left waiting tasks to the
         next one
-    :param passed_over: lasting steps that the newest planning pass left waiting, and
-        what stopped it
-    :param lasting_waits_logged_at: boot-time clock at which the waits of lasting tasks
-        were last examined for the log
+    :param passed_over: lasting and best-effort steps that the newest planning pass left
+        waiting, and what stopped it
+    :param waits_logged_at: boot-time clock at which the waits of such steps were last
+        examined for the log
     :param yielded_at: boot-time clock at which the yielding of best-effort tasks was
         last decided on
     :param waits: estimated waits by pool, as last published to the other nodes
@@ -570,7 +570,7 @@
     tick_gap_s: float = 0.0
     pass_cut_short: bool = False
     passed_over: dict[tuple[JobId, int, int], str] = msgspec.field(default_factory=dict)
-    lasting_waits_logged_at: float = 0.0
+    waits_logged_at: float = 0.0
     waits: dict[ServiceName, int] = msgspec.field(default_factory=dict)
     waits_sent_at: float = 0.0
     waves: dict[int, WaveRun] = msgspec.field(default_factory=dict)
--- a/primrosepitch/scheduling/waiting.py
+++ b/primrosepitch/scheduling/waiting.py
@@ -1,41 +1,57 @@
-"""Logs why lasting tasks wait."""
+"""Logs why lasting and best-effort tasks wait."""
 
 from __future__ import annotations
 
 from collections import Counter
 
-from primrosepitch.events import LASTING_TASKS_WAITING
+from primrosepitch.events import (
+    BEST_EFFORT_TASKS_WAITING,
+    LASTING_TASKS_WAITING,
+    LogEvent,
+)
 from primrosepitch.scheduling.effects import Effect, WriteLog
 from primrosepitch.scheduling.leases import exclusion
 from primrosepitch.scheduling.ordering import ReadyStep, ready_steps
 from primrosepitch.scheduling.placement import StepCandidates
 from primrosepitch.scheduling.state import Endpoint, SchedulerState, Task
 
-__all__ = ["log_lasting_waits"]
+__all__ = ["log_waits"]
 
 LOG_INTERVAL_S = 2.0
 """Interval between two log lines about a step, and the wait from which it is logged."""
 
 MAX_LOG_LINES = 10
-"""Maximum number of steps that are logged at a time."""
+"""Maximum number of steps of each kind that are logged at a time."""
 
 
-def log_lasting_waits(state: SchedulerState) -> list[Effect]:
-    """Log why the lasting tasks that have waited longest are not placed."""
-    if state.now - state.lasting_waits_logged_at < LOG_INTERVAL_S:
+def log_waits(state: SchedulerState) -> list[Effect]:
+    """Log why the lasting and best-effort tasks that wait longest are not placed."""
+    if state.now - state.waits_logged_at < LOG_INTERVAL_S:
         return []
-    state.lasting_waits_logged_at = state.now
-    if not any(job.spec.lasting for job in state.jobs.values()):
+    state.waits_logged_at = state.now
+    if not any(
+        step.lasting or step.fills
+        for job in state.jobs.values()
+        for step in job.spec.steps
+    ):
         return []
-    waits = [
-        (max(_waited_s(state, task) for task in ready.tasks), ready)
-        for ready in ready_steps(state)
-        if ready.step.spec.lasting
+    ready = ready_steps(state)
+    lasting = [r for r in ready if r.step.spec.lasting]
+    best_effort = [r for r in ready if r.step.spec.fills and not r.step.spec.lasting]
+    return [
+        *_log_longest(state, LASTING_TASKS_WAITING, lasting),
+        *_log_longest(state, BEST_EFFORT_TASKS_WAITING, best_effort),
     ]
+
+
+def _log_longest(
+    state: SchedulerState, event: LogEvent, steps: list[ReadyStep]
+) -> list[Effect]:
+    waits = [(max(_waited_s(state, t) for t in r.tasks), r) for r in steps]
     long = [wait for wait in waits if wait[0] > LOG_INTERVAL_S]
     long.sort(key=lambda wait: -wait[0])
     return [
-        _log_line(state, ready, waited_s, len(long))
+        _log_line(state, event, ready, waited_s, len(long))
         for waited_s, ready in long[:MAX_LOG_LINES]
     ]
 
@@ -45,7 +61,11 @@
 
 
 def _log_line(
-    state: SchedulerState, ready: ReadyStep, waited_s: float, steps_waiting: int
+    state: SchedulerState,
+    event: LogEvent,
+    ready: ReadyStep,
+    waited_s: float,
+    steps_waiting: int,
 ) -> WriteLog:
     job = ready.job.spec
     pool = [e for e in state.endpoints.values() if e.report.service == job.service]
@@ -61,7 +81,7 @@
         "endpoints": dict(reasons),
         "steps_waiting": steps_waiting,
     }
-    return WriteLog(LASTING_TASKS_WAITING, fields)
+    return WriteLog(event, fields)
 
 
 def _reason(
