Keep room only for work that can start in it

Cause: yield_best_effort keeps an endpoint's free memory for each waiting step that ranks before best-effort work, and stops best-effort tasks for it, whatever the step waits for. A step that its workspace's upper limit, its most per endpoint, advice, the condition of the endpoints, an unexplained crash or, for a gang, the size of the pool keeps waiting never takes that room.

Change: room is made and kept for as many tasks as the limit still admits, by rank and over all steps of a workspace (LimitedDemand), on endpoints that would take them; for a gang only if all of its members get room. Steps with an unanswered request for advice count on the endpoints that they have tickets for.

The same cause elsewhere: lending counted all tasks of waiting steps as demand, and counted what a limit admits anew for each step; both use the same count now.

--- a/features/pool_growth.feature
+++ b/features/pool_growth.feature
@@ -45,6 +45,23 @@
     And 1 second passes
     Then 1 instance has been moved to the pool
 
+  # Guards against a limit that is counted anew for each job that waits for it.
+  Scenario: A pool does not grow for lasting jobs that together exceed the limit
+    Given a pool of 4 endpoints whose lasting tasks use 32 cores
+    And 12 idle instances whose move to the spare pool was carried out at 10 s
+    And the workspace has an upper limit of 50 cores
+    When 12 lasting jobs of 6 tasks of 1 core and 8000 MB are accepted at 12 s
+    And 1 second passes
+    Then 1 instance has been moved to the pool
+
+  # Guards against demand for work that no instance could start.
+  Scenario: Jobs beyond their workspace's limit are no demand while they wait
+    Given a pool of 20 endpoints whose lasting tasks use 160 cores
+    And the workspace has an upper limit of 200 cores
+    When jobs of 640 cores for 60 s arrive within 0.4 s
+    And the arrivals have been forgotten
+    Then the pool needs 20 endpoints with its waiting work
+
   # Guards against instances that arrive only after the begin of a turn that is expected.
   # The three other pools take two each.
   Scenario: Instances are lent ahead of an expected turn
--- a/features/steps/pool_growth.py
+++ b/features/steps/pool_growth.py
@@ -149,6 +149,36 @@
     accept(context, "e" * 16, spec)
 
 
+@when(
+    "{jobs:d} lasting jobs of {tasks:d} tasks of {cores:d} core and {memory:d} MB "
+    "are accepted at {at:g} s"
+)
+def step_lasting_jobs(context, jobs, tasks, cores, memory, at):
+    tick_until(context, at)
+    spec = StepSpec(tasks, cpu=1000 * cores, memory=memory, lasting=True)
+    for number in range(jobs):
+        accept(context, f"e{number:015x}", spec)
+
+
+@when("jobs of {cores:d} cores for 60 s arrive within {seconds:g} s")
+def step_long_burst(context, cores, seconds):
+    for number in range(cores // JOB_CORES):
+        spec = StepSpec(8, cpu=JOB_CORES * 125, memory=512, estimate_ms=60_000)
+        accept(context, f"{number:016x}", spec)
+    tick_until(context, context.state.now + seconds)
+
+
+@when("the arrivals have been forgotten")
+def step_no_arrivals(context):
+    context.state.arrival_rates.clear()
+
+
+@then("the pool needs {endpoints:d} endpoints with its waiting work")
+def step_need_with_waiting(context, endpoints):
+    found = _evaluate_pools(context.state)[POOL].need
+    assert found == endpoints, found
+
+
 @given("a turn with {cores:d} cores is expected in {pool} pool at {at:g} s")
 def step_expected_turn(context, cores, pool, at):
     service = POOL if pool == "the" else OTHER_POOL
--- a/features/steps/yielding.py
+++ b/features/steps/yielding.py
@@ -5,9 +5,26 @@
 from behave import then, when
 from steps.scheduler_rules import submit_job
 
-from primrosepitch.jobs.model import JobId, StepSpec
+from primrosepitch.jobs.model import (
+    JobId,
+    JobSpec,
+    QueueName,
+    Resources,
+    ServiceName,
+    StepSpec,
+    WorkspaceName,
+)
+from primrosepitch.jobs.records import RunCrash
+from primrosepitch.scheduling import events as ev
+from primrosepitch.scheduling.configuration import (
+    AdviceSpec,
+    QueueSpec,
+    WorkspaceSpec,
+)
 from standins.scheduler_world import objective_ms
 
+HOT = WorkspaceName("hot")
+
 
 @when(
     "{count:d} filling tasks of {memory:d} MB and {seconds:d} s {kept} checkpoints "
@@ -90,3 +107,179 @@
 @then("each filling task was stopped at most once, and some were")
 def step_once(context):
     assert max(context.stops.values()) == 1, context.stops
+
+
+WAITING = {}
+"""Functions that let work wait in the pool, by its description."""
+
+
+def waiting_work(name):
+    def register(function):
+        WAITING[name] = function
+        return function
+
+    return register
+
+
+@when("{waiting} wait in the pool")
+def step_waiting(context, waiting):
+    WAITING[waiting](context.world)
+    context.world.run(1.0)
+    state = context.world.nodes[0].state
+    hot = [j for j in state.jobs.values() if j.spec.workspace == HOT]
+    assert any(not task.placed for job in hot for task in job.tasks())
+
+
+def submit_hot(world, name, *steps, queue="q"):
+    spec = JobSpec(
+        JobId(name),
+        QueueName(queue),
+        ServiceName("s"),
+        HOT,
+        "p",
+        steps,
+        world.wall_ms,
+        max_attempts=4,
+        stretch=2.0,
+        goal_ms=600,
+    )
+    world.submit(spec)
+
+
+def limit_hot(world, cpu=0, memory=0):
+    world.cfg.workspaces[HOT] = WorkspaceSpec(HOT, 100.0, Resources(cpu, memory, 0))
+
+
+@waiting_work("lasting tasks beyond their limit")
+def lasting_beyond_limit(world):
+    limit_hot(world, cpu=12 * 1300)
+    submit_hot(world, "hot", StepSpec(45, 1300, 4300, lasting=True))
+
+
+@waiting_work("lasting tasks without any share of limit")
+def lasting_without_limit(world):
+    limit_hot(world, cpu=1000)
+    submit_hot(world, "hot", StepSpec(5, 1300, 4300, lasting=True))
+
+
+@waiting_work("spread lasting tasks beyond their limit")
+def spread_beyond_limit(world):
+    limit_hot(world, cpu=12 * 1300)
+    step = StepSpec(5, 1300, 4300, lasting=True, most_per_endpoint=1)
+    for number in range(9):
+        submit_hot(world, f"hot{number}", step)
+
+
+@waiting_work("large lasting tasks beyond their memory limit")
+def large_beyond_limit(world):
+    limit_hot(world, memory=24_000)
+    submit_hot(world, "hot", StepSpec(30, 100, 12_000, lasting=True))
+
+
+@waiting_work("many single-task jobs beyond their limit")
+def single_tasks_beyond_limit(world):
+    limit_hot(world, cpu=2600)
+    for number in range(40):
+        submit_hot(world, f"hot{number}", StepSpec(1, 1300, 4300, lasting=True))
+
+
+@waiting_work("tasks in time beyond their limit")
+def in_time_beyond_limit(world):
+    limit_hot(world, cpu=12 * 1300)
+    submit_hot(world, "hot", StepSpec(45, 1300, 4300, estimate_ms=60_000))
+
+
+@waiting_work("a gang beyond its limit")
+def gang_beyond_limit(world):
+    limit_hot(world, cpu=39 * 1300)
+    submit_hot(world, "hot", StepSpec(40, 1300, 4300, estimate_ms=60_000, gang=True))
+
+
+@waiting_work("a gang larger than the pool")
+def gang_too_large(world):
+    submit_hot(world, "hot", StepSpec(13, 1000, 16_000, estimate_ms=60_000, gang=True))
+
+
+@waiting_work("a lasting gang larger than the pool")
+def lasting_gang_too_large(world):
+    submit_hot(world, "hot", StepSpec(13, 1000, 16_000, lasting=True, gang=True))
+
+
+@waiting_work("lasting tasks beyond their most per endpoint")
+def beyond_most_per_endpoint(world):
+    step = StepSpec(45, 1000, 4300, lasting=True, most_per_endpoint=1)
+    submit_hot(world, "hot", step)
+
+
+def require_advice(world):
+    advice = AdviceSpec(20, 2, 3000)
+    name = QueueName("advised")
+    queue = QueueSpec(name, "h", "/advised/", ServiceName("s"), advice=advice)
+    world.cfg.queues[name] = queue
+    step = StepSpec(40, 1000, 16_000, lasting=True)
+    submit_hot(world, "hot", step, queue="advised")
+
+
+@waiting_work("lasting tasks that advice keeps off")
+def kept_off_by_advice(world):
+    require_advice(world)
+
+
+@waiting_work("lasting tasks without an answer to their request")
+def advice_unanswered(world):
+    def request_advice(node, request):
+        answer = ev.AdviceReceived(
+            request.step, request.endpoints, None, world.now, world.now
+        )
+        term = node.state.term
+        world.call_later(0.3, lambda: world._deliver_answer(node, term, answer))
+
+    world._do_requestadvice = request_advice
+    require_advice(world)
+
+
+@waiting_work("lasting tasks held until a crash is explained")
+def held_tasks(world):
+    state = world.nodes[0].state
+    limit_hot(world, cpu=1)
+    submit_hot(world, "hot", StepSpec(40, 1000, 4300, lasting=True))
+    world.run(0.1)
+    for task in state.jobs[JobId("hot")].tasks():
+        task.crashes = tuple(RunCrash(n, "unknown", 1) for n in range(5))
+        state.crashed_tasks[task.key] = task
+    limit_hot(world)
+
+
+@when(
+    "{jobs:d} single-task jobs of {memory:d} MB arrive, "
+    "{count:d} of which the limit admits"
+)
+def step_few_admitted(context, jobs, memory, count):
+    world = context.world
+    limit_hot(world, cpu=1300 * count)
+    for number in range(jobs):
+        submit_hot(world, f"hot{number}", StepSpec(1, 1300, memory, lasting=True))
+
+
+@when("{count:d} jobs of {kind} are accepted over {seconds:g} seconds")
+def step_filling_jobs(context, count, kind, seconds):
+    lasting = kind == "lasting tasks that fill"
+    step = StepSpec(1, 900, 910, estimate_ms=1000, lasting=lasting, fills=True)
+    context.filling = [JobId(f"filling{number}") for number in range(count)]
+    for name in context.filling:
+        submit_job(context, name, [step])
+        context.world.run(seconds / count)
+
+
+@then("all best-effort tasks start within {seconds:g} seconds")
+def step_all_fill(context, seconds):
+    context.world.run(seconds)
+    state = context.world.nodes[0].state
+    waiting = [
+        job for job in context.filling if job in state.jobs and not _started(state, job)
+    ]
+    assert not waiting, f"{len(waiting)} of {len(context.filling)} wait"
+
+
+def _started(state, job):
+    return all(task.run for task in state.jobs[job].tasks())
--- a/primrosepitch/scheduling/lending.py
+++ b/primrosepitch/scheduling/lending.py
@@ -42,7 +42,7 @@
     move_order,
 )
 from primrosepitch.scheduling.leases import unreachable_zones, usable
-from primrosepitch.scheduling.limits import count_within_limit
+from primrosepitch.scheduling.limits import count_startable
 from primrosepitch.scheduling.ordering import PriorityClass, ReadyStep, ready_steps
 from primrosepitch.scheduling.state import (
     SMALL_JOB_COUNT,
@@ -222,9 +222,9 @@
 
 
 def _evaluate_pools(state: SchedulerState) -> dict[ServiceName, Pool]:
-    ready = ready_steps(state)
-    demand = _current_demand(state, ready)
-    waiting = _endpoints_for_waiting(state, ready)
+    startable = count_startable(state, ready_steps(state))
+    demand = _current_demand(state, startable)
+    waiting = _endpoints_for_waiting(state, startable)
     largest = max((v.capacity.cpu for v in state.instances.values()), default=0)
     state.turns.advance(state.now)
     lead_s = state.limits.migration_s + AHEAD_SLACK_S
@@ -272,13 +272,16 @@
 
 
 def _current_demand(
-    state: SchedulerState, steps: list[ReadyStep]
+    state: SchedulerState, startable: list[tuple[ReadyStep, int]]
 ) -> dict[ServiceName, float]:
     """Return the processor capacity that each pool could use, in thousandths of a core.
 
     Waiting work is added to the arrival rate: a pool that only keeps up with the
     arrivals of a burst never clears the backlog from before its instances joined.
-    Arriving work needs capacity besides that of the lasting tasks.
+    Arriving work needs capacity besides that of the lasting tasks. Work that its
+    workspace's upper limit keeps waiting needs none.
+
+    :param startable: waiting steps, and how many tasks of each may start
     """
     demand: dict[ServiceName, float] = defaultdict(float)
     lasting: dict[ServiceName, float] = defaultdict(float)
@@ -294,8 +297,8 @@
     for service in state.arrival_rates:
         arriving = lasting[service] + expected_cpu(state, service)
         demand[service] = max(demand[service], arriving)
-    for ready in steps:
-        waiting = len(ready.tasks) * ready.step.spec.needs.cpu
+    for ready, tasks in startable:
+        waiting = tasks * ready.step.spec.needs.cpu
         in_time = ready.rank[0] <= PriorityClass.IN_TIME
         fraction = WAITING_WORK_FRACTION if in_time else LATE_WORK_FRACTION
         demand[ready.job.spec.service] += waiting * fraction
@@ -303,22 +306,20 @@
 
 
 def _endpoints_for_waiting(
-    state: SchedulerState, steps: list[ReadyStep]
+    state: SchedulerState, startable: list[tuple[ReadyStep, int]]
 ) -> dict[ServiceName, float]:
     """Return how many empty endpoints the waiting lasting tasks of each pool fill.
 
     The planning pass before has found no room for them, be it processor time or memory,
     and no running work ends that would make any.
+
+    :param startable: waiting steps, and how many tasks of each may start
     """
     found: dict[ServiceName, float] = defaultdict(float)
-    for ready in steps:
+    for ready, tasks in startable:
         spec = ready.step.spec
         if not spec.lasting or ready.key in state.advice_pending:
             continue
-        job = ready.job.spec
-        startable = count_within_limit(
-            state, job.workspace, spec.quota_request, len(ready.tasks)
-        )
         most = spec.most_per_endpoint or len(ready.tasks)
         fitting = max(
             (
@@ -329,7 +330,7 @@
             default=0,
         )
         if fitting > 0:
-            found[job.service] += startable / fitting
+            found[ready.job.spec.service] += tasks / fitting
     return found
 
 
--- a/primrosepitch/scheduling/limits.py
+++ b/primrosepitch/scheduling/limits.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from primrosepitch.jobs.model import Resources, WorkspaceName
+from primrosepitch.scheduling.ordering import ReadyStep
 from primrosepitch.scheduling.state import SchedulerState
 
-__all__ = ["count_within_limit", "within_limit"]
+__all__ = ["LimitedDemand", "count_startable", "within_limit"]
 
 
 def within_limit(
@@ -25,17 +26,65 @@
     )
 
 
-def count_within_limit(
-    state: SchedulerState, workspace: WorkspaceName, each: Resources, most: int
-) -> int:
-    """Return how many of ``most`` tasks that use ``each`` the upper limit admits."""
-    spec = state.cfg.workspaces.get(workspace)
-    if spec is None:
-        return most
-    used = state.usage.get(workspace, Resources())
-    counts = [
-        max(0, limit - amount) // need
-        for limit, amount, need in zip(spec.limit, used, each, strict=True)
-        if limit > 0 and need > 0
-    ]
-    return min([most, *counts])
+class LimitedDemand:
+    """Waiting tasks that the upper limits of their workspaces admit.
+
+    Steps of a workspace share what is left of its limit: those that are counted first
+    leave less to the others.
+    """
+
+    def __init__(self, state: SchedulerState) -> None:
+        """Begin with what the workspaces use; no waiting task is counted yet."""
+        self._state = state
+        self._counted: dict[WorkspaceName, Resources] = {}
+
+    def admitted(self, ready: ReadyStep, waiting: int) -> int:
+        """Return how many tasks of a step the limit admits beside those counted.
+
+        :param waiting: number of its tasks that wait for capacity alone
+        :returns: ``waiting`` at most; 0 for a gang that the limit does not admit whole
+        """
+        workspace = ready.job.spec.workspace
+        spec = self._state.cfg.workspaces.get(workspace)
+        if spec is None:
+            return waiting
+        counted = self._counted.get(workspace, Resources())
+        used = self._state.usage.get(workspace, Resources()).add(counted)
+        each = ready.step.spec.quota_request
+        if any(
+            0 < limit < amount for limit, amount in zip(spec.limit, used, strict=True)
+        ):
+            return 0
+        counts = [
+            (limit - amount) // need
+            for limit, amount, need in zip(spec.limit, used, each, strict=True)
+            if limit > 0 and need > 0
+        ]
+        most = min([waiting, *counts])
+        return 0 if ready.step.spec.gang and most < waiting else most
+
+    def count(self, ready: ReadyStep, tasks: int) -> None:
+        """Count tasks of a step against the limit of its workspace."""
+        workspace = ready.job.spec.workspace
+        counted = self._counted.get(workspace, Resources())
+        each = ready.step.spec.quota_request
+        total = Resources(*(amount * tasks for amount in each))
+        self._counted[workspace] = counted.add(total)
+
+
+def count_startable(
+    state: SchedulerState, steps: list[ReadyStep]
+) -> list[tuple[ReadyStep, int]]:
+    """Return how many tasks of each step its workspace's upper limit admits.
+
+    :param steps: waiting steps in the order of their ranks
+    :returns: the steps of which it admits any
+    """
+    demand = LimitedDemand(state)
+    found = []
+    for ready in steps:
+        admitted = demand.admitted(ready, len(ready.tasks))
+        demand.count(ready, admitted)
+        if admitted:
+            found.append((ready, admitted))
+    return found
--- a/primrosepitch/scheduling/placement.py
+++ b/primrosepitch/scheduling/placement.py
@@ -27,7 +27,12 @@
     warmth_refusal,
 )
 
-__all__ = ["StepCandidates", "start_waiting"]
+__all__ = [
+    "StepCandidates",
+    "may_be_advised",
+    "start_waiting",
+    "usable_pools",
+]
 
 MAX_PLACEMENTS = 250
 """Number of placements after which a planning pass is cut short. They take 20 to 40 ms
@@ -58,16 +63,22 @@
 
     def __init__(self, state: SchedulerState) -> None:
         """Group the usable endpoints by pool, but for those that may be lost."""
-        self.pools: dict[ServiceName, list[Endpoint]] = defaultdict(list)
-        for endpoint in state.endpoints.values():
-            if usable(state, endpoint) and not endpoint.failed_polls:
-                self.pools[endpoint.report.service].append(endpoint)
+        self.pools = usable_pools(state)
         _limit_starts(state)
         self.isolated = IsolatedTrials(state, self.pools)
         self.full: set[tuple[ServiceName, Resources, str]] = set()
         self.capped: set[object] = set()
 
 
+def usable_pools(state: SchedulerState) -> dict[ServiceName, list[Endpoint]]:
+    """Return the endpoints on which tasks may be placed now, by pool."""
+    pools: dict[ServiceName, list[Endpoint]] = defaultdict(list)
+    for endpoint in state.endpoints.values():
+        if usable(state, endpoint) and not endpoint.failed_polls:
+            pools[endpoint.report.service].append(endpoint)
+    return pools
+
+
 def start_waiting(state: SchedulerState) -> list[Effect]:
     """Place the tasks of waiting steps in the order of their ranks.
 
@@ -297,10 +308,17 @@
 
     def refusal(self, endpoint: Endpoint) -> str:
         """Return why an endpoint may not run a task, or an empty string."""
+        return _common_refusal(self._spec, endpoint) or self._own_refusal(endpoint)
+
+    def refusal_with_room(self, endpoint: Endpoint) -> str:
+        """Return why an endpoint may not run a task even if it has room for it."""
+        return _condition_refusal(self._spec, endpoint) or self._own_refusal(endpoint)
+
+    def _own_refusal(self, endpoint: Endpoint) -> str:
+        """Return why an endpoint refuses tasks of this step only."""
         most = self._spec.most_per_endpoint
         over_most = 0 < most <= self._on_endpoint[endpoint.id]
-        own_refusal = "most per endpoint" if over_most else ""
-        return _common_refusal(self._spec, endpoint) or own_refusal
+        return "most per endpoint" if over_most else ""
 
 
 def _common_refusal(spec: StepSpec, endpoint: Endpoint) -> str:
@@ -312,6 +330,11 @@
         return "room kept"
     if endpoint.starts_left <= 0:
         return "orders waiting"
+    return _condition_refusal(spec, endpoint)
+
+
+def _condition_refusal(spec: StepSpec, endpoint: Endpoint) -> str:
+    """Return why an endpoint refuses tasks because of its condition or its labels."""
     if endpoint.fault_score >= EJECTION_FAULT_SCORE and any(
         not task.started_at or task.started_at > endpoint.last_fault_at
         for task in endpoint.tasks.values()
@@ -436,6 +459,21 @@
     return allowed, [RequestAdvice(step, ids, queue.advice.validity_ms / 1000)]
 
 
+def may_be_advised(state: SchedulerState, ready: ReadyStep, endpoint: Endpoint) -> bool:
+    """Return whether a step has a ticket for an endpoint or may still get one.
+
+    While requests for advice remain unanswered, only tickets count.
+    """
+    queue = state.cfg.queues.get(ready.job.spec.queue)
+    if queue is None or queue.advice is None:
+        return True
+    if endpoint.id in state.tickets.get(ready.key, {}):
+        return True
+    if ready.key in state.advice_failed:
+        return False
+    return endpoint.id not in state.advice_requested.get(ready.key, set())
+
+
 def _count_fitting(ready: ReadyStep, endpoint: Endpoint) -> int:
     spec = ready.step.spec
     most = spec.most_per_endpoint or len(ready.tasks)
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -263,7 +263,9 @@
 def _advice_received(state: SchedulerState, event: ev.AdviceReceived) -> list[Effect]:
     state.advice_pending.discard(event.step)
     if event.allowed is None:
+        state.advice_failed.add(event.step)
         return []
+    state.advice_failed.discard(event.step)
     state.advice_requested.setdefault(event.step, set()).update(event.requested)
     tickets = state.tickets.setdefault(event.step, {})
     for endpoint, text in event.allowed.items():
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -509,6 +509,7 @@
     :param queue_work: mean work of each queue's jobs
     :param advice_requested: endpoints of which advice on a step has been received
     :param advice_pending: steps with a request for advice in progress
+    :param advice_failed: steps whose newest request for advice was not answered
     :param dirty_runs: parts of jobs whose runs have uncommitted changes, oldest first
     :param changed_jobs: jobs whose state has uncommitted changes
     :param ended_runs: parts of jobs whose final state is durable, so that the records
@@ -603,6 +604,7 @@
         default_factory=dict
     )
     advice_pending: set[tuple[JobId, int, int]] = msgspec.field(default_factory=set)
+    advice_failed: set[tuple[JobId, int, int]] = msgspec.field(default_factory=set)
 
     @property
     def term_confirmed(self) -> bool:
--- a/primrosepitch/scheduling/yielding.py
+++ b/primrosepitch/scheduling/yielding.py
@@ -6,10 +6,18 @@
 
 from __future__ import annotations
 
-from primrosepitch.jobs.model import EndpointId, Resources
+from typing import NamedTuple
+
+from primrosepitch.jobs.model import EndpointId, Resources, ServiceName
+from primrosepitch.scheduling.crashes import is_held, needs_isolation
 from primrosepitch.scheduling.effects import Effect
-from primrosepitch.scheduling.leases import usable
+from primrosepitch.scheduling.limits import LimitedDemand
 from primrosepitch.scheduling.ordering import PriorityClass, ReadyStep, ready_steps
+from primrosepitch.scheduling.placement import (
+    StepCandidates,
+    may_be_advised,
+    usable_pools,
+)
 from primrosepitch.scheduling.runs import stop_task
 from primrosepitch.scheduling.state import Endpoint, Phase, SchedulerState, Task
 
@@ -24,33 +32,77 @@
 REASON = "yields to a job in time"
 
 
+class _RoomPlan(NamedTuple):
+    """How room is made for tasks of a step.
+
+    :param left: free capacity that is left on each endpoint that gets any of them
+    :param stops: best-effort tasks to be stopped
+    :param tasks: number of tasks that have room then
+    """
+
+    left: dict[EndpointId, Resources]
+    stops: list[Task]
+    tasks: int
+
+
 def yield_best_effort(state: SchedulerState) -> list[Effect]:
     """Stop the best-effort tasks in whose place waiting tasks fit.
 
     Each task without checkpoints is stopped once at most, so that none loses its work
-    twice.
+    twice. Room is made and kept only for tasks that wait for nothing else: best-effort
+    tasks would wait as long as one that its workspace's upper limit keeps waiting.
     """
     if state.now - state.yielded_at < INTERVAL_S:
         return []
     state.yielded_at = state.now
-    filled = []
+    filled = False
     kept = False
     for endpoint in state.endpoints.values():
         kept = kept or endpoint.room_kept
         endpoint.room_kept = False
-        if any(task.spec.fills for task in endpoint.tasks.values()):
-            filled.append(endpoint)
+        filled = filled or any(task.spec.fills for task in endpoint.tasks.values())
     if not filled and not kept:
         return []
     effects: list[Effect] = []
+    pools = usable_pools(state)
     freed = {e.id: _being_freed(e) for e in state.endpoints.values()}
+    demand = LimitedDemand(state)
+    full: set[tuple[ServiceName, Resources, str, bool]] = set()
     for ready in ready_steps(state):
         if ready.rank[0] > PriorityClass.IN_TIME or len(effects) >= 2 * MAX_STOPS:
             break
-        effects += _make_room(state, ready, freed, filled)
+        waiting = sum(not (needs_isolation(t) or is_held(t)) for t in ready.tasks)
+        waiting = demand.admitted(ready, waiting)
+        if not waiting:
+            continue
+        spec = ready.step.spec
+        alike = (ready.job.spec.service, spec.needs, spec.label, spec.lasting)
+        if alike in full:
+            continue
+        pool = pools.get(ready.job.spec.service, [])
+        plan = _plan_room(state, ready, waiting, pool, freed)
+        if not plan.tasks and not _has_own_conditions(state, ready):
+            full.add(alike)
+        if spec.gang and plan.tasks < waiting:
+            # A gang starts when all of its members have room.
+            continue
+        demand.count(ready, plan.tasks)
+        freed.update(plan.left)
+        for endpoint_id in plan.left:
+            state.endpoints[endpoint_id].room_kept = True
+        for task in plan.stops:
+            task.yields += 1
+            effects += stop_task(state, task, REASON)
     return effects
 
 
+def _has_own_conditions(state: SchedulerState, ready: ReadyStep) -> bool:
+    """Return whether endpoints may refuse a step that others with its needs may use."""
+    queue = state.cfg.queues.get(ready.job.spec.queue)
+    advised = queue is not None and queue.advice is not None
+    return advised or ready.step.spec.most_per_endpoint > 0
+
+
 def _being_freed(endpoint: Endpoint) -> Resources:
     """Return the capacity that is free once the tasks being stopped have ended."""
     free = endpoint.free()
@@ -60,59 +112,57 @@
     return free
 
 
-def _make_room(
+def _plan_room(
     state: SchedulerState,
     ready: ReadyStep,
+    waiting: int,
+    pool: list[Endpoint],
     freed: dict[EndpointId, Resources],
-    filled: list[Endpoint],
-) -> list[Effect]:
-    """Stop tasks until all tasks of a step fit, or none may be stopped any more.
+) -> _RoomPlan:
+    """Plan room for tasks of a step, first without stopping best-effort tasks.
 
-    :param freed: free capacity by endpoint, from which that for the step is taken
+    :param waiting: number of tasks that wait for room
+    :param pool: usable endpoints of the step's pool
+    :param freed: free capacity by endpoint, which other steps have left
     """
     needs = ready.step.spec.needs
-    waiting = len(ready.tasks)
-    for endpoint in state.endpoints.values():
-        if not _serves(state, endpoint, ready):
-            continue
-        while waiting and needs.fits(freed[endpoint.id]):
-            freed[endpoint.id] = freed[endpoint.id].subtract(needs)
-            endpoint.room_kept = True
-            waiting -= 1
-    effects: list[Effect] = []
-    for endpoint in filled:
-        if not waiting:
-            break
-        if not _serves(state, endpoint, ready):
-            continue
-        stopped: list[Task] = []
-        free = freed[endpoint.id]
-        for task in endpoint.tasks.values():
-            if _may_yield(task) and waiting and _lacking(needs, free, task):
+    candidates = StepCandidates(ready, pool)
+    left: dict[EndpointId, Resources] = {}
+    stops: list[Task] = []
+    planned = 0
+    for may_stop in (False, True):
+        for endpoint in pool:
+            if planned >= waiting:
+                break
+            if not may_be_advised(state, ready, endpoint):
+                continue
+            free = left.get(endpoint.id, freed[endpoint.id])
+            stopped = _choose_stops(endpoint, needs, free) if may_stop else []
+            for task in stopped:
                 free = free.add(task.spec.needs)
-                stopped.append(task)
-        if not needs.fits(free):
-            continue
-        for task in stopped:
-            task.yields += 1
-            effects += stop_task(state, task, REASON)
-        while waiting and needs.fits(free):
-            free = free.subtract(needs)
-            waiting -= 1
-        endpoint.room_kept = True
-        freed[endpoint.id] = free
-    return effects
-
-
-def _serves(state: SchedulerState, endpoint: Endpoint, ready: ReadyStep) -> bool:
-    """Return whether an endpoint may run a step if it has room."""
-    label = ready.step.spec.label
-    return (
-        endpoint.report.service == ready.job.spec.service
-        and usable(state, endpoint)
-        and not endpoint.failed_polls
-        and (not label or label in endpoint.report.labels)
-    )
+            before = planned
+            while (
+                planned < waiting
+                and needs.fits(free)
+                and not candidates.refusal_with_room(endpoint)
+            ):
+                free = free.subtract(needs)
+                candidates.record_placement(endpoint)
+                planned += 1
+            if planned > before:
+                left[endpoint.id] = free
+                stops += stopped
+    return _RoomPlan(left, stops, planned)
+
+
+def _choose_stops(endpoint: Endpoint, needs: Resources, free: Resources) -> list[Task]:
+    """Return the tasks of an endpoint to be stopped for one that needs their room."""
+    stops: list[Task] = []
+    for task in endpoint.tasks.values():
+        if _may_yield(task) and _lacking(needs, free, task):
+            free = free.add(task.spec.needs)
+            stops.append(task)
+    return stops
 
 
 def _lacking(needs: Resources, free: Resources, task: Task) -> bool:
