Count a job as waiting until a run of it has begun

Cause: place_task set a job's state to running when an endpoint had been chosen, before the start order was sent, and nothing took that back when the start was refused. A successor did the same for each job with a stored placement.

Change: a job is running once an endpoint has shown that a run of it has begun: a start that was carried out, a run that is listed, or an end that is listed. A successor takes ends, checkpoints and listed runs in the ledger as proof. An answer "old" to a start is none: a stop order that came first causes it as well. A state that has become running is stored with the next heartbeat, within 0.25 s, instead of with each placement; final states are stored at once as before.

Looked at without a change: count_queued of job_intake.py (counts what the ledger says), run_lost and _withdraw_run (a job that has begun stays running), operators' timelines (from logs).

--- a/features/steps/scheduler_rules.py
+++ b/features/steps/scheduler_rules.py
@@ -58,6 +58,7 @@
         max_attempts=attempts,
         stretch=2.0,
         goal_ms=600,
+        **options,
     )
     world.submit(spec)
 
--- a/primrosepitch/scheduling/commits.py
+++ b/primrosepitch/scheduling/commits.py
@@ -64,7 +64,9 @@
         return []
     renewal = state.now - state.renewed_at >= TERM_RENEWAL_INTERVAL_S
     waves = any(wave.dirty for wave in state.waves.values())
-    jobs = state.dirty_runs or state.changed_jobs or state.ended_runs
+    # That a job has begun may wait for the next heartbeat.
+    ended = any(state.jobs[job].state.final for job in state.changed_jobs)
+    jobs = state.dirty_runs or ended or state.ended_runs
     if not (jobs or waves or state.planned_orders or renewal):
         return []
     effects: list[Effect] = []
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -53,6 +53,7 @@
     charge_duplicate,
     confirm_soundness,
     find_task,
+    record_begun,
     release_duplicates,
     reserve_capacity,
     run_ended,
@@ -499,6 +500,7 @@
             reason = "start refused after an unanswered order"
             effects += stop_task(state, task, reason)
     for row in listed.values():
+        record_begun(state, row.task.job)
         effects += _stop_orphan(state, endpoint, row)
     return effects
 
@@ -524,6 +526,7 @@
 
 def _update_run(state: SchedulerState, task: Task, row: ActiveRun) -> None:
     task.listed = True
+    record_begun(state, task.key.job)
     if task.phase is Phase.STARTING:
         task.phase = Phase.RUNNING
         task.started_at = task.phase_since = state.now
--- a/primrosepitch/scheduling/runs.py
+++ b/primrosepitch/scheduling/runs.py
@@ -51,6 +51,7 @@
     "charge_duplicate",
     "run_lost",
     "place_task",
+    "record_begun",
     "release_task",
     "release_duplicates",
     "restore_job",
@@ -96,6 +97,16 @@
     state.changed_jobs.add(job.spec.job)
 
 
+def record_begun(state: SchedulerState, job_id: JobId) -> None:
+    """Record that an endpoint has begun a run of a job, which is not queued any more.
+
+    A start order proves nothing, as it may be refused.
+    """
+    job = state.jobs.get(job_id)
+    if job is not None and job.state is JobState.QUEUED:
+        set_job_state(state, job, JobState.RUNNING)
+
+
 def add_job(state: SchedulerState, spec: JobSpec) -> JobRun:
     """Add an accepted job and create the tasks that are due."""
     job = JobRun(spec, critical_path_ms=critical_path_ms(spec))
@@ -172,8 +183,9 @@
     if status is not None:
         job.state = status.state
     if runs is not None:
-        # The job's state may not have been committed together with the runs.
-        job.state = JobState.RUNNING
+        if any(map(_shows_begun, runs.tasks)):
+            # The job's state may not have been committed together with the runs.
+            record_begun(state, spec.job)
         job.stored_parts |= runs.parts
         for record in runs.tasks:
             _restore_task(state, job, record)
@@ -182,6 +194,13 @@
     return job
 
 
+def _shows_begun(record: TaskRecord) -> bool:
+    """Return whether the stored state of a task shows that a run of it has begun."""
+    ended = record.done or record.failures > 0 or bool(record.failed)
+    listed = any(crash.listed for crash in record.crashes)
+    return ended or listed or bool(record.checkpoint)
+
+
 def _restore_task(state: SchedulerState, job: JobRun, record: TaskRecord) -> None:
     if record.occurrence not in job.steps:
         # The earlier scheduler's time of day was ahead of this one's: an occurrence
@@ -283,9 +302,6 @@
     charge_usage(state, task, 1)
     reserve_capacity(endpoint, task)
     endpoint.starts_left -= 1
-    job = state.jobs[task.key.job]
-    if job.state is JobState.QUEUED:
-        set_job_state(state, job, JobState.RUNNING)
     state.mark_dirty(task)
     fields = {
         "job": task.key.job,
@@ -372,6 +388,7 @@
     effects += _count_faults(state, endpoint, ended.kind)
     if task is None:
         return effects
+    record_begun(state, ended.task.job)
     job = state.jobs[ended.task.job]
     endpoint.unstored_ends.append((ended.number, task.stored_in))
     effects += refute_listed(state, task, ended.run)
@@ -550,6 +567,8 @@
     not_told = outcome is Outcome.EXPIRED and not task.unanswered
     if not_told and task.phase in (Phase.STARTING, Phase.STOPPING):
         return _withdraw_run(state, task)
+    if outcome is Outcome.DONE:
+        record_begun(state, task.key.job)
     if outcome in (Outcome.DONE, Outcome.SUPERSEDED):
         task.started_at = state.now
         if task.phase is Phase.STARTING:
