Plan in time proportional to the steps of a job

Cause: ready_steps computed the longest chain after each waiting step by a walk over all pairs of the job's steps (n^3 for n ready steps), and looked for a done step among all of them (n^2), four times in a pass and in the event loop.

Change: the chains are computed once, when a job is accepted, in time proportional to its steps and dependencies. What is done stays done, so steps, dependencies and jobs remember how far they are done; what holds for all steps of an occurrence is computed once for them. A pass looks for ready steps once, and yielding, lending and the log use what placement has left waiting.

The same cause on related paths, changed: a pass ranked the pool anew for each of many steps that are alike, and examined all endpoints for each step that differs though none has the room or the label; a gang was fitted member by member over all endpoints; yielding planned room task by task; lending compared each lasting step with all instances; each commit looked for a gang in all steps of a job for each of its parts; each end of a run looked at all steps.

--- a/features/steps/pool_growth.py
+++ b/features/steps/pool_growth.py
@@ -18,6 +18,7 @@
 from primrosepitch.scheduling.configuration import WorkspaceSpec
 from primrosepitch.scheduling.effects import Commit, MoveInstance
 from primrosepitch.scheduling.lending import _evaluate_pools
+from primrosepitch.scheduling.ordering import ready_steps
 from primrosepitch.scheduling.reducer import step
 from primrosepitch.scheduling.state import InstanceMove
 from primrosepitch.scheduling.turns import PoolTurns, Prediction
@@ -126,10 +127,11 @@
 
 def need(context):
     # Waiting tasks would add to the demand.
-    for job in context.state.jobs.values():
+    state = context.state
+    for job in state.jobs.values():
         if not job.spec.lasting:
             job.cancelled = True
-    return _evaluate_pools(context.state)[POOL].need
+    return _evaluate_pools(state, ready_steps(state))[POOL].need
 
 
 @given("the workspace has an upper limit of {cores:d} cores")
@@ -175,7 +177,8 @@
 
 @then("the pool needs {endpoints:d} endpoints with its waiting work")
 def step_need_with_waiting(context, endpoints):
-    found = _evaluate_pools(context.state)[POOL].need
+    state = context.state
+    found = _evaluate_pools(state, ready_steps(state))[POOL].need
     assert found == endpoints, found
 
 
--- a/primrosepitch/scheduling/commits.py
+++ b/primrosepitch/scheduling/commits.py
@@ -158,7 +158,7 @@
     """
     if first not in state.dirty_runs:
         return []
-    if not any(step.gang for step in job.spec.steps):
+    if not job.has_gang:
         return [first]
     return [runs for runs in state.dirty_runs if runs.job == first.job]
 
--- a/primrosepitch/scheduling/contention.py
+++ b/primrosepitch/scheduling/contention.py
@@ -16,14 +16,13 @@
     SLACK_FRACTION,
     TASK_OVERHEAD_MS,
     TOO_LATE_FACTOR,
+    Occurrence,
     PriorityClass,
     register_ranking,
-    remaining_path_ms,
 )
 from primrosepitch.scheduling.state import (
     JobRun,
     MeanWork,
-    Phase,
     SchedulerState,
     StepRun,
 )
@@ -76,7 +75,11 @@
 
 @register_ranking("value")
 def _by_value(
-    state: SchedulerState, job: JobRun, occurrence: int, number: int, step: StepRun
+    state: SchedulerState,
+    job: JobRun,
+    occurrence: Occurrence,
+    number: int,
+    step: StepRun,
 ) -> tuple[float, ...]:
     """Rank by class, and within one by value while the pool is contended.
 
@@ -88,12 +91,12 @@
     if step.spec.lasting:
         accepted_ms = float(spec.accepted_ms)
         return (float(PriorityClass.LASTING), float(spec.priority), 0.0, accepted_ms)
-    begun_ms = spec.due_ms(occurrence) or spec.attempted_ms
+    begun_ms = spec.due_ms(occurrence.number) or spec.attempted_ms
     span_ms = max(1.0, job.deadline_ms - spec.attempted_ms)
-    path_ms = remaining_path_ms(job, number)
+    path_ms = job.remaining_paths_ms[number]
     left_ms = begun_ms + span_ms - state.wall_ms
     slack_ms = left_ms - path_ms
-    work, begun = _remaining(job.steps[occurrence])
+    work, begun = occurrence.waiting_work, occurrence.begun
     order = PlaceOrder.BEGUN if begun else PlaceOrder.NEW
     if spec.first_attempt_ms and not begun:
         order = PlaceOrder.RETURNED
@@ -115,16 +118,6 @@
     return (float(PriorityClass.TOO_LATE), 0.0, 0.0, 0.0, slack_ms)
 
 
-def _remaining(steps: list[StepRun]) -> tuple[float, bool]:
-    """Return the work of the waiting tasks, and whether any other task has capacity."""
-    work, begun = 0.0, False
-    for step in steps:
-        waiting = sum(task.phase is Phase.WAITING for task in step.tasks)
-        work += waiting * step.spec.needs.cpu * step.spec.estimate_ms
-        begun = begun or waiting < len(step.tasks)
-    return work, begun
-
-
 def _density(
     state: SchedulerState, job: JobRun, work: float, left_ms: float, path_ms: int
 ) -> float:
--- a/primrosepitch/scheduling/lending.py
+++ b/primrosepitch/scheduling/lending.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from primrosepitch.events import INSTANCE_MOVING, MOVE_ANSWERED, POOLS_REPORTED
-from primrosepitch.jobs.model import ServiceName
+from primrosepitch.jobs.model import Resources, ServiceName
 from primrosepitch.scheduling.effects import (
     Effect,
     ListInstances,
@@ -43,7 +43,7 @@
 )
 from primrosepitch.scheduling.leases import unreachable_zones, usable
 from primrosepitch.scheduling.limits import count_startable
-from primrosepitch.scheduling.ordering import PriorityClass, ReadyStep, ready_steps
+from primrosepitch.scheduling.ordering import PriorityClass, ReadyStep
 from primrosepitch.scheduling.state import (
     SMALL_JOB_COUNT,
     Endpoint,
@@ -124,8 +124,11 @@
         return max(self.need, self.ahead) - self.incoming - len(self.endpoints)
 
 
-def lend_instances(state: SchedulerState) -> list[Effect]:
-    """Order moves of instances to the pools that need them."""
+def lend_instances(state: SchedulerState, waiting: list[ReadyStep]) -> list[Effect]:
+    """Order moves of instances to the pools that need them.
+
+    :param waiting: steps that the planning pass has left waiting, by rank
+    """
     spare = state.cfg.spare_pool()
     interval_s = (
         LENDING_INTERVAL_S
@@ -144,7 +147,7 @@
         return effects
     _drop_finished_moves(state, spare)
     effects += _repeat_moves(state)
-    pools = _evaluate_pools(state)
+    pools = _evaluate_pools(state, waiting)
     idle = _surplus_endpoints(state, pools)
     switched_off = _switched_off(state, spare)
     effects += _log_pools(state, pools, idle, switched_off)
@@ -221,10 +224,12 @@
     return effects
 
 
-def _evaluate_pools(state: SchedulerState) -> dict[ServiceName, Pool]:
-    startable = count_startable(state, ready_steps(state))
+def _evaluate_pools(
+    state: SchedulerState, waiting: list[ReadyStep]
+) -> dict[ServiceName, Pool]:
+    startable = count_startable(state, waiting)
     demand = _current_demand(state, startable)
-    waiting = _endpoints_for_waiting(state, startable)
+    for_waiting = _endpoints_for_waiting(state, startable)
     largest = max((v.capacity.cpu for v in state.instances.values()), default=0)
     state.turns.advance(state.now)
     lead_s = state.limits.migration_s + AHEAD_SLACK_S
@@ -244,7 +249,7 @@
         with_lasting = sum(endpoint.has_lasting for endpoint in endpoints)
         need = max(
             need,
-            with_lasting + math.ceil(waiting[service.name]),
+            with_lasting + math.ceil(for_waiting[service.name]),
             _min_endpoints(state, service.name),
             MIN_ENDPOINTS,
         )
@@ -316,21 +321,27 @@
     :param startable: waiting steps, and how many tasks of each may start
     """
     found: dict[ServiceName, float] = defaultdict(float)
+    most_fitting: dict[tuple[Resources, str, int], int] = {}
     for ready, tasks in startable:
-        spec = ready.step.spec
+        spec, service = ready.step.spec, ready.job.spec.service
         if not spec.lasting or ready.key in state.advice_pending:
             continue
+        if found[service] >= len(state.instances):
+            # It takes all that there are.
+            continue
         most = spec.most_per_endpoint or len(ready.tasks)
-        fitting = max(
-            (
-                view.capacity.count_fitting(spec.needs, most)
-                for view in state.instances.values()
-                if not spec.label or spec.label in view.labels
-            ),
-            default=0,
-        )
-        if fitting > 0:
-            found[ready.job.spec.service] += tasks / fitting
+        alike = (spec.needs, spec.label, most)
+        if alike not in most_fitting:
+            most_fitting[alike] = max(
+                (
+                    view.capacity.count_fitting(spec.needs, most)
+                    for view in state.instances.values()
+                    if not spec.label or spec.label in view.labels
+                ),
+                default=0,
+            )
+        if most_fitting[alike] > 0:
+            found[service] += tasks / most_fitting[alike]
     return found
 
 
--- a/primrosepitch/scheduling/ordering.py
+++ b/primrosepitch/scheduling/ordering.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import enum
+import functools
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -20,7 +21,15 @@
     Task,
 )
 
-__all__ = ["TOO_LATE_FACTOR", "RANKINGS", "PriorityClass", "ReadyStep", "ready_steps"]
+__all__ = [
+    "TOO_LATE_FACTOR",
+    "RANKINGS",
+    "Occurrence",
+    "PriorityClass",
+    "ReadyStep",
+    "ready_steps",
+    "still_waiting",
+]
 
 TOO_LATE_FACTOR = 3.0
 """Multiple of its latency objective after which a job's result is of no use to its
@@ -66,17 +75,62 @@
         return self.tasks[0].key[:3]
 
 
+class Occurrence:
+    """Progress of one occurrence of a job, computed once for all of its ready steps.
+
+    :ivar number: number of the occurrence
+    :ivar steps: its steps
+    """
+
+    def __init__(self, number: int, steps: list[StepRun]) -> None:
+        """Compute nothing yet."""
+        self.number = number
+        self.steps = steps
+
+    @functools.cached_property
+    def any_step_done(self) -> bool:
+        """Return whether any step is done."""
+        return any(step.done for step in self.steps)
+
+    @functools.cached_property
+    def waiting_work(self) -> float:
+        """Return the work of waiting tasks, in thousandths of a core times ms."""
+        return float(
+            sum(
+                step.spec.needs.cpu * step.spec.estimate_ms
+                for step in self.steps
+                for task in step.tasks
+                if task.phase is Phase.WAITING
+            )
+        )
+
+    @functools.cached_property
+    def begun(self) -> bool:
+        """Return whether any task is placed or done."""
+        return any(
+            task.phase is not Phase.WAITING for s in self.steps for task in s.tasks
+        )
+
+
 def ready_steps(state: SchedulerState) -> list[ReadyStep]:
-    """Return the steps with waiting tasks whose dependencies are done, in order."""
+    """Return the steps with waiting tasks whose dependencies are done, in order.
+
+    Takes time in proportion to the tasks of open jobs; a planning pass calls it once.
+    """
     found = []
     rank_of = RANKINGS[state.ranking]
     for job in state.jobs.values():
         if job.cancelled or job.failing or job.state.final:
             continue
-        for occurrence, steps in job.steps.items():
+        for occurrence_number, steps in job.steps.items():
+            if occurrence_number < job.done_occurrences:
+                continue
+            occurrence = Occurrence(occurrence_number, steps)
             for number, step in enumerate(steps):
+                if not step.may_begin(steps):
+                    continue
                 tasks = [t for t in step.tasks if t.phase is Phase.WAITING]
-                if not tasks or not all(steps[i].done for i in step.spec.after):
+                if not tasks:
                     continue
                 if step.spec.gang and not _gang_waiting(step):
                     continue
@@ -86,12 +140,24 @@
     return found
 
 
+def still_waiting(steps: list[ReadyStep]) -> list[ReadyStep]:
+    """Return the steps with the tasks that wait still, in the same order."""
+    found = []
+    for ready in steps:
+        tasks = [task for task in ready.tasks if task.phase is Phase.WAITING]
+        if tasks:
+            found.append(ready._replace(tasks=tasks))
+    return found
+
+
 def _gang_waiting(step: StepRun) -> bool:
     """Return whether no member of a gang has capacity, so that all can start."""
     return not any(task.placed for task in step.tasks)
 
 
-RankFunction = Callable[[SchedulerState, JobRun, int, int, StepRun], tuple[float, ...]]
+RankFunction = Callable[
+    [SchedulerState, JobRun, Occurrence, int, StepRun], tuple[float, ...]
+]
 RANKINGS: dict[str, RankFunction] = {}
 
 
@@ -107,7 +173,11 @@
 
 @register_ranking("arrival")
 def _by_arrival(
-    state: SchedulerState, job: JobRun, occurrence: int, number: int, step: StepRun
+    state: SchedulerState,
+    job: JobRun,
+    occurrence: Occurrence,
+    number: int,
+    step: StepRun,
 ) -> tuple[float, ...]:
     """Rank first come, first served, as the baseline for comparison of rankings."""
     priority_class = (
@@ -118,7 +188,11 @@
 
 @register_ranking("urgency")
 def _by_urgency(
-    state: SchedulerState, job: JobRun, occurrence: int, number: int, step: StepRun
+    state: SchedulerState,
+    job: JobRun,
+    occurrence: Occurrence,
+    number: int,
+    step: StepRun,
 ) -> tuple[float, ...]:
     if step.spec.fills:
         return (float(PriorityClass.BEST_EFFORT), 0.0, 0.0, float(job.spec.accepted_ms))
@@ -130,11 +204,11 @@
             0.0,
             float(job.spec.accepted_ms),
         )
-    begun_ms = job.spec.due_ms(occurrence) or job.spec.attempted_ms
+    begun_ms = job.spec.due_ms(occurrence.number) or job.spec.attempted_ms
     span_ms = max(1.0, job.deadline_ms - job.spec.attempted_ms)
-    left_ms = remaining_path_ms(job, number)
+    left_ms = job.remaining_paths_ms[number]
     slack_ms = begun_ms + span_ms - state.wall_ms - left_ms
-    begun = any(step.done for step in job.steps[occurrence])
+    begun = occurrence.any_step_done
     margin_ms = 0.0 if begun else TASK_OVERHEAD_MS + SLACK_FRACTION * left_ms
     if slack_ms >= margin_ms:
         priority_class = PriorityClass.BEGUN if begun else PriorityClass.IN_TIME
@@ -153,13 +227,3 @@
         float(priority_class),
         slack_ms,
     )
-
-
-def remaining_path_ms(job: JobRun, number: int) -> int:
-    """Return the estimated duration of the longest chain that starts with a step."""
-    steps = job.spec.steps
-    longest = [0] * len(steps)
-    for i in range(len(steps) - 1, -1, -1):
-        after = [longest[j] for j in range(i + 1, len(steps)) if i in steps[j].after]
-        longest[i] = steps[i].estimate_ms + max(after, default=0)
-    return longest[number]
--- a/primrosepitch/scheduling/placement.py
+++ b/primrosepitch/scheduling/placement.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import heapq
 from collections import Counter, defaultdict
 
 from primrosepitch.events import JOB_UNPLACEABLE
-from primrosepitch.jobs.model import Resources, ServiceName, StepSpec
+from primrosepitch.jobs.model import Resources, ServiceName, StepSpec, WorkspaceName
 from primrosepitch.scheduling.crashes import (
     IsolatedTrials,
     is_held,
@@ -16,7 +17,7 @@
 from primrosepitch.scheduling.effects import Effect, RequestAdvice, WriteLog
 from primrosepitch.scheduling.leases import usable
 from primrosepitch.scheduling.limits import within_limit
-from primrosepitch.scheduling.ordering import ReadyStep, ready_steps
+from primrosepitch.scheduling.ordering import ReadyStep
 from primrosepitch.scheduling.runs import EJECTION_FAULT_SCORE, place_task
 from primrosepitch.scheduling.state import Endpoint, Phase, SchedulerState, Task
 from primrosepitch.scheduling.warmth import (
@@ -30,6 +31,7 @@
 __all__ = [
     "StepCandidates",
     "may_be_advised",
+    "requires_advice",
     "start_waiting",
     "usable_pools",
 ]
@@ -58,7 +60,9 @@
 class PlanningCapacity:
     """Endpoints on which a planning pass may place tasks, by pool.
 
-    ``full`` contains pool, needs and label of tasks that fit on no endpoint.
+    ``full`` contains pool, needs and label of tasks that fit on no endpoint. Capacity
+    only shrinks during a pass, so what no endpoint has free at its begin is not looked
+    for again.
     """
 
     def __init__(self, state: SchedulerState) -> None:
@@ -67,7 +71,53 @@
         _limit_starts(state)
         self.isolated = IsolatedTrials(state, self.pools)
         self.full: set[tuple[ServiceName, Resources, str]] = set()
-        self.capped: set[object] = set()
+        self.capped: set[tuple[WorkspaceName, Resources]] = set()
+        self._most_free: dict[ServiceName, Resources] = {}
+        self._labels: dict[ServiceName, set[str]] = {}
+        self._alike: tuple[object, ...] | None = None
+        self._candidates: StepCandidates | None = None
+
+    def offers(self, service: ServiceName, spec: StepSpec) -> bool:
+        """Return whether endpoints of a pool may have the room and label for a step.
+
+        Each amount is compared with the most that any endpoint has free.
+        """
+        most = self._most_free.get(service)
+        if most is None:
+            pool = self.pools.get(service, [])
+            free = [endpoint.free() for endpoint in pool]
+            most = Resources(*map(max, zip(*free, strict=True))) if free else _NOTHING
+            self._most_free[service] = most
+            self._labels[service] = {label for e in pool for label in e.report.labels}
+        labelled = not spec.label or spec.label in self._labels[service]
+        return labelled and spec.needs.fits(most)
+
+    def record_full(self, demand: tuple[ServiceName, Resources, str]) -> None:
+        """Record that tasks with a pool, needs and label fit on no endpoint."""
+        self.full.add(demand)
+        self._most_free.pop(demand[0], None)
+
+    def candidates(self, ready: ReadyStep, pool: list[Endpoint]) -> StepCandidates:
+        """Return the candidates of a step; the last ones if the same endpoints suit it.
+
+        Of many independent steps that are alike, only the first one ranks the pool.
+        """
+        spec = ready.step.spec
+        whole_pool = pool is self.pools.get(ready.job.spec.service)
+        own = spec.lasting or spec.one_rack or spec.most_per_endpoint or not whole_pool
+        alike = (ready.job.spec.service, spec.needs, spec.label, spec.rack, spec.fills)
+        if own or alike != self._alike or self._candidates is None:
+            self._candidates = StepCandidates(ready, pool)
+            self._alike = None if own else alike
+        return self._candidates
+
+    def forget_candidates(self) -> None:
+        """Rank endpoints anew, since tasks have been placed on others of them."""
+        self._candidates = None
+
+
+_NOTHING = Resources(-1, -1, -1)
+"""Less than any task needs."""
 
 
 def usable_pools(state: SchedulerState) -> dict[ServiceName, list[Endpoint]]:
@@ -79,17 +129,19 @@
     return pools
 
 
-def start_waiting(state: SchedulerState) -> list[Effect]:
+def start_waiting(state: SchedulerState, steps: list[ReadyStep]) -> list[Effect]:
     """Place the tasks of waiting steps in the order of their ranks.
 
     After ``MAX_PLACEMENTS`` the pass is cut short. The next one goes on after the
     answers that have arrived meanwhile; polls would time out during a longer pass.
+
+    :param steps: steps with waiting tasks that may start, by rank
     """
     effects = update_warmth(state)
     capacity = PlanningCapacity(state)
     state.pass_cut_short = False
     state.passed_over.clear()
-    for ready in ready_steps(state):
+    for ready in steps:
         if len(effects) >= MAX_PLACEMENTS:
             state.pass_cut_short = True
             break
@@ -117,7 +169,9 @@
     spec = ready.step.spec
     service = ready.job.spec.service
     demand = (service, spec.needs, spec.label)
-    isolated = [t for t in ready.tasks if needs_isolation(t) or is_held(t)]
+    isolated = [
+        t for t in ready.tasks if t.crashes and (needs_isolation(t) or is_held(t))
+    ]
     effects = _start_isolated(state, capacity, ready, isolated)
     if len(isolated) == len(ready.tasks):
         if len(isolated) > sum(task.placed for task in isolated):
@@ -127,14 +181,22 @@
         _pass_over(state, ready, "pool full")
         return effects
     workspace = ready.job.spec.workspace
+    if (workspace, spec.quota_request) in capacity.capped:
+        _pass_over(state, ready, "upper limit")
+        return effects
+    if not (requires_advice(state, ready) or capacity.offers(service, spec)):
+        capacity.full.add(demand)
+        _pass_over(state, ready, "no endpoint")
+        return effects + _log_unplaceable(state, ready)
     whole_pool = capacity.pools.get(service, [])
     pool, requests = _restrict_to_advised(state, ready, whole_pool)
     effects += requests
-    candidates = StepCandidates(ready, pool)
+    candidates = capacity.candidates(ready, pool)
     for task in ready.tasks:
         if task in isolated:
             continue
         if not within_limit(state, workspace, spec.quota_request):
+            capacity.capped.add((workspace, spec.quota_request))
             _pass_over(state, ready, "upper limit")
             break
         endpoint = candidates.choose(task)
@@ -144,7 +206,7 @@
             # A step may also wait because of its advice or its most_per_endpoint, which
             # do not concern other steps.
             if not requests and all(_common_refusal(spec, e) for e in whole_pool):
-                capacity.full.add(demand)
+                capacity.record_full(demand)
             effects += _log_unplaceable(state, ready)
             break
         if waits_for_warm(state, ready, pool, endpoint):
@@ -174,6 +236,7 @@
         return []
     pool, effects = _restrict_to_advised(state, ready, list(reserved))
     candidates = StepCandidates(ready, pool)
+    capacity.forget_candidates()
     quota_request = ready.step.spec.quota_request
     for task in tasks:
         endpoint = candidates.choose(task)
@@ -310,9 +373,16 @@
         """Return why an endpoint may not run a task, or an empty string."""
         return _common_refusal(self._spec, endpoint) or self._own_refusal(endpoint)
 
-    def refusal_with_room(self, endpoint: Endpoint) -> str:
-        """Return why an endpoint may not run a task even if it has room for it."""
-        return _condition_refusal(self._spec, endpoint) or self._own_refusal(endpoint)
+    def condition_refusal(self, endpoint: Endpoint) -> str:
+        """Return why the condition of an endpoint or its labels exclude it."""
+        return _condition_refusal(self._spec, endpoint)
+
+    def admitted(self, endpoint: Endpoint, waiting: int) -> int:
+        """Return how many of the waiting tasks an endpoint may run if it has room."""
+        if self.condition_refusal(endpoint):
+            return 0
+        most = self._spec.most_per_endpoint or waiting
+        return max(0, min(waiting, most - self._on_endpoint[endpoint.id]))
 
     def _own_refusal(self, endpoint: Endpoint) -> str:
         """Return why an endpoint refuses tasks of this step only."""
@@ -360,7 +430,11 @@
 ) -> list[Effect]:
     """Place all members of a gang under one run number, or none."""
     spec = ready.step.spec
-    whole_pool = capacity.pools.get(ready.job.spec.service, [])
+    service = ready.job.spec.service
+    if not (requires_advice(state, ready) or capacity.offers(service, spec)):
+        _pass_over(state, ready, "no endpoint")
+        return _log_unplaceable(state, ready)
+    whole_pool = capacity.pools.get(service, [])
     pool, effects = _restrict_to_advised(state, ready, whole_pool)
     each = spec.quota_request
     total = Resources(*(amount * len(ready.tasks) for amount in each))
@@ -372,6 +446,7 @@
         advised = pool is not whole_pool
         _pass_over(state, ready, "advice" if advised else "no endpoint")
         return [*effects, *_log_unplaceable(state, ready)]
+    capacity.forget_candidates()
     run = max(task.run for task in ready.step.tasks)
     checkpoint = max((task.checkpoint for task in ready.step.tasks), default="")
     for task, endpoint in zip(ready.tasks, chosen, strict=True):
@@ -403,22 +478,25 @@
 
 def _fit_gang(ready: ReadyStep, group: list[Endpoint]) -> list[Endpoint] | None:
     spec = ready.step.spec
-    left = {endpoint.id: free_resources(endpoint) for endpoint in group}
-    count: dict[str, int] = defaultdict(int)
+    members = len(ready.tasks)
+    most = spec.most_per_endpoint or members
+    left = [free_resources(endpoint) for endpoint in group]
+    fitting = [
+        free.count_fitting(spec.needs, most) if spec.needs.fits(free) else 0
+        for free in left
+    ]
+    if sum(fitting) < members:
+        return None
+    # Each member takes the endpoint with the most processor time left.
+    by_cpu = [(-free.cpu, i) for i, free in enumerate(left) if fitting[i]]
+    heapq.heapify(by_cpu)
     chosen = []
     for _ in ready.tasks:
-        fitting = [
-            endpoint
-            for endpoint in group
-            if spec.needs.fits(left[endpoint.id])
-            and not 0 < spec.most_per_endpoint <= count[endpoint.id]
-        ]
-        if not fitting:
-            return None
-        best = max(fitting, key=lambda endpoint: left[endpoint.id].cpu)
-        left[best.id] = left[best.id].subtract(spec.needs)
-        count[best.id] += 1
-        chosen.append(best)
+        negative_cpu, i = heapq.heappop(by_cpu)
+        chosen.append(group[i])
+        fitting[i] -= 1
+        if fitting[i]:
+            heapq.heappush(by_cpu, (negative_cpu + spec.needs.cpu, i))
     return chosen
 
 
@@ -459,13 +537,18 @@
     return allowed, [RequestAdvice(step, ids, queue.advice.validity_ms / 1000)]
 
 
+def requires_advice(state: SchedulerState, ready: ReadyStep) -> bool:
+    """Return whether a step runs only where the advice of its queue allows it."""
+    queue = state.cfg.queues.get(ready.job.spec.queue)
+    return queue is not None and queue.advice is not None
+
+
 def may_be_advised(state: SchedulerState, ready: ReadyStep, endpoint: Endpoint) -> bool:
     """Return whether a step has a ticket for an endpoint or may still get one.
 
     While requests for advice remain unanswered, only tickets count.
     """
-    queue = state.cfg.queues.get(ready.job.spec.queue)
-    if queue is None or queue.advice is None:
+    if not requires_advice(state, ready):
         return True
     if endpoint.id in state.tickets.get(ready.key, {}):
         return True
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -50,6 +50,7 @@
     maintenance_answered,
     wave_requested,
 )
+from primrosepitch.scheduling.ordering import ready_steps, still_waiting
 from primrosepitch.scheduling.placement import start_waiting
 from primrosepitch.scheduling.runs import (
     add_job,
@@ -312,12 +313,14 @@
         effects += _evict_from_draining(state)
         effects += evict_stalled(state)
         effects += assess_endpoints(state)
-        effects += start_waiting(state)
-        effects += yield_best_effort(state)
-        effects += log_waits(state)
+        ready = ready_steps(state)
+        effects += start_waiting(state, ready)
+        waiting = still_waiting(ready)
+        effects += yield_best_effort(state, waiting)
+        effects += log_waits(state, waiting)
         effects += log_evacuations(state)
         effects += advance_waves(state)
-        effects += lend_instances(state)
+        effects += lend_instances(state, waiting)
         effects += throttle_best_effort(state)
     effects += commit_changes(state)
     return [*effects, *due_polls(state)]
--- a/primrosepitch/scheduling/runs.py
+++ b/primrosepitch/scheduling/runs.py
@@ -109,7 +109,12 @@
 
 def add_job(state: SchedulerState, spec: JobSpec) -> JobRun:
     """Add an accepted job and create the tasks that are due."""
-    job = JobRun(spec, critical_path_ms=critical_path_ms(spec))
+    job = JobRun(
+        spec,
+        critical_path_ms=critical_path_ms(spec),
+        remaining_paths_ms=remaining_paths_ms(spec),
+        has_gang=any(step.gang for step in spec.steps),
+    )
     job.deadline_ms = (
         spec.attempted_ms + spec.stretch * job.critical_path_ms + spec.goal_ms
     )
@@ -130,6 +135,17 @@
     return max(ends, default=0)
 
 
+def remaining_paths_ms(spec: JobSpec) -> tuple[int, ...]:
+    """Return the estimated duration of the longest chain that starts with each step."""
+    paths = [step.estimate_ms for step in spec.steps]
+    for number in range(len(paths) - 1, -1, -1):
+        # All later steps have been added to the chain of this one.
+        for earlier in spec.steps[number].after:
+            through_ms = spec.steps[earlier].estimate_ms + paths[number]
+            paths[earlier] = max(paths[earlier], through_ms)
+    return tuple(paths)
+
+
 def create_due_tasks(state: SchedulerState, job: JobRun) -> bool:
     """Create the tasks of occurrences that are due.
 
@@ -511,10 +527,7 @@
             final = JobState.CANCELLED if job.cancelled else JobState.FAILED
             effects += _finish_job(state, job, final)
         return effects
-    complete = len(job.steps) == job.spec.occurrences and all(
-        step.done for steps in job.steps.values() for step in steps
-    )
-    return _finish_job(state, job, JobState.COMPLETED) if complete else []
+    return _finish_job(state, job, JobState.COMPLETED) if job.complete else []
 
 
 def _finish_job(state: SchedulerState, job: JobRun, final: JobState) -> list[Effect]:
--- a/primrosepitch/scheduling/slow_endpoints.py
+++ b/primrosepitch/scheduling/slow_endpoints.py
@@ -12,7 +12,6 @@
 from primrosepitch.scheduling.effects import Effect, WriteLog
 from primrosepitch.scheduling.endpoint_speed import MAX_EVIDENCE, SLOW_EVIDENCE
 from primrosepitch.scheduling.leases import usable
-from primrosepitch.scheduling.ordering import remaining_path_ms
 from primrosepitch.scheduling.run_speed import (
     count_long_runs,
     projected_s,
@@ -167,5 +166,5 @@
     """Return the time within which a task must end for its job to be in time."""
     span_ms = job.deadline_ms - job.spec.accepted_ms
     begun_ms = job.spec.due_ms(task.key.occurrence) or job.spec.accepted_ms
-    later_ms = remaining_path_ms(job, task.key.step) - task.spec.estimate_ms
+    later_ms = job.remaining_paths_ms[task.key.step] - task.spec.estimate_ms
     return (begun_ms + span_ms - later_ms - state.wall_ms) / 1000
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -169,15 +169,38 @@
 
 
 class StepRun(msgspec.Struct, eq=False):
-    """One step of one occurrence of a job."""
+    """One step of one occurrence of a job.
+
+    Tasks and dependencies that are done stay so, and are not looked at again.
+
+    :param done_tasks: number of tasks, from the first, that are known to be done
+    :param done_dependencies: number of dependencies, from the first, known to be done
+    """
 
     spec: StepSpec
     tasks: list[Task]
+    done_tasks: int = 0
+    done_dependencies: int = 0
 
     @property
     def done(self) -> bool:
         """Return whether all tasks have succeeded."""
-        return all(task.phase is Phase.DONE for task in self.tasks)
+        tasks, count = self.tasks, self.done_tasks
+        while count < len(tasks) and tasks[count].phase is Phase.DONE:
+            count += 1
+        self.done_tasks = count
+        return count == len(tasks)
+
+    def may_begin(self, steps: list[StepRun]) -> bool:
+        """Return whether the steps on which this one depends are done.
+
+        :param steps: steps of the same occurrence
+        """
+        after, count = self.spec.after, self.done_dependencies
+        while count < len(after) and steps[after[count]].done:
+            count += 1
+        self.done_dependencies = count
+        return count == len(after)
 
 
 class JobRun(msgspec.Struct, eq=False):
@@ -189,6 +212,10 @@
     :param failing: whether a task has used up its attempts, or its runs can't be stored
     :param unstorable: whether the store rejects a record of its runs
     :param critical_path_ms: estimated duration of the longest chain of steps
+    :param remaining_paths_ms: that of the longest chain that starts with each step
+    :param has_gang: whether the tasks of any step start together
+    :param done_occurrences: number of occurrences, from the first, known to be done
+    :param done_steps: number of steps of the next one, from the first, known to be done
     :param deadline_ms: Unix time by which the latency objective is met
     :param unplaceable: whether it was logged that a task fits no endpoint
     :param over_share: whether the job exceeds its workspace's share
@@ -204,11 +231,28 @@
     failing: bool = False
     unstorable: bool = False
     critical_path_ms: int = 0
+    remaining_paths_ms: tuple[int, ...] = ()
+    has_gang: bool = False
+    done_occurrences: int = 0
+    done_steps: int = 0
     deadline_ms: float = 0.0
     unplaceable: bool = False
     over_share: bool = False
     work: float = 0.0
 
+    @property
+    def complete(self) -> bool:
+        """Return whether all steps of all occurrences are done."""
+        while self.done_occurrences < self.spec.occurrences:
+            steps = self.steps.get(self.done_occurrences, [])
+            while self.done_steps < len(steps) and steps[self.done_steps].done:
+                self.done_steps += 1
+            if not steps or self.done_steps < len(steps):
+                return False
+            self.done_occurrences += 1
+            self.done_steps = 0
+        return True
+
     def tasks(self) -> list[Task]:
         """Return the tasks of all occurrences that are due."""
         return [
--- a/primrosepitch/scheduling/waiting.py
+++ b/primrosepitch/scheduling/waiting.py
@@ -11,7 +11,7 @@
 )
 from primrosepitch.scheduling.effects import Effect, WriteLog
 from primrosepitch.scheduling.leases import exclusion
-from primrosepitch.scheduling.ordering import ReadyStep, ready_steps
+from primrosepitch.scheduling.ordering import ReadyStep
 from primrosepitch.scheduling.placement import StepCandidates
 from primrosepitch.scheduling.state import Endpoint, SchedulerState, Task
 
@@ -24,20 +24,16 @@
 """Maximum number of steps of each kind that are logged at a time."""
 
 
-def log_waits(state: SchedulerState) -> list[Effect]:
-    """Log why the lasting and best-effort tasks that wait longest are not placed."""
+def log_waits(state: SchedulerState, waiting: list[ReadyStep]) -> list[Effect]:
+    """Log why the lasting and best-effort tasks that wait longest are not placed.
+
+    :param waiting: steps that the planning pass has left waiting
+    """
     if state.now - state.waits_logged_at < LOG_INTERVAL_S:
         return []
     state.waits_logged_at = state.now
-    if not any(
-        step.lasting or step.fills
-        for job in state.jobs.values()
-        for step in job.spec.steps
-    ):
-        return []
-    ready = ready_steps(state)
-    lasting = [r for r in ready if r.step.spec.lasting]
-    best_effort = [r for r in ready if r.step.spec.fills and not r.step.spec.lasting]
+    lasting = [r for r in waiting if r.step.spec.lasting]
+    best_effort = [r for r in waiting if r.step.spec.fills and not r.step.spec.lasting]
     return [
         *_log_longest(state, LASTING_TASKS_WAITING, lasting),
         *_log_longest(state, BEST_EFFORT_TASKS_WAITING, best_effort),
--- a/primrosepitch/scheduling/warmth.py
+++ b/primrosepitch/scheduling/warmth.py
@@ -13,7 +13,7 @@
 from primrosepitch.events import ENDPOINT_COLD, ENDPOINT_WARM
 from primrosepitch.jobs.model import Resources
 from primrosepitch.scheduling.effects import Effect, WriteLog
-from primrosepitch.scheduling.ordering import ReadyStep, remaining_path_ms
+from primrosepitch.scheduling.ordering import ReadyStep
 from primrosepitch.scheduling.state import Endpoint, Phase, SchedulerState, Task
 
 __all__ = [
@@ -95,7 +95,7 @@
     spec = ready.step.spec
     if not is_cold(chosen) or spec.lasting or spec.fills:
         return False
-    path_ms = remaining_path_ms(ready.job, ready.number)
+    path_ms = ready.job.remaining_paths_ms[ready.number]
     slack_ms = ready.job.deadline_ms - state.wall_ms - path_ms
     loss_ms = (COLD_SLOWDOWN - 1) * spec.estimate_ms
     if not 0 <= slack_ms < loss_ms:
--- a/primrosepitch/scheduling/yielding.py
+++ b/primrosepitch/scheduling/yielding.py
@@ -6,13 +6,14 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import NamedTuple
 
 from primrosepitch.jobs.model import EndpointId, Resources, ServiceName
 from primrosepitch.scheduling.crashes import is_held, needs_isolation
 from primrosepitch.scheduling.effects import Effect
 from primrosepitch.scheduling.limits import LimitedDemand
-from primrosepitch.scheduling.ordering import PriorityClass, ReadyStep, ready_steps
+from primrosepitch.scheduling.ordering import PriorityClass, ReadyStep
 from primrosepitch.scheduling.placement import (
     StepCandidates,
     may_be_advised,
@@ -29,6 +30,13 @@
 MAX_STOPS = 50
 """Maximum number of tasks that are stopped at a time."""
 
+MAX_PLANNED = 250
+"""Maximum number of tasks for which room is made at a time, as many as a planning pass
+places; the next decision follows when these have started."""
+
+MAX_EXAMINED = 1000
+"""Maximum number of steps for which room is looked for at a time."""
+
 REASON = "yields to a job in time"
 
 
@@ -38,19 +46,25 @@
     :param left: free capacity that is left on each endpoint that gets any of them
     :param stops: best-effort tasks to be stopped
     :param tasks: number of tasks that have room then
+    :param own_refusal: whether an endpoint refuses tasks of this step only
     """
 
     left: dict[EndpointId, Resources]
     stops: list[Task]
     tasks: int
+    own_refusal: bool
 
 
-def yield_best_effort(state: SchedulerState) -> list[Effect]:
+def yield_best_effort(
+    state: SchedulerState, waiting_steps: list[ReadyStep]
+) -> list[Effect]:
     """Stop the best-effort tasks in whose place waiting tasks fit.
 
     Each task without checkpoints is stopped once at most, so that none loses its work
     twice. Room is made and kept only for tasks that wait for nothing else: best-effort
     tasks would wait as long as one that its workspace's upper limit keeps waiting.
+
+    :param waiting_steps: what the planning pass has left waiting, by rank
     """
     if state.now - state.yielded_at < INTERVAL_S:
         return []
@@ -67,9 +81,12 @@
     pools = usable_pools(state)
     freed = {e.id: _being_freed(e) for e in state.endpoints.values()}
     demand = LimitedDemand(state)
+    planned = examined = 0
     full: set[tuple[ServiceName, Resources, str, bool]] = set()
-    for ready in ready_steps(state):
-        if ready.rank[0] > PriorityClass.IN_TIME or len(effects) >= 2 * MAX_STOPS:
+    for ready in waiting_steps:
+        if ready.rank[0] > PriorityClass.IN_TIME or planned >= MAX_PLANNED:
+            break
+        if len(effects) >= 2 * MAX_STOPS or examined >= MAX_EXAMINED:
             break
         waiting = sum(not (needs_isolation(t) or is_held(t)) for t in ready.tasks)
         waiting = demand.admitted(ready, waiting)
@@ -79,14 +96,16 @@
         alike = (ready.job.spec.service, spec.needs, spec.label, spec.lasting)
         if alike in full:
             continue
+        examined += 1
         pool = pools.get(ready.job.spec.service, [])
         plan = _plan_room(state, ready, waiting, pool, freed)
-        if not plan.tasks and not _has_own_conditions(state, ready):
+        if not (plan.tasks or plan.own_refusal):
             full.add(alike)
         if spec.gang and plan.tasks < waiting:
             # A gang starts when all of its members have room.
             continue
         demand.count(ready, plan.tasks)
+        planned += plan.tasks
         freed.update(plan.left)
         for endpoint_id in plan.left:
             state.endpoints[endpoint_id].room_kept = True
@@ -96,13 +115,6 @@
     return effects
 
 
-def _has_own_conditions(state: SchedulerState, ready: ReadyStep) -> bool:
-    """Return whether endpoints may refuse a step that others with its needs may use."""
-    queue = state.cfg.queues.get(ready.job.spec.queue)
-    advised = queue is not None and queue.advice is not None
-    return advised or ready.step.spec.most_per_endpoint > 0
-
-
 def _being_freed(endpoint: Endpoint) -> Resources:
     """Return the capacity that is free once the tasks being stopped have ended."""
     free = endpoint.free()
@@ -129,30 +141,30 @@
     candidates = StepCandidates(ready, pool)
     left: dict[EndpointId, Resources] = {}
     stops: list[Task] = []
-    planned = 0
+    given: Counter[EndpointId] = Counter()
+    lacking = waiting
+    own_refusal = False
     for may_stop in (False, True):
         for endpoint in pool:
-            if planned >= waiting:
+            if not lacking:
                 break
-            if not may_be_advised(state, ready, endpoint):
+            admitted = candidates.admitted(endpoint, lacking + given[endpoint.id])
+            admitted -= given[endpoint.id]
+            if not (admitted and may_be_advised(state, ready, endpoint)):
+                own_refusal = own_refusal or not candidates.condition_refusal(endpoint)
                 continue
             free = left.get(endpoint.id, freed[endpoint.id])
             stopped = _choose_stops(endpoint, needs, free) if may_stop else []
             for task in stopped:
                 free = free.add(task.spec.needs)
-            before = planned
-            while (
-                planned < waiting
-                and needs.fits(free)
-                and not candidates.refusal_with_room(endpoint)
-            ):
-                free = free.subtract(needs)
-                candidates.record_placement(endpoint)
-                planned += 1
-            if planned > before:
-                left[endpoint.id] = free
+            if needs.fits(free):
+                count = free.count_fitting(needs, admitted)
+                given[endpoint.id] += count
+                lacking -= count
+                taken = Resources(*(amount * count for amount in needs))
+                left[endpoint.id] = free.subtract(taken)
                 stops += stopped
-    return _RoomPlan(left, stops, planned)
+    return _RoomPlan(left, stops, waiting - lacking, own_refusal)
 
 
 def _choose_stops(endpoint: Endpoint, needs: Resources, free: Resources) -> list[Task]:
