Publish the wait that a caller's own workspace would have

The wait that is published for a pool divided all remaining work by its capacity, also work that its workspace's limit keeps waiting and that takes no capacity from others.

Change: of a workspace with a limit, the wait counts the part of its work that the limit admits until then (processor time, memory and accelerators, less what its lasting tasks hold). What a workspace waits for its own limit is published for it alone, so that its jobs are refused as before, with a Retry-After that is true for them; the refusal names the workspace. Best-effort work keeps no job waiting and is left out.

Looked at without a change: exceeds_share (by submissions, not by limits), the rank by value (asks only whether a pool has a wait).

--- a/primrosepitch/scheduling/commits.py
+++ b/primrosepitch/scheduling/commits.py
@@ -266,15 +266,17 @@
 def _backlog(state: SchedulerState) -> list[tuple[str, bytes]]:
     """Return the record of the waits if they have changed or must be refreshed."""
     estimated = estimate_waits(state)
-    if not estimated and not state.waits:
+    published = Backlog(state.waits, state.limited_waits)
+    if estimated == published == Backlog({}):
         return []
     if (
-        estimated == state.waits
+        estimated == published
         and state.now - state.waits_sent_at < WAITS_REFRESH_INTERVAL_S
     ):
         return []
-    state.waits, state.waits_sent_at = estimated, state.now
-    return [encode(Backlog(estimated))]
+    state.waits, state.limited_waits = estimated.waits, estimated.limited
+    state.waits_sent_at = state.now
+    return [encode(estimated)]
 
 
 def _expired_job_records(state: SchedulerState) -> list[tuple[str, bytes]]:
