Count how many tasks of all waiting steps an instance holds

Cause: _endpoints_for_waiting counted at most the tasks of one step on an instance, so that each small step took an instance of its own.

Change: only most_per_endpoint limits the count. The sum over all steps is rounded up to instances as before, and the next decision counts what still waits. Looked at without a change: _current_demand (processor time, not endpoints) and _min_endpoints (the spread of one step).

Result: the new scenario of pool_growth.feature failed before (2 instances instead of 1); with lending, lasting_tasks, capacity_accounts and large_jobs 77 passed, 0 failed, 1 skipped (known red).

--- a/features/pool_growth.feature
+++ b/features/pool_growth.feature
@@ -54,6 +54,15 @@
     And 1 second passes
     Then 1 instance has been moved to the pool
 
+  # Guards against an instance for each job, though one holds several of them.
+  Scenario: Lasting jobs of one task share the instances that a pool grows by
+    Given a pool of 4 endpoints whose lasting tasks use 32 cores
+    And 12 idle instances whose move to the spare pool was carried out at 10 s
+    And the workspace has an upper limit of 50 cores
+    When 24 lasting jobs of 1 tasks of 1 core and 8000 MB are accepted at 12 s
+    And 1 second passes
+    Then 1 instance has been moved to the pool
+
   # Guards against demand for work that no instance could start.
   Scenario: Jobs beyond their workspace's limit are no demand while they wait
     Given a pool of 20 endpoints whose lasting tasks use 160 cores
--- a/primrosepitch/scheduling/lending.py
+++ b/primrosepitch/scheduling/lending.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+import sys
 from collections import Counter, defaultdict
 
 import msgspec
@@ -329,7 +330,8 @@
         if found[service] >= len(state.instances):
             # It takes all that there are.
             continue
-        most = spec.most_per_endpoint or len(ready.tasks)
+        # Tasks of other steps may take the rest of an endpoint.
+        most = spec.most_per_endpoint or sys.maxsize
         alike = (spec.needs, spec.label, most)
         if alike not in most_fitting:
             most_fitting[alike] = max(
