Take back the wait for a caller's own workspace

Cause:. _shared_wait_ms divided by the least time of a workspace's work, which is 0 without a limit, when a sum of floats that should be 0 was just below it. No scenario had work that rounds, and none drew its loads at random.

--- a/features/backlog.feature
+++ b/features/backlog.feature
@@ -18,55 +18,6 @@
     When 70 seconds pass
     Then no wait is published
 
-  # Guards against refusing the jobs of all workspaces in an almost empty pool because
-  # one has submitted more than its limit admits.
-  Scenario: Work that waits for its workspace's limit is no wait for others
-    Given a scheduler with 4 endpoints
-    And the limit of workspace hot is 4 cores
-    When workspace hot submits 500 tasks of 1 core and 10 s
-    And 1 seconds pass
-    Then no wait is published for the pool
-    And a wait of 1230 to 1250 seconds is published for workspace hot
-    When 2 jobs of steps 8x1000 are accepted over 1 seconds
-    And 1 seconds pass
-    Then all jobs of workspace w are completed
-
-  # Guards against a wait for others that leaves out what the limit does admit, or
-  # counts what it does not.
-  Scenario Outline: The wait for others counts what a workspace's limit admits
-    Given a scheduler with 4 endpoints
-    And the limit of workspace hot is <limit> cores
-    When workspace hot submits <tasks> tasks of 1 core and 10 s
-    And workspace cold submits 96 tasks of 1 core and 10 s
-    And 0.3 seconds pass
-    Then a wait of <least> to <most> seconds is published
-
-    Examples:
-      | limit | tasks | least | most |
-      | 16    | 500   | 18    | 20   |
-      | 32    | 500   | 27    | 30   |
-      | 32    | 32    | 18    | 20   |
-      | 64    | 64    | 23    | 25   |
-
-  # Guards against a limit of memory that is not seen by the estimate.
-  Scenario: Work that waits for its workspace's memory is no wait for others
-    Given a scheduler with 4 endpoints
-    And the limit of workspace hot is 2048 MB
-    When workspace hot submits 500 tasks of 1 core and 10 s
-    And 1 seconds pass
-    Then no wait is published for the pool
-
-  # Guards against a term that ends because a wait does not fit into its record.
-  Scenario: A wait that no clock would see the end of is published as a day
-    Given a scheduler with 4 endpoints
-    And the limit of workspace hot is 4 cores
-    When workspace hot submits 200 tasks of 16000000 cores and 3600000000 s
-    And workspace cold submits 200 tasks of 16000000 cores and 3600000000 s
-    And 1 seconds pass
-    Then a wait of 86400 to 86400 seconds is published
-    And a wait of 86400 to 86400 seconds is published for workspace hot
-    And node a is still the scheduler
-
   # Guards against a Retry-After that is too early, and against rejecting a job for
   # which there is still time.
   Scenario Outline: The Retry-After of a job follows from the published wait
@@ -96,19 +47,6 @@
     When job j1 is submitted with a deadline in 2 seconds
     Then it is rejected with a Retry-After of 60 seconds
 
-  # Guards against a workspace beyond its limit whose jobs are accepted and end too late,
-  # and against refusing those of others for it.
-  Scenario Outline: The wait for a workspace's limit rejects its own jobs only
-    Given a job intake and a store
-    And the scheduler publishes a wait of 60 seconds for workspace <workspace>
-    When job j1 is submitted with a deadline in 2 seconds
-    Then <result>
-
-    Examples:
-      | workspace | result                                                          |
-      | w         | it is rejected with a Retry-After of 60 seconds for its workspace |
-      | other     | the reply is accepted                                           |
-
   # Guards against rejecting jobs because of a wait that a scheduler published long ago.
   Scenario: An outdated wait rejects nothing
     Given a job intake and a store
--- a/primrosepitch/jobs/records.py
+++ b/primrosepitch/jobs/records.py
@@ -23,7 +23,6 @@
     JobState,
     ServiceName,
     TaskKey,
-    WorkspaceName,
 )
 
 __all__ = [
@@ -238,21 +237,14 @@
     endpoints: dict[EndpointId, SlowEndpoint]
 
 
-class Backlog(msgspec.Struct, omit_defaults=True):
+class Backlog(msgspec.Struct):
     """Queueing delays that the scheduler publishes to the nodes that accept jobs.
 
     :param waits: minimum wait of a new job in ms, by pool; pools with a short wait are
         left out
-    :param limited: that of a new job of a workspace whose upper limit keeps its jobs
-        waiting, in ms; workspaces with a short wait are left out
     """
 
     waits: dict[ServiceName, int]
-    limited: dict[WorkspaceName, int] = {}
-
-    def wait_ms(self, service: ServiceName, workspace: WorkspaceName) -> int:
-        """Return the minimum wait of a workspace's new job in a pool, in ms."""
-        return max(self.waits.get(service, 0), self.limited.get(workspace, 0))
 
 
 class NodeAddress(msgspec.Struct):
--- a/primrosepitch/node/job_intake.py
+++ b/primrosepitch/node/job_intake.py
@@ -22,7 +22,6 @@
     JobState,
     QueueName,
     ServiceName,
-    WorkspaceName,
 )
 from primrosepitch.jobs.records import Cancellation, JobEntry, encode, record_size
 from primrosepitch.jobs.store import (
@@ -49,14 +48,11 @@
     :param retry_after_s: seconds after which the caller may submit it again
     :param service: pool that can't hold it
     :param wait_ms: least wait of a new job in that pool
-    :param workspace: its workspace if the job would wait for its upper limit; empty if
-        it would wait for the pool
     """
 
     retry_after_s: int
     service: ServiceName
     wait_ms: int
-    workspace: WorkspaceName = WorkspaceName("")
 
 
 class TooLarge(NamedTuple):
@@ -132,8 +128,7 @@
     async def _check_admission(self, spec: JobSpec) -> Rejection | None:
         """Return a rejection if a job can't be served and no node has accepted it."""
         age_s = clock.monotonic() - self._follower.backlog_received_at
-        backlog = self._follower.ledger.backlog
-        wait_ms = backlog.wait_ms(spec.service, spec.workspace)
+        wait_ms = self._follower.ledger.backlog.waits.get(spec.service, 0)
         after_s = retry_after_s(spec, wait_ms) if age_s < BACKLOG_MAX_AGE_S else 0
         if not after_s:
             return None
@@ -154,8 +149,6 @@
             retry_after_s=after_s,
         )
         self.first_attempts.remember(spec.job, spec.attempted_ms)
-        if wait_ms > backlog.waits.get(spec.service, 0):
-            return Rejection(after_s, spec.service, wait_ms, spec.workspace)
         return Rejection(after_s, spec.service, wait_ms)
 
     def _is_known(self, job: JobId) -> bool:
--- a/primrosepitch/node/node.py
+++ b/primrosepitch/node/node.py
@@ -115,12 +115,6 @@
             lambda: len(follower.ledger.backlog.waits),
             "Pools for which the scheduler has published a wait.",
         )
-        metrics.add_gauge(
-            "primrose.workspaces.limited",
-            "1",
-            lambda: len(follower.ledger.backlog.limited),
-            "Workspaces whose upper limits keep their jobs waiting.",
-        )
         metrics.add_gauge(
             "primrose.first_attempts.known",
             "1",
--- a/primrosepitch/scheduling/backlog.py
+++ b/primrosepitch/scheduling/backlog.py
@@ -9,10 +9,8 @@
 
 import math
 from collections import defaultdict
-from typing import NamedTuple
 
-from primrosepitch.jobs.model import JobSpec, Resources, ServiceName, WorkspaceName
-from primrosepitch.jobs.records import Backlog
+from primrosepitch.jobs.model import JobSpec, ServiceName
 from primrosepitch.scheduling.evacuation import all_evacuated, is_instance_evacuated
 from primrosepitch.scheduling.leases import usable
 from primrosepitch.scheduling.ordering import TOO_LATE_FACTOR
@@ -25,143 +23,46 @@
 """Minimum wait that is published: no latency objective is shorter."""
 
 
-MAX_REPORTED_WAIT_MS = 86_400_000
-"""Wait that is published for longer ones; callers' estimates have no upper bound."""
-
 EVACUATED_WAIT_MS = 10_000
 """Wait that is published while all data centres are evacuated. It ends
 when an operator cancels an evacuation; jobs that can wait for longer are accepted."""
 
 
-class Load(NamedTuple):
-    """Remaining work of a workspace's jobs, in one pool or in all.
-
-    :param cpu: in thousandths of a core times ms; ``memory`` and ``gpu`` likewise
-    """
-
-    cpu: float = 0.0
-    memory: float = 0.0
-    gpu: float = 0.0
-
-    def add(self, needs: Resources, duration_ms: float) -> Load:
-        """Return the load with a task of some needs and duration."""
-        return Load(*(a + n * duration_ms for a, n in zip(self, needs, strict=True)))
-
-    def plus(self, other: Load) -> Load:
-        """Return the sum of two loads."""
-        return Load(*map(sum, zip(self, other, strict=True)))
-
-    def least_ms(self, left: Resources, limit: Resources) -> float:
-        """Return the least duration of the work within what an upper limit leaves.
-
-        :param left: what the limit leaves, 0 or negative if it leaves nothing
-        :param limit: the limit; amounts of 0 don't limit
-        """
-        return max(
-            (
-                amount / have if have > 0 else math.inf
-                for amount, have, most in zip(self, left, limit, strict=True)
-                if most > 0 and amount > 0
-            ),
-            default=0.0,
-        )
-
-
-def estimate_waits(state: SchedulerState) -> Backlog:
-    """Return the minimum waits of new jobs that are reported, by pool and workspace.
+def estimate_waits(state: SchedulerState) -> dict[ServiceName, int]:
+    """Return the minimum wait of a new job in ms, for each pool where it is reported.
 
-    All instances that could be lent to a pool count as if they belonged to it, so that
-    no job is rejected that could have been served. Work that its workspace's upper
-    limit keeps waiting leaves capacity to the jobs of others, which don't wait for it.
+    All instances that could be lent to the pool count as if they belonged to it, so
+    that no job is rejected that could have been served.
     """
-    loads: dict[ServiceName, dict[WorkspaceName, Load]] = defaultdict(dict)
-    totals: dict[WorkspaceName, Load] = {}
+    work: dict[ServiceName, float] = defaultdict(float)
     for job in state.jobs.values():
-        if job.cancelled or job.failing or job.over_share or job.state.final:
-            continue
-        workspace, load = job.spec.workspace, _remaining_load(job)
-        pool = loads[job.spec.service]
-        pool[workspace] = pool.get(workspace, Load()).plus(load)
-        totals[workspace] = totals.get(workspace, Load()).plus(load)
-    least = _least_durations(state, totals)
+        if not (job.cancelled or job.failing or job.over_share or job.state.final):
+            work[job.spec.service] += _remaining_work(job)
     waits = {}
-    for service, pool in loads.items():
+    for service, core_ms in work.items():
         cores = _reachable_cpu(state, service)
-        work = [(pool[w].cpu, least[w]) for w in pool]
-        wait_ms = round(_shared_wait_ms(work, cores)) if cores else 0
+        wait_ms = round(core_ms / cores) if cores else 0
         if not cores and all_evacuated(state):
             wait_ms = EVACUATED_WAIT_MS
         if wait_ms >= MIN_REPORTED_WAIT_MS:
-            waits[service] = min(wait_ms, MAX_REPORTED_WAIT_MS)
-    limited = {
-        workspace: round(min(wait_ms, MAX_REPORTED_WAIT_MS))
-        for workspace, wait_ms in least.items()
-        if MIN_REPORTED_WAIT_MS <= wait_ms < math.inf
-    }
-    return Backlog(waits, limited)
-
+            waits[service] = wait_ms
+    return waits
 
-def _least_durations(
-    state: SchedulerState, totals: dict[WorkspaceName, Load]
-) -> dict[WorkspaceName, float]:
-    """Return how long the work of each workspace takes at least within its limit.
 
-    :returns: times in ms; infinite if its lasting tasks leave nothing of the limit
-    """
-    lasting: dict[WorkspaceName, Resources] = defaultdict(Resources)
-    for endpoint in state.endpoints.values():
-        for task in endpoint.tasks.values():
-            if task.spec.lasting:
-                used = lasting[task.workspace]
-                lasting[task.workspace] = used.add(task.spec.quota_request)
-    least = {}
-    for workspace, load in totals.items():
-        spec = state.cfg.workspaces.get(workspace)
-        limit = spec.limit if spec is not None else Resources()
-        least[workspace] = load.least_ms(limit.subtract(lasting[workspace]), limit)
-    return least
-
-
-def _shared_wait_ms(work: list[tuple[float, float]], cores: float) -> float:
-    """Return when a pool has done the work that does not wait for upper limits.
-
-    That is the time t at which ``cores * t`` is the sum of each workspace's work, or of
-    the part of it that its limit admits until t.
-
-    :param work: processor time of each workspace, in thousandths of a core times ms,
-        and the least time in ms in which its limit admits it
-    :param cores: processor capacity, in thousandths of a core
-    """
-    unlimited, rate, done_ms = sum(cpu for cpu, _ in work), 0.0, 0.0
-    for cpu, least_ms in sorted(work, key=lambda row: -row[1]):
-        done_ms = unlimited / (cores - rate) if cores > rate else least_ms
-        if done_ms >= least_ms:
-            return done_ms
-        unlimited -= cpu
-        rate += cpu / least_ms
-    return unlimited / (cores - rate) if cores > rate else done_ms
-
-
-def _remaining_load(job: JobRun) -> Load:
-    """Return the estimated remaining work of a job; none if it is lasting.
-
-    Best-effort tasks keep no other job waiting.
-    """
-    load = Load()
+def _remaining_work(job: JobRun) -> float:
+    """Return the estimated remaining work, in thousandths of a core times ms."""
     if job.spec.lasting:
-        return load
+        return 0.0
+    total = 0.0
     for steps in job.steps.values():
         for step in steps:
-            if step.spec.fills:
-                continue
-            left = 0.0
+            task_work = step.spec.needs.cpu * step.spec.estimate_ms
             for task in step.tasks:
                 if task.phase is Phase.RUNNING:
-                    left += max(0, 100 - task.progress) / 100
+                    total += task_work * max(0, 100 - task.progress) / 100
                 elif task.phase is not Phase.DONE:
-                    left += 1.0
-            load = load.add(step.spec.needs, left * step.spec.estimate_ms)
-    return load
+                    total += task_work
+    return total
 
 
 def _reachable_cpu(state: SchedulerState, service: ServiceName) -> float:
--- a/primrosepitch/scheduling/commits.py
+++ b/primrosepitch/scheduling/commits.py
@@ -266,17 +266,15 @@
 def _backlog(state: SchedulerState) -> list[tuple[str, bytes]]:
     """Return the record of the waits if they have changed or must be refreshed."""
     estimated = estimate_waits(state)
-    published = Backlog(state.waits, state.limited_waits)
-    if estimated == published == Backlog({}):
+    if not estimated and not state.waits:
         return []
     if (
-        estimated == published
+        estimated == state.waits
         and state.now - state.waits_sent_at < WAITS_REFRESH_INTERVAL_S
     ):
         return []
-    state.waits, state.limited_waits = estimated.waits, estimated.limited
-    state.waits_sent_at = state.now
-    return [encode(estimated)]
+    state.waits, state.waits_sent_at = estimated, state.now
+    return [encode(Backlog(estimated))]
 
 
 def _expired_job_records(state: SchedulerState) -> list[tuple[str, bytes]]:
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -540,7 +540,6 @@
     :param yielded_at: boot-time clock at which the yielding of best-effort tasks was
         last decided on
     :param waits: estimated waits by pool, as last published to the other nodes
-    :param limited_waits: those of workspaces at their upper limits, as last published
     :param waits_sent_at: boot-time clock of that publication
     :param evacuated: data centres in which no task may start, see ``evacuation``
     :param evacuations_logged_at: boot-time clock at which their state was last logged
@@ -618,7 +617,6 @@
     passed_over: dict[tuple[JobId, int, int], str] = msgspec.field(default_factory=dict)
     waits_logged_at: float = 0.0
     waits: dict[ServiceName, int] = msgspec.field(default_factory=dict)
-    limited_waits: dict[WorkspaceName, int] = msgspec.field(default_factory=dict)
     waits_sent_at: float = 0.0
     waves: dict[int, WaveRun] = msgspec.field(default_factory=dict)
     evacuated: set[DataCentreName] = msgspec.field(default_factory=set)
