Log what a graceful stop takes, holds and waits for

Now there is a line for each complete request that arrives during a stop (age since the signal; new connection, kept alive or sent ahead), one for each request whose connection is closed unanswered (receiving, handled, answer unsent), one for each call for another node that is cut, and lines for what the release of a term waits for and how long it took.

Events that tell when a process or a term begins or ends are essential now: no rate limit drops them, and the last ones are written before the process ends.

--- a/primrosepitch/events.py
+++ b/primrosepitch/events.py
@@ -19,6 +19,8 @@
     :param level: level of the standard ``logging`` module
     :param meaning: description for ``docs/events.md``
     :param action: what an operator should do, for ``docs/events.md``
+    :param essential: whether a rate limit must not drop it, since it tells when a
+        process or a term begins or ends
     """
 
     number: int
@@ -26,6 +28,7 @@
     level: int
     meaning: str
     action: str
+    essential: bool = False
 
 
 EVENTS: dict[int, LogEvent] = {}
@@ -33,7 +36,12 @@
 
 
 def event(
-    number: int, name: str, level: int, meaning: str, action: str = "none"
+    number: int,
+    name: str,
+    level: int,
+    meaning: str,
+    action: str = "none",
+    essential: bool = False,
 ) -> LogEvent:
     """Register a log event.
 
@@ -41,7 +49,7 @@
     """
     if number in EVENTS:
         raise ValueError(f"log event {number} is registered twice")
-    EVENTS[number] = LogEvent(number, name, level, meaning, action)
+    EVENTS[number] = LogEvent(number, name, level, meaning, action, essential)
     return EVENTS[number]
 
 
@@ -75,17 +83,52 @@
     """Log a registered event with the given fields."""
     logger = logging.getLogger("primrosepitch")
     if logger.isEnabledFor(kind.level):
-        extra = {"number": kind.number, "fields": fields}
+        extra = {
+            "number": kind.number,
+            "fields": fields,
+            "essential": kind.essential,
+        }
         logger.log(kind.level, kind.name, extra=extra)
 
 
 # Process, log and configuration
-PROCESS_STARTED = event(1001, "process_started", logging.INFO, "A process has started.")
+PROCESS_STARTED = event(
+    1001,
+    "process_started",
+    logging.INFO,
+    "A process has started.",
+    essential=True,
+)
 PROCESS_STOPPING = event(
-    1002, "process_stopping", logging.INFO, "A graceful stop has begun."
+    1002,
+    "process_stopping",
+    logging.INFO,
+    "A graceful stop has begun.",
+    essential=True,
 )
 PROCESS_STOPPED = event(
-    1003, "process_stopped", logging.INFO, "A graceful stop has ended."
+    1003,
+    "process_stopped",
+    logging.INFO,
+    "A graceful stop has ended; a node's line says how long it took, how many requests "
+    "arrived during it, and how many of all were not answered.",
+    essential=True,
+)
+REQUEST_WHILE_STOPPING = event(
+    1005,
+    "request_while_stopping",
+    logging.INFO,
+    "A complete request was received during a graceful stop; the line says how long "
+    "after its begin, and whether the connection is new, kept alive, or had sent the "
+    "request ahead of an earlier answer.",
+)
+REQUEST_UNANSWERED = event(
+    1006,
+    "request_unanswered",
+    logging.ERROR,
+    "A graceful stop closed the connection of a request that was being received or "
+    "handled, or whose answer was not sent; the line has its stage.",
+    "report it with the log lines of this request and of this stop",
 )
 PROCESS_RESUMED = event(
     1004,
@@ -314,6 +357,30 @@
     logging.INFO,
     "The term is released, since a larger node can schedule.",
 )
+TERM_RELEASING = event(
+    5106,
+    "term_releasing",
+    logging.INFO,
+    "The scheduler ends its term for another node; the line has what the release waits "
+    "for: the commit and the orders to instances that are under way.",
+    essential=True,
+)
+TERM_RELEASED = event(
+    5107,
+    "term_released",
+    logging.INFO,
+    "The release of the term is stored; another node claims the next one at once. The "
+    "line has how long each part of the release took.",
+    essential=True,
+)
+TERM_NOT_RELEASED = event(
+    5108,
+    "term_not_released",
+    logging.WARNING,
+    "The release of the term was not stored; another node claims the next one when it "
+    "has received no heartbeat for some time.",
+    "check the store; without a fault of the store, report it with the log lines",
+)
 SCHEDULER_LATE = event(
     5104,
     "scheduler_late",
@@ -576,6 +643,14 @@
     "Another node could not relay a call to the store; the next node is tried.",
     "check the links between both nodes if the same node is named often",
 )
+RELAY_CALL_CUT = event(
+    5415,
+    "relay_call_cut",
+    logging.WARNING,
+    "A graceful stop ended a call to the store that this node made for another one; "
+    "that node does not learn whether the call took effect.",
+    "report it with the log lines of this stop",
+)
 RELAY_PROBE_FAILED = event(
     5412,
     "relay_probe_failed",
--- a/primrosepitch/logs.py
+++ b/primrosepitch/logs.py
@@ -5,6 +5,7 @@
 import json
 import logging
 import os
+import time
 from collections import Counter, deque
 
 from primrosepitch import clock
@@ -23,16 +24,18 @@
 MAX_BUFFER_BYTES = 1 << 20
 """Buffer size above which further lines are dropped while the reader is slow."""
 
+CLOSE_POLL_S = 0.005
+
 STDOUT = 1
 
 
 class BoundedHandler(logging.Handler):
     """Write log lines to a file descriptor without blocking.
 
-    Lines at level info above the rate limit, and all lines while the buffer is full,
-    are dropped and counted by event; one summary line reports the counts when the
-    buffer has room again. Warnings and errors are dropped only above a rate for each
-    event, and while it is full.
+    Lines at level info above the rate limit that are not essential, and all lines
+    while the buffer is full, are dropped and counted by event; one summary line reports
+    the counts when the buffer has room again. Warnings and errors are dropped only
+    above a rate for each event, and while it is full.
 
     :param fd: non-blocking descriptor
     """
@@ -57,7 +60,9 @@
             self._warnings_in_second.clear()
             self._buffer_summary()
         self._lines_in_second += 1
-        if record.levelno < logging.WARNING:
+        if getattr(record, "essential", False):
+            over_rate = False
+        elif record.levelno < logging.WARNING:
             over_rate = self._lines_in_second > self._max_lines_per_s
         else:
             event = record.getMessage()
@@ -86,6 +91,17 @@
             self.dropped.clear()
             self._append_line(json.dumps(line))
 
+    def close_by(self, deadline: float) -> None:
+        """Write what is buffered before the process ends.
+
+        :param deadline: boot-time clock up to which a slow reader is waited for
+        """
+        self._buffer_summary()
+        self.flush()
+        while self._buffer and clock.monotonic() < deadline:
+            time.sleep(CLOSE_POLL_S)
+            self.flush()
+
     def flush(self) -> None:
         """Write as much of the buffer as the descriptor accepts."""
         while self._buffer:
--- a/primrosepitch/net/http_server.py
+++ b/primrosepitch/net/http_server.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import enum
+from collections import Counter
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
@@ -17,6 +19,7 @@
     OverloadedError,
     PrimroseError,
 )
+from primrosepitch.events import REQUEST_UNANSWERED, REQUEST_WHILE_STOPPING, emit
 from primrosepitch.net.client_account import (
     CONNECTION_BYTES,
     EXCHANGE_BYTES,
@@ -38,7 +41,14 @@
     create_listening_socket,
 )
 
-__all__ = ["Exchange", "HttpServer", "ServerLimits", "error_response"]
+__all__ = [
+    "ConnectionUse",
+    "Exchange",
+    "HttpServer",
+    "RequestStage",
+    "ServerLimits",
+    "error_response",
+]
 
 DRAIN_POLL_S = 0.01
 
@@ -70,6 +80,26 @@
 _REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
+MAX_LOGGED_CHARS = 200
+"""Longest part of a request's target in a log line; a target may have 16 KB."""
+
+
+class ConnectionUse(enum.Enum):
+    """How a connection came to carry a request."""
+
+    NEW = "new"
+    KEPT_ALIVE = "kept alive"
+    SENT_AHEAD = "sent ahead"
+
+
+class RequestStage(enum.Enum):
+    """How far a request has come that has not been answered completely."""
+
+    RECEIVING = "receiving"
+    HANDLED = "handled"
+    ANSWER_UNSENT = "answer unsent"
+
+
 class ServerLimits(msgspec.Struct, frozen=True):
     """Limits of a server.
 
@@ -170,6 +200,9 @@
         self.buffered_bytes = 0
         self.unsent_bytes: dict[_Connection, int] = {}
         self.stopping = False
+        self.stop_began_at = 0.0
+        self.received_while_stopping: Counter[ConnectionUse] = Counter()
+        self.unanswered = 0
         self._server: asyncio.Server | None = None
 
     async def listen(self, address: str, port: int) -> int:
@@ -191,6 +224,22 @@
         bound_port: int = sock.getsockname()[1]
         return bound_port
 
+    def begin_stop(self) -> None:
+        """Log and count from now on what arrives during the process's stop."""
+        self.stop_began_at = clock.monotonic()
+
+    def record_request(self, target: bytes, use: ConnectionUse) -> None:
+        """Log and count a complete request, if the process is stopping."""
+        if not self.stop_began_at:
+            return
+        self.received_while_stopping[use] += 1
+        emit(
+            REQUEST_WHILE_STOPPING,
+            target=_logged(target),
+            connection=use.value,
+            after_s=round(clock.monotonic() - self.stop_began_at, 3),
+        )
+
     def stop_listening(self) -> None:
         """Stop accepting connections and close idle ones; requests continue."""
         self.stopping = True
@@ -211,8 +260,24 @@
         """Stop listening and close all connections immediately."""
         self.stop_listening()
         for conn in list(self.connections):
+            self._record_unanswered(conn)
             conn.abort()
 
+    def _record_unanswered(self, conn: _Connection) -> None:
+        """Log and count the request of a connection that is about to be closed."""
+        stage = conn.stage
+        if stage is None:
+            return
+        self.unanswered += 1
+        now = clock.monotonic()
+        emit(
+            REQUEST_UNANSWERED,
+            target=_logged(conn.target),
+            stage=stage.value,
+            age_s=round(now - conn.stage_since, 3),
+            after_s=round(now - self.stop_began_at, 3) if self.stop_began_at else 0.0,
+        )
+
     def make_room(self) -> bool:
         """Return whether there is room for another connection.
 
@@ -268,6 +333,9 @@
         self._turn_scheduled = False
         self._closing = False
         self._discarded_bytes = 0
+        self._use = ConnectionUse.NEW
+        self.target = b""
+        self.stage_since = 0.0
 
     # asyncio.BufferedProtocol
 
@@ -302,6 +370,7 @@
             return
         if self._head is None and not self._has_input() and not self._is_occupied():
             self._set_deadline(self._limits.message_s)
+            self.stage_since = clock.monotonic()
         self._input += self._account.read_buffer[:nbytes]
         if self._is_occupied():
             if len(self._input) >= MAX_PIPELINED_BYTES and self._transport:
@@ -342,6 +411,17 @@
             self._next_request()
         self._update_charge()
 
+    @property
+    def stage(self) -> RequestStage | None:
+        """Return how far the oldest request has come that is not answered, if any."""
+        if self._exchange is not None:
+            return RequestStage.HANDLED
+        if self._write_paused:
+            return RequestStage.ANSWER_UNSENT
+        if not self._closing and (self._head is not None or self._has_input()):
+            return RequestStage.RECEIVING
+        return None
+
     # Account
 
     @property
@@ -463,6 +543,7 @@
 
     def _start_request(self, head: h11.Request) -> None:
         self._head = head
+        self.target = head.target
         size = _head_bytes(head)
         if size > MAX_HEADER_BYTES:
             self._fail(
@@ -505,7 +586,9 @@
         exchange = Exchange(request, self, self._account, reserved)
         self._exchange = exchange
         self._deadline = 0.0
+        self.stage_since = clock.monotonic()
         self._server.waiting.pop(self, None)
+        self._server.record_request(head.target, self._use)
         self._server.handler(exchange)
 
     def _release_body(self) -> None:
@@ -537,8 +620,10 @@
         if self not in self._server.connections:
             return
         self._server.waiting.pop(self, None)
-        self._server.waiting[self] = clock.monotonic()
+        self._server.waiting[self] = self.stage_since = clock.monotonic()
+        self._use = ConnectionUse.KEPT_ALIVE
         if self._input or self._h11.trailing_data[0]:
+            self._use = ConnectionUse.SENT_AHEAD
             self._set_deadline(self._limits.message_s)
             self._schedule_turn()
             return
@@ -639,6 +724,10 @@
         self._transport.abort()
 
 
+def _logged(target: bytes) -> str:
+    return target[:MAX_LOGGED_CHARS].decode("latin-1")
+
+
 def _head_bytes(head: h11.Request) -> int:
     return len(head.target) + header_bytes(list(head.headers))
 
--- a/primrosepitch/node/node.py
+++ b/primrosepitch/node/node.py
@@ -8,7 +8,12 @@
 from collections.abc import Awaitable, Callable
 
 from primrosepitch import clock
-from primrosepitch.events import MANIFEST_IN_FORCE, TASK_FAILED, emit
+from primrosepitch.events import (
+    MANIFEST_IN_FORCE,
+    TASK_FAILED,
+    TERM_NOT_RELEASED,
+    emit,
+)
 from primrosepitch.jobs.model import JobSpec
 from primrosepitch.jobs.records import FirstAttempt, NodeAddress, Record, encode
 from primrosepitch.jobs.store import (
@@ -231,8 +236,10 @@
                 await self.scheduler.release_term()
         except TimeoutError:
             emit(
-                TASK_FAILED,
-                error="the term was not released before the shutdown deadline",
+                TERM_NOT_RELEASED,
+                term=self.scheduler.state.term,
+                reason="the shutdown deadline passed",
+                waits_for=self.scheduler.release_waits_for,
             )
 
     async def _publish_address(self) -> None:
--- a/primrosepitch/node/relay.py
+++ b/primrosepitch/node/relay.py
@@ -13,6 +13,7 @@
 from primrosepitch import clock
 from primrosepitch.errors import PeerUnavailableError
 from primrosepitch.events import (
+    RELAY_CALL_CUT,
     RELAY_CALL_FAILED,
     RELAY_OFF,
     RELAY_ON,
@@ -89,7 +90,7 @@
         self._stores: dict[str, LedgerStore] = {}
         self._probing: asyncio.Task[None] | None = None
         self._unreachable_since = 0.0
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._serving: dict[asyncio.Task[None], tuple[str, str]] = {}
         for kind in (StoreAppend, StoreRead, StoreNewest):
             pool.register_handler(kind, self.handle)
 
@@ -107,8 +108,10 @@
         return RelayedStore(self, partition, store)
 
     def close(self) -> None:
-        """Cancel all tasks."""
-        for task in (self._probing, *self._tasks):
+        """Cancel all tasks, and log the calls of other nodes that this ends."""
+        for call, partition in self._serving.values():
+            emit(RELAY_CALL_CUT, call=call, partition=partition)
+        for task in (self._probing, *self._serving):
             if task is not None:
                 task.cancel()
 
@@ -204,9 +207,10 @@
 
     def handle(self, request: PeerRequest) -> None:
         """Make a call for another node; it is never relayed further."""
+        body = request.body
         task = asyncio.ensure_future(self._serve(request))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._serving[task] = (type(body).__name__, body.partition)
+        task.add_done_callback(self._serving.pop)
 
     async def _serve(self, request: PeerRequest) -> None:
         body = request.body
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -19,6 +19,9 @@
     TERM_CLAIMED,
     TERM_HANDED_OVER,
     TERM_LOST,
+    TERM_NOT_RELEASED,
+    TERM_RELEASED,
+    TERM_RELEASING,
     emit,
 )
 from primrosepitch.jobs.model import (
@@ -185,6 +188,7 @@
         self._tick_delay = TickDelay(TICK_INTERVAL_S)
         self._start_orders = 0
         self._stopping = False
+        self._release_waits_for = ""
         self._order_queue = OrderQueue()
         self._move_slots = asyncio.Semaphore(MAX_CONCURRENT_MOVES)
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -211,6 +215,11 @@
         """Return whether this node is the scheduler."""
         return self.state.term > 0
 
+    @property
+    def release_waits_for(self) -> str:
+        """Return what the newest release of a term has waited for last."""
+        return self._release_waits_for
+
     def count_open_jobs(self) -> int:
         """Return how many jobs have not ended; 0 on a node that does not schedule."""
         return len(self.state.jobs)
@@ -589,21 +598,46 @@
 
     async def _release(self, reason: str) -> None:
         number = self.state.term
+        began_at, commits = clock.monotonic(), self.state.commit_count
+        emit(
+            TERM_RELEASING,
+            term=number,
+            reason=reason,
+            commit=self.state.committing,
+            instance_orders=len(self._instance_orders),
+            prior_orders_s=round(max(0.0, self.state.prior_orders_until - began_at), 2),
+        )
         while self.state.committing and self.state.term == number:
+            self._release_waits_for = f"commit {self.state.committing}"
             await asyncio.sleep(TICK_INTERVAL_S)
         if self.state.term != number:
+            emit(TERM_NOT_RELEASED, term=number, reason="the term ended meanwhile")
             return
         # Those of the term before may still be under way, too.
         orders_until = self.state.prior_orders_until
+        commits = self.state.commit_count - commits
+        committed_at = clock.monotonic()
         self._step_down(ef.StepDown(reason))
+        self._release_waits_for = f"{len(self._instance_orders)} orders to instances"
         if self._instance_orders:
             await asyncio.wait(self._instance_orders)
         await asyncio.sleep(max(0.0, orders_until - clock.monotonic()))
+        ordered_at = clock.monotonic()
+        self._release_waits_for = "the append of the release"
         record = KeyedRecord(*encode(Term(number, "", self.state.nonce)))
         try:
             await self._ledger_log.append([record])
         except (StoreUnavailableError, StoreUnknownError, StoreFencedError) as exc:
-            emit(TERM_LOST, term=number, reason=f"the release was not written: {exc}")
+            emit(TERM_NOT_RELEASED, term=number, reason=f"not written: {exc}")
+            return
+        emit(
+            TERM_RELEASED,
+            term=number,
+            commits=commits,
+            commits_s=round(committed_at - began_at, 3),
+            orders_s=round(ordered_at - committed_at, 3),
+            append_s=round(clock.monotonic() - ordered_at, 3),
+        )
 
     # Effects
 
