--- a/standins/log_store.py
+++ b/standins/log_store.py
@@ -10,6 +10,8 @@
 import asyncio
 import base64
 import struct
+from collections import Counter
+from collections.abc import Callable
 from enum import Enum
 
 from standins.http import Close, HandlerResult, Hang, Peer, Request, Response, Server
@@ -77,15 +79,25 @@
 class LogStore:
     """The log store.
 
-    ``refused`` maps the address of each refused node to the kind of refusal.
+    Nodes are told apart by their address, or by the port that was opened for them.
+
+    ``refused`` maps each refused node to the kind of refusal, ``append_delay_s`` maps a
+    node to the time after which its appends are carried out, and ``silent_appends``
+    names the nodes whose appends are carried out and never answered.
     """
 
     def __init__(self) -> None:
         """Initialize an empty store that does not listen yet."""
         self.refused: dict[str, Refusal] = {}
+        self.append_delay_s: dict[str, float] = {}
+        self.silent_appends: set[str] = set()
         self.served_bytes = 0
+        self._received: Counter[str] = Counter()
+        self._appends_under_way = 0
+        self._changed = asyncio.Event()
         self._partitions: dict[tuple[str, str], _Partition] = {}
         self._server = Server(self._handle)
+        self._node_servers: dict[int, tuple[str, Server]] = {}
 
     async def start(self, host: str, port: int) -> None:
         """Start listening."""
@@ -96,9 +108,31 @@
         """Return the port on which the store listens."""
         return self._server.port
 
+    async def open_port(self, node: str, host: str) -> int:
+        """Open a port for a node that shares its address with others.
+
+        :param node: name of the node in ``refused`` and the other settings
+        :returns: the port
+        """
+        server = Server(self._handle)
+        await server.start(host, 0)
+        self._node_servers[server.port] = (node, server)
+        return server.port
+
     async def stop(self) -> None:
         """Stop listening, and end all requests."""
-        await self._server.stop(grace_s=0.0)
+        for server in self._servers:
+            await server.stop(grace_s=0.0)
+
+    @property
+    def _servers(self) -> list[Server]:
+        return [self._server, *(server for _, server in self._node_servers.values())]
+
+    def _node(self, peer: Peer) -> str:
+        """Return the name of the node that a request comes from, or its address."""
+        own_address = peer.writer.get_extra_info("sockname")
+        named = self._node_servers.get(own_address[1]) if own_address else None
+        return named[0] if named is not None else _host(peer)
 
     def write(self, topic: str, key: str, value: bytes) -> int:
         """Append a record to partition 0 of a topic, bypassing the protocol.
@@ -111,6 +145,30 @@
         """Return the offset after the last record of a topic's partition 0."""
         return self._partition(topic, "0").end
 
+    def records(self, topic: str) -> list[tuple[str, bytes]]:
+        """Return the keys and values of all records of a topic's partition 0."""
+        return list(self._partition(topic, "0").records)
+
+    def count(self, topic: str, key: str) -> int:
+        """Return how many records of a topic's partition 0 have a key."""
+        return sum(name == key for name, _ in self._partition(topic, "0").records)
+
+    async def wait_until_received(self, key: str) -> None:
+        """Wait until an append with a record of this key has arrived."""
+        await self._wait_until(lambda: self._received[key] > 0)
+
+    async def wait_until_settled(self) -> None:
+        """Wait until all appends that have arrived are carried out."""
+        await self._wait_until(lambda: not self._appends_under_way)
+
+    async def _wait_until(self, condition: Callable[[], bool]) -> None:
+        while not condition():
+            await self._changed.wait()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def compact(self, topic: str) -> None:
         """Delete the history of a topic, keeping the newest record of each key."""
         for (name, _), partition in self._partitions.items():
@@ -121,8 +179,8 @@
         """Refuse a node's requests; a reset also aborts its open connections."""
         self.refused[host] = refusal
         if refusal is Refusal.RESET:
-            for peer in self._server.peers:
-                if _host(peer) == host:
+            for peer in [p for server in self._servers for p in server.peers]:
+                if self._node(peer) == host:
                     peer.writer.transport.abort()
 
     def _partition(self, topic: str, part: str) -> _Partition:
@@ -130,7 +188,8 @@
 
     async def _handle(self, request: Request, peer: Peer) -> HandlerResult:
         await asyncio.sleep(REQUEST_S)
-        refusal = self.refused.get(_host(peer))
+        node = self._node(peer)
+        refusal = self.refused.get(node)
         if refusal is Refusal.SILENT:
             return Hang()
         if refusal is Refusal.RESET:
@@ -141,18 +200,34 @@
         partition = self._partition(topic, request.query.get("part", "0"))
         route = (request.method, request.path)
         if route == ("POST", "/log-append") and topic not in READ_ONLY_TOPICS:
-            answer = await self._append(partition, request)
+            answer = await self._append_later(partition, request, node)
+            if node in self.silent_appends:
+                return Hang()
         elif route == ("GET", "/log-read"):
             answer = await self._read(partition, request)
         elif route == ("GET", "/log-newest"):
             answer = _newest_page(partition, request.query.get("after", ""))
         else:
             answer = Response(403)
-        if _host(peer) in self.refused:
+        if node in self.refused:
             return Close()
         self.served_bytes += len(answer.body)
         return answer
 
+    async def _append_later(
+        self, partition: _Partition, request: Request, node: str
+    ) -> Response:
+        """Append after the node's delay, also if its connection has ended by then."""
+        self._received.update(key for key, _ in _decode_records(request.body))
+        self._appends_under_way += 1
+        self._notify()
+        try:
+            await asyncio.sleep(self.append_delay_s.get(node, 0.0))
+            return await self._append(partition, request)
+        finally:
+            self._appends_under_way -= 1
+            self._notify()
+
     async def _append(self, partition: _Partition, request: Request) -> Response:
         sizes = _record_sizes(request.body)
         if sum(sizes) > CALL_BYTES or any(size > RECORD_BYTES for size in sizes):
--- a/standins/node_process.py
+++ b/standins/node_process.py
@@ -6,6 +6,7 @@
 import json
 import os
 import re
+import signal
 import socket
 import subprocess
 import sys
@@ -14,17 +15,31 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
+from typing import NamedTuple
 
 from standins.http import ConnectionLostError, call
 from standins.log_store import LogStore
 
-__all__ = ["NodeProcess", "running_node"]
+__all__ = [
+    "GRACE_S",
+    "HOST",
+    "Ending",
+    "NodeProcess",
+    "open_store",
+    "running_node",
+    "started_node",
+]
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "jobs.example"
 JOB = "00000000000000aa"
 START_TIMEOUT_S = 15.0
 STOP_TIMEOUT_S = 10.0
+GRACE_S = 3.0
+"""Default time between SIGTERM and SIGKILL."""
+
+LOG_POLL_S = 0.005
+LOOPBACK = "127.0.0.1"
 
 PORTS = 6
 """Successive ports of a node: callers, readiness checks, metrics, peers, and spares."""
@@ -59,14 +74,29 @@
         return first
 
 
+class Ending(NamedTuple):
+    """End of a process after SIGTERM.
+
+    :param exit_code: negative number of the signal that ended it, if one did
+    """
+
+    exit_code: int
+    took_s: float
+
+
 class NodeProcess:
     """A node's process, and what the system reports about it.
 
     :param folder: temporary folder of the settings file and the log
+    :param grace_s: time between SIGTERM and SIGKILL
     """
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(
+        self, folder: Path, name: str = "n1", grace_s: float = GRACE_S
+    ) -> None:
         """Choose the ports; nothing runs yet."""
+        self.name = name
+        self.grace_s = grace_s
         first = _free_ports(PORTS)
         self.front, self.readiness, self.metrics, self.peers = (
             f"127.0.0.1:{first + number}" for number in range(4)
@@ -81,13 +111,13 @@
         :param limits: resources that the platform grants the process
         """
         settings = {
-            "node_name": "n1",
+            "node_name": self.name,
             "ip_address": "127.0.0.1",
             "zone": "z",
             "listen_addresses": {"front": self.front, "readiness": self.readiness},
             "internal_port_range": self._internal_ports,
             "platform": {"address": store},
-            "bounds": {"fencing_required": True, "grace_s": 3.0},
+            "bounds": {"fencing_required": True, "grace_s": self.grace_s},
             "limits": limits,
         }
         path = self._folder / "settings.json"
@@ -125,7 +155,7 @@
         lines = (self._folder / "log").read_text().splitlines()
         return [json.loads(line) for line in lines if line.startswith("{")]
 
-    async def answers(self, timeout_s: float) -> bool:
+    async def answers(self, timeout_s: float = START_TIMEOUT_S) -> bool:
         """Return whether an ordinary submission, its state and readiness are answered.
 
         Each call is repeated until the timeout, as callers do after a refusal.
@@ -143,6 +173,28 @@
                 return False
         return True
 
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        assert self.process is not None
+        self.process.send_signal(number)
+
+    async def wait_until_logged(self, event: str) -> None:
+        """Wait until the log has a line of an event, or the process has ended."""
+        while self.alive and not any(line["event"] == event for line in self.log()):
+            await asyncio.sleep(LOG_POLL_S)
+
+    async def shut_down(self) -> Ending:
+        """Stop the process as the platform does: by SIGTERM, and SIGKILL after that."""
+        assert self.process is not None
+        started_at = time.monotonic()
+        self.send_signal(signal.SIGTERM)
+        try:
+            exit_code = await asyncio.to_thread(self.process.wait, self.grace_s)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            exit_code = await asyncio.to_thread(self.process.wait)
+        return Ending(exit_code, time.monotonic() - started_at)
+
     def end(self) -> bool:
         """Ask the process to end; return whether it did without being killed."""
         if self.process is None:
@@ -179,19 +231,43 @@
 
 
 @asynccontextmanager
-async def running_node(limits: dict[str, float]) -> AsyncIterator[NodeProcess]:
-    """Run a store and a node that is ready, and end both."""
+async def open_store() -> AsyncIterator[LogStore]:
+    """Run a store that has a manifest."""
     store = LogStore()
-    await store.start("127.0.0.1", 0)
+    await store.start(LOOPBACK, 0)
     store.write("keyed.op", "config", json.dumps(MANIFEST).encode())
+    try:
+        yield store
+    finally:
+        await store.stop()
+
+
+@asynccontextmanager
+async def started_node(
+    store: LogStore,
+    limits: dict[str, float],
+    name: str = "n1",
+    grace_s: float = GRACE_S,
+) -> AsyncIterator[NodeProcess]:
+    """Start a node with a port of the store for itself, and end it.
+
+    The node need not be ready yet.
+    """
+    port = await store.open_port(name, LOOPBACK)
     with tempfile.TemporaryDirectory() as folder:
-        node = NodeProcess(Path(folder))
-        node.start(f"127.0.0.1:{store.port}", limits)
+        node = NodeProcess(Path(folder), name, grace_s)
+        node.start(f"{LOOPBACK}:{port}", limits)
         try:
-            if not await node.answers(START_TIMEOUT_S):
-                raise RuntimeError("the node doesn't become ready")
             yield node
         finally:
             if node.alive:
                 await asyncio.to_thread(node.end)
-            await store.stop()
+
+
+@asynccontextmanager
+async def running_node(limits: dict[str, float]) -> AsyncIterator[NodeProcess]:
+    """Run a store and a node that is ready, and end both."""
+    async with open_store() as store, started_node(store, limits) as node:
+        if not await node.answers():
+            raise RuntimeError("the node doesn't become ready")
+        yield node
