Test: further ways to lose an answer or a term around a SIGTERM

Change: scenarios for heads that arrive in two parts, idle connections, requests that are never sent whole, a slow and a silent store, callers that read slowly or send on, relayed appends, a claim of the term, and further signals.

--- a/features/steps/graceful_shutdown.py
+++ b/features/steps/graceful_shutdown.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import signal
 import time
 
 from behave import given, then, when
@@ -15,14 +16,26 @@
     StepSpec,
     WorkspaceName,
 )
-from primrosepitch.jobs.records import TERM_KEY, Cancellation, Ledger, Term, encode
-from standins.node_process import open_store, started_node
+from primrosepitch.jobs.records import (
+    TERM_KEY,
+    Cancellation,
+    Ledger,
+    NodeAddress,
+    Term,
+    encode,
+)
+from standins.log_store import Refusal
+from standins.node_process import GRACE_S, open_store, started_node
 from standins.stop_callers import JOB_KEY_PREFIX, Caller, CallRecords
 
 LIMITS = {"memory_mb": 160, "file_descriptors": 1024}
+ROLES = ("beside the scheduler", "that holds the term", "beside no other")
 OTHER_SCHEDULER = Term(1, "n0", 1)
 RENEWAL_S = 0.25
 
+SHOWN_CALLS = 12
+"""Requests that a failed check describes."""
+
 SCENARIO_S = 40.0
 """Time after which a scenario fails, whatever hangs."""
 
@@ -32,9 +45,22 @@
 SENDING_S = 0.8
 SENDING_PARTS = 8
 SPECIFICATION = "x" * 3000
+LONG_SPECIFICATION = "x" * 100_000
+SMALL_BUFFER_BYTES = 2048
+MANY_REQUESTS = 200
+MUCH_BYTES = 40_000
+"""Bytes beyond what a node reads ahead, and less than the socket holds."""
+
+SLOW_READ_BYTES = 256
+SLOW_READ_PAUSE_S = 0.01
+HALF_A_HEAD = 40
+"""Bytes of a request up to the middle of a header."""
+
 SHORT_DELAY_S = 0.1
+SIGNAL_INTERVAL_S = 0.002
 SLOW_STORE_S = 0.3
 BUSY_STORE_S = 0.05
+SLOW_CLAIM_S = 1.0
 STEADY_CALLERS = 8
 STEADY_INTERVAL_S = 0.02
 LOAD_INTERVAL_S = 0.01
@@ -42,12 +68,16 @@
 
 
 class Play:
-    """A node that is stopped, its store, and the requests of its callers."""
+    """A node, its store, and the requests of its callers.
+
+    ``stopped`` is the node that is stopped, the same one unless a step names another.
+    """
 
     def __init__(self, store, node):
         self.store, self.node = store, node
         self.records = CallRecords(store)
         self.ending = None
+        self.stopped = node
         self.term_released_after_s = None
 
     def connect(self, buffer_bytes=0):
@@ -56,12 +86,12 @@
     async def stop(self):
         """Stop the node and record how it ends."""
         self.records.stopped_at = time.monotonic()
-        self.ending = await self.node.shut_down()
+        self.ending = await self.stopped.shut_down()
 
-    async def stop_and_begin(self):
+    async def begin_stop(self):
         """Begin to stop the node; return the task that waits for its end."""
         stop = asyncio.ensure_future(self.stop())
-        await self.node.wait_until_logged("process_stopping")
+        await self.stopped.wait_until_logged("process_stopping")
         return stop
 
     def term(self):
@@ -111,18 +141,21 @@
 
 
 def _run(context, act):
+    """Start the node of the scenario, and let callers and signals act on it."""
+
     async def play():
         async with contextlib.AsyncExitStack() as stack:
             store = await stack.enter_async_context(open_store())
-            if not context.holds_term:
+            if context.role == "beside the scheduler":
                 await stack.enter_async_context(_in_background(_renew_term(store)))
             node = await stack.enter_async_context(
                 started_node(store, LIMITS, grace_s=context.grace_s)
             )
-            assert await node.answers(), "the node doesn't become ready"
-            if context.holds_term:
-                await node.wait_until_logged("term_taken")
             context.play = Play(store, node)
+            if context.role != "beside no other":
+                assert await node.answers(), "the node doesn't become ready"
+            if context.role == "that holds the term":
+                await node.wait_until_logged("term_taken")
             await act(context.play)
             await store.wait_until_settled()
             context.log = node.log()
@@ -132,10 +165,8 @@
 
 @given("a node {role}, with a grace period of {grace_s:g} s")
 def step_node(context, role, grace_s):
-    context.holds_term = {"beside the scheduler": False, "that holds the term": True}[
-        role
-    ]
-    context.grace_s = grace_s
+    assert role in ROLES, role
+    context.role, context.grace_s = role, grace_s
 
 
 # Requests that arrive slowly, and ahead
@@ -148,12 +179,17 @@
             await caller.read_answer(call)
 
 
-async def _stop_slow_callers(play):
+async def _stop_slow_callers(play, *signals):
+    """Stop the node while requests arrive, and send it further signals meanwhile."""
     callers = []
     for _ in range(SLOW_CALLERS):
         callers.append(asyncio.ensure_future(_submit_slowly(play)))
         await asyncio.sleep(SLOW_CALLER_INTERVAL_S)
-    await asyncio.gather(play.stop(), *callers)
+    stop = await play.begin_stop()
+    for number in signals:
+        play.node.send_signal(number)
+        await asyncio.sleep(SHORT_DELAY_S)
+    await asyncio.gather(stop, *callers)
 
 
 @when("it is stopped while callers take 0.8 s each to send a submission")
@@ -161,6 +197,56 @@
     _run(context, _stop_slow_callers)
 
 
+async def _stop_with_signals(play):
+    await _stop_slow_callers(
+        play, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM
+    )
+
+
+@when("it is stopped while callers take 0.8 s each, and gets SIGHUP and SIGTERM again")
+def step_signals(context):
+    _run(context, _stop_with_signals)
+
+
+async def _send_signals_until_end(play):
+    stop = await play.begin_stop()
+    for number in itertools.cycle((signal.SIGHUP, signal.SIGTERM)):
+        if not play.node.alive:
+            break
+        play.node.send_signal(number)
+        await asyncio.sleep(SIGNAL_INTERVAL_S)
+    await stop
+
+
+@when("it is stopped, and gets SIGHUP and SIGTERM again and again until it ends")
+def step_signals_until_end(context):
+    _run(context, _send_signals_until_end)
+
+
+async def _split_heads(play):
+    async with contextlib.AsyncExitStack() as stack:
+        begun = []
+        for size in (1, HALF_A_HEAD):
+            caller = await stack.enter_async_context(play.connect())
+            call = play.records.submission()
+            await caller.write(call.data[:size])
+            begun.append((caller, call, size))
+        # The node has read these bytes when it has answered a later request.
+        last = await stack.enter_async_context(play.connect())
+        await last.exchange(play.records.waiting_request())
+        stop = await play.begin_stop()
+        await asyncio.sleep(SHORT_DELAY_S)
+        for caller, call, size in begun:
+            if await caller.send_rest(call.data[size:], call):
+                await caller.read_answer(call)
+        await stop
+
+
+@when("it is stopped between two parts of the heads of requests")
+def step_split_heads(context):
+    _run(context, _split_heads)
+
+
 async def _read_answers(caller, calls):
     for call in calls:
         await caller.read_answer(call)
@@ -200,7 +286,7 @@
             await caller.write(partial.data[:-1])
             calls = [partial, *_requests(play, submission.job, count - 1)]
             begun.append((caller, calls))
-        stop = await play.stop_and_begin()
+        stop = await play.begin_stop()
         await asyncio.sleep(SHORT_DELAY_S)
         for caller, calls in begun:
             rest = b"".join(call.data for call in calls[1:])
@@ -231,7 +317,7 @@
         under_way = play.records.submission()
         await callers[0].send(under_way)
         await play.store.wait_until_received(JOB_KEY_PREFIX + under_way.job)
-        stop = await play.stop_and_begin()
+        stop = await play.begin_stop()
         await asyncio.sleep(SHORT_DELAY_S)
         calls = [play.records.submission() for _ in callers[1:]]
         for caller, call in zip(callers[1:], calls, strict=True):
@@ -249,6 +335,143 @@
     _run(context, _use_kept_alive)
 
 
+# Idle and unfinished
+
+
+async def _leave_idle(play):
+    async with play.connect() as used, play.connect():
+        await used.exchange(play.records.submission())
+        await play.stop()
+
+
+@when("it is stopped while connections are idle")
+def step_idle(context):
+    _run(context, _leave_idle)
+
+
+async def _send_for_ever(caller):
+    """Send a request byte by byte that has no end."""
+    while await caller.write(b"x"):
+        await asyncio.sleep(STEADY_INTERVAL_S)
+
+
+async def _leave_unfinished(play):
+    """Leave requests unfinished: one without a further byte, one byte by byte."""
+    async with play.connect() as silent, play.connect() as steady:
+        calls = [play.records.submission(LONG_SPECIFICATION) for _ in range(2)]
+        for caller, call in zip((silent, steady), calls, strict=True):
+            await caller.write(call.data[: len(call.data) // 2])
+        async with _in_background(_send_for_ever(steady)):
+            await asyncio.gather(
+                play.stop(),
+                silent.read_answer(calls[0]),
+                steady.read_answer(calls[1]),
+            )
+    play.unfinished = calls
+
+
+@when("it is stopped while callers don't finish their requests")
+def step_unfinished(context):
+    _run(context, _leave_unfinished)
+
+
+@then("the unfinished requests are refused with 503")
+def step_refused(context):
+    play = context.play
+    for call in play.unfinished:
+        assert call.status == 503, call.describe(play.records.stopped_at)
+    assert not play.records.untrue()
+
+
+# A slow store
+
+
+async def _submit(play, call):
+    async with play.connect() as caller:
+        await caller.exchange(call)
+
+
+async def _wait_for_store(play, delay_s, silent):
+    """Stop the node while one append is under way, and others wait for it."""
+    play.store.append_delay_s[play.node.name] = delay_s
+    calls = [play.records.submission() for _ in range(1 + STEADY_CALLERS)]
+    callers = [asyncio.ensure_future(_submit(play, calls[0]))]
+    await play.store.wait_until_received(JOB_KEY_PREFIX + calls[0].job)
+    callers += [asyncio.ensure_future(_submit(play, call)) for call in calls[1:]]
+    # These arrive after the SIGTERM.
+    callers += [asyncio.ensure_future(_submit_slowly(play))]
+    await asyncio.sleep(SHORT_DELAY_S)
+    if silent:
+        play.store.silent_appends.add(play.node.name)
+    await asyncio.gather(play.stop(), *callers)
+
+
+@when(
+    "it is stopped while requests wait for a store that answers appends after "
+    "{delay_s:g} s"
+)
+def step_slow_store(context, delay_s):
+    _run(context, lambda play: _wait_for_store(play, delay_s, silent=False))
+
+
+@when("it is stopped while requests wait for a store that is silent from then on")
+def step_silent_store(context):
+    _run(context, lambda play: _wait_for_store(play, SLOW_STORE_S, silent=True))
+
+
+# Slow readers
+
+
+async def _read_slowly(caller, calls):
+    caller.read_bytes, caller.read_pause_s = SLOW_READ_BYTES, SLOW_READ_PAUSE_S
+    await _read_answers(caller, calls)
+
+
+async def _send_on(caller, calls):
+    """Send bytes of another request after the answers, and then read these."""
+    async with _in_background(_send_for_ever(caller)):
+        await asyncio.sleep(LOAD_S)
+        await _read_answers(caller, calls)
+
+
+async def _read_later(caller, calls):
+    """Read when the node has long closed its side with bytes unread."""
+    await asyncio.sleep(LOAD_S)
+    await _read_answers(caller, calls)
+
+
+READERS = {
+    "reads slowly": (_read_slowly, 0),
+    "sends on before it reads": (_send_on, 0),
+    "sends much and reads later": (_read_later, MUCH_BYTES),
+}
+
+
+async def _stop_slow_reader(play, read, further_bytes):
+    """Stop the node while a submission is under way behind many answers.
+
+    The answers don't fit into the caller's receive buffer.
+    """
+    play.store.append_delay_s[play.node.name] = SLOW_STORE_S
+    async with play.connect(SMALL_BUFFER_BYTES) as caller:
+        calls = [play.records.waiting_request() for _ in range(MANY_REQUESTS)]
+        calls.append(play.records.submission())
+        await caller.send(*calls)
+        await play.store.wait_until_received(JOB_KEY_PREFIX + calls[-1].job)
+        if further_bytes:
+            # More than a node reads ahead: the rest stays in the socket.
+            await caller.write(b"GET /" + b"x" * further_bytes)
+        stop = await play.begin_stop()
+        await read(caller, calls)
+    await stop
+
+
+@when("it is stopped while a caller with a small buffer {behaviour}")
+def step_slow_reader(context, behaviour):
+    read, further_bytes = READERS[behaviour]
+    _run(context, lambda play: _stop_slow_reader(play, read, further_bytes))
+
+
 # Requests until the end
 
 
@@ -317,6 +540,25 @@
     _run(context, _stop_loaded_scheduler)
 
 
+async def _stop_claimer(play):
+    delays = play.store.append_delay_s
+    delays[play.node.name] = SLOW_CLAIM_S
+    await play.store.wait_until_received(TERM_KEY)
+    delays.clear()
+    await play.stop()
+
+
+@when("it is stopped while the store takes 1 s for its claim of the term")
+def step_claimer(context):
+    _run(context, _stop_claimer)
+
+
+@then("it doesn't hold the term")
+def step_not_held(context):
+    term = context.play.term()
+    assert term.holder != context.play.node.name, term
+
+
 @then("the term is released within {seconds:g} s")
 def step_released(context, seconds):
     after_s = context.play.term_released_after_s
@@ -327,23 +569,86 @@
     assert after_s <= seconds, f"the term was released after {after_s:.2f} s"
 
 
+# Relayed appends
+
+
+@given("nodes a and b, of which the store refuses a")
+def step_two_nodes(context):
+    context.grace_s = GRACE_S
+
+
+async def _stop_in_relayed_append(context, part):
+    async with (
+        open_store() as store,
+        _in_background(_renew_term(store)),
+        started_node(store, LIMITS, "b") as b,
+        contextlib.AsyncExitStack() as stack,
+    ):
+        assert await b.answers(), "node b doesn't become ready"
+        # Node a reads this record when it starts.
+        store.write(LEDGER_TOPIC, *encode(NodeAddress("b", b.peers)))
+        a = await stack.enter_async_context(started_node(store, LIMITS, "a"))
+        assert await a.answers(), "node a doesn't become ready"
+        play = context.play = Play(store, a)
+        play.stopped = {"makes": b, "awaits": a}[part]
+        store.refuse("a", Refusal.BUSY)
+        await a.wait_until_logged("relay_on")
+        async with play.connect() as caller:
+            # This append shows that the relay works.
+            await caller.exchange(play.records.submission())
+            store.append_delay_s["b"] = SLOW_STORE_S
+            call = play.records.submission()
+            await caller.send(call)
+            await store.wait_until_received(JOB_KEY_PREFIX + call.job)
+            stop = await play.begin_stop()
+            await caller.read_answer(call)
+        await stop
+        await store.wait_until_settled()
+        context.log = play.stopped.log()
+
+
+@when(
+    "the node that {part} an append for a caller of a is stopped, and the store takes "
+    "0.3 s"
+)
+def step_relayed(context, part):
+    play = _stop_in_relayed_append(context, part)
+    asyncio.run(asyncio.wait_for(play, SCENARIO_S))
+
+
+@then("the caller of a is told that its submission is accepted")
+def step_relayed_answer(context):
+    records = context.play.records
+    for call in records.calls:
+        assert call.status == 200, call.describe(records.stopped_at)
+
+
 # Outcomes
 
 
+def _assert_none(found, what, records):
+    lines = "\n".join(found[:SHOWN_CALLS])
+    assert not found, f"{len(found)} of {len(records.calls)} {what}:\n{lines}"
+
+
 @then("every request is answered")
 def step_all_answered(context):
     records = context.play.records
-    missing = records.unanswered()
-    lines = "\n".join(missing)
-    assert not missing, f"{len(missing)} of {len(records.calls)} not:\n{lines}"
+    _assert_none(records.unanswered(), "unanswered", records)
 
 
 @then("no answer is lost or untrue")
 def step_truthful(context):
     records = context.play.records
-    for found, what in ((records.lost(), "lost"), (records.untrue(), "untrue")):
-        lines = "\n".join(found)
-        assert not found, f"{len(found)} of {len(records.calls)} {what}:\n{lines}"
+    _assert_none(records.lost(), "lost", records)
+    _assert_none(records.untrue(), "untrue", records)
+
+
+@then("the process ends by itself in half of that time")
+def step_ended_soon(context):
+    step_ended(context)
+    took_s = context.play.ending.took_s
+    assert took_s < context.grace_s / 2, f"it took {took_s:.2f} s"
 
 
 @then("the process ends by itself in time")
--- a/standins/node_process.py
+++ b/standins/node_process.py
@@ -180,7 +180,8 @@
 
     async def wait_until_logged(self, event: str) -> None:
         """Wait until the log has a line of an event, or the process has ended."""
-        while self.alive and not any(line["event"] == event for line in self.log()):
+        path, name = self._folder / "log", f'"{event}"'.encode()
+        while self.alive and name not in path.read_bytes():
             await asyncio.sleep(LOG_POLL_S)
 
     async def shut_down(self) -> Ending:
--- a/standins/stop_callers.py
+++ b/standins/stop_callers.py
@@ -58,6 +58,7 @@
         self.job = job
         self.field = field
         self.sent_at = 0.0
+        self.crossed_close = False
         self.ended_at = 0.0
         self.end = CallEnd.INCOMPLETE
         self.status = 0
@@ -66,15 +67,17 @@
 
     @property
     def lost(self) -> bool:
-        """Return whether a node has read the whole request and not answered it.
+        """Return whether a node has taken the whole request and not answered it.
 
-        A reset shows that it has not read all bytes. A caller may meet one only if its
-        request and the end of its connection coincide.
+        It has not if it had closed its side before, or closed the connection with bytes
+        unread, which a reset shows. Both happen only to a request that is sent while
+        the connection ends.
         """
         if not self.sent_at or self.end is CallEnd.ANSWERED:
             return False
         late = self.ended_at - self.sent_at > LOSS_SLACK_S
-        return self.end is not CallEnd.RESET or late
+        taken = not self.crossed_close and self.end is not CallEnd.RESET
+        return taken or late
 
     @property
     def matches(self) -> bool:
@@ -174,6 +177,8 @@
 class Caller:
     """A connection to a node.
 
+    ``read_bytes`` and ``read_pause_s`` limit the rate at which answers are read.
+
     :param records: records of the requests that are sent over it
     """
 
@@ -184,6 +189,8 @@
         self._loop = asyncio.get_running_loop()
         self._input = b""
         self.closed = False
+        self.read_bytes = READ_BYTES
+        self.read_pause_s = 0.0
 
     @classmethod
     @asynccontextmanager
@@ -221,10 +228,21 @@
             for call in calls:
                 self._records.finish(call, CallEnd.INCOMPLETE)
             return False
+        crossed_close = self._is_closed_by_node()
         for call in calls:
             call.sent_at = self._loop.time()
+            call.crossed_close = crossed_close
         return True
 
+    def _is_closed_by_node(self) -> bool:
+        """Return whether the node has closed its side, and all before that was read."""
+        try:
+            return not self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     async def send_slowly(self, call: CallRecord, parts: int, seconds: float) -> bool:
         """Send a request in equal parts; return whether the connection is open."""
         size = -(-len(call.data) // parts)
@@ -274,7 +292,8 @@
 
         :raises EOFError: if the node has closed the connection
         """
-        data = await self._loop.sock_recv(self._sock, READ_BYTES)
+        await asyncio.sleep(self.read_pause_s)
+        data = await self._loop.sock_recv(self._sock, self.read_bytes)
         if not data:
             self.closed = True
             raise EOFError
