Test: callers close before the process has to end, and signals during a release

Cause: callers that kept their connections open until the process had ended made the scenarios wait for it, and further signals were only sent while requests arrived.

Change: those callers close when they have their answers, and the release of the term is also checked with a SIGHUP and a second SIGTERM.

--- a/features/graceful_shutdown.feature
+++ b/features/graceful_shutdown.feature
@@ -145,12 +145,17 @@
 
   # Guards against commits that follow each other for as long as work arrives, so that the
   # process ends with its term and the next scheduler has to wait for a silence.
-  Scenario: The term is released under load
+  Scenario Outline: The term is released under load, with <signals> further signals
     Given a node that holds the term, with a grace period of 3 s
-    When it is stopped while jobs are submitted and cancelled through other nodes
+    When it is stopped, with <signals> further signals, while jobs are submitted and cancelled through other nodes
     Then the term is released within 1.5 s
     And the process ends by itself in time
 
+    Examples: signals
+      | signals |
+      | no      |
+      | two     |
+
   # Guards against a claim that the store carries out after its node has ended: the other
   # nodes would wait for a scheduler that doesn't exist.
   Scenario: A node that claims the term leaves none behind
--- a/features/steps/graceful_shutdown.py
+++ b/features/steps/graceful_shutdown.py
@@ -239,7 +239,7 @@
         for caller, call, size in begun:
             if await caller.send_rest(call.data[size:], call):
                 await caller.read_answer(call)
-        await stop
+    await stop
 
 
 @when("it is stopped between two parts of the heads of requests")
@@ -264,8 +264,9 @@
         # The store's answer is due after the stop, and so is that to the first request.
         first_job = sent[0][1][0].job
         await play.store.wait_until_received(JOB_KEY_PREFIX + first_job)
-        answers = [_read_answers(caller, calls) for caller, calls in sent]
-        await asyncio.gather(play.stop(), *answers)
+        stop = asyncio.ensure_future(play.stop())
+        await asyncio.gather(*(_read_answers(*pair) for pair in sent))
+    await stop
 
 
 def _requests(play, job, count):
@@ -292,7 +293,7 @@
             rest = b"".join(call.data for call in calls[1:])
             await caller.send_rest(calls[0].data[-1:] + rest, *calls)
             await _read_answers(caller, calls)
-        await stop
+    await stop
 
 
 @when(
@@ -327,7 +328,8 @@
             for caller, call in zip(callers, [under_way, *calls], strict=True)
             if call.sent_at
         ]
-        await asyncio.gather(stop, *answers)
+        await asyncio.gather(*answers)
+    await stop
 
 
 @when("it is stopped, and kept-alive connections are used 0.1 s later")
@@ -523,21 +525,29 @@
     play.term_released_after_s = time.monotonic() - play.records.stopped_at
 
 
-async def _stop_loaded_scheduler(play):
+async def _stop_loaded_scheduler(play, signals):
     play.store.append_delay_s[play.node.name] = BUSY_STORE_S
     async with _in_background(_submit_and_cancel(play.store)):
         await asyncio.sleep(LOAD_S)
         stop = asyncio.ensure_future(play.stop())
         watch = asyncio.ensure_future(_watch_term(play))
+        for number in signals:
+            await asyncio.sleep(SHORT_DELAY_S)
+            if play.node.alive:
+                play.node.send_signal(number)
         await stop
         await play.store.wait_until_settled()
     await asyncio.wait([watch], timeout=2 * STEADY_INTERVAL_S)
     watch.cancel()
 
 
-@when("it is stopped while jobs are submitted and cancelled through other nodes")
-def step_loaded_scheduler(context):
-    _run(context, _stop_loaded_scheduler)
+@when(
+    "it is stopped, with {signals} further signals, while jobs are submitted and "
+    "cancelled through other nodes"
+)
+def step_loaded_scheduler(context, signals):
+    further = {"no": (), "two": (signal.SIGHUP, signal.SIGTERM)}[signals]
+    _run(context, lambda play: _stop_loaded_scheduler(play, further))
 
 
 async def _stop_claimer(play):
