Repeat an append without an answer before other records of the term

Callers see a second without a scheduler: a release that its holder takes for stored is not in the store, so that other nodes wait for a silence.

Cause: the store answers a sequence number that it knows as it answered the first append that had it. FencedLog used the number of an append whose answer was lost again for other records, which were then answered with 200 and not stored.

A log remembers the records of an append without an answer, and repeats them, with their number, before others. Appends of one log follow each other.

--- a/features/steps/claims_of_terms.py
+++ b/features/steps/claims_of_terms.py
@@ -1,6 +1,7 @@
 """Steps for claims whose responses are lost, and for leases after a takeover."""
 
 import asyncio
+import contextlib
 import random
 from math import inf
 
@@ -18,6 +19,7 @@
     WorkspaceName,
 )
 from primrosepitch.jobs.records import (
+    TERM_KEY,
     Ledger,
     NodeAddress,
     Progress,
@@ -25,7 +27,8 @@
     Term,
     encode,
 )
-from primrosepitch.jobs.store import Fence, KeyedRecord
+from primrosepitch.jobs.store import Fence, KeyedRecord, StoreUnknownError
+from primrosepitch.node.fenced_log import FencedLog
 from primrosepitch.node.follower import LedgerFollower
 from primrosepitch.node.scheduler import SchedulerRunner
 from primrosepitch.node.term import TermObservation, claim_delay_s
@@ -39,6 +42,7 @@
     MemoryPartition,
     MemoryPlatform,
     QueuedPartition,
+    SequencedPartition,
     find_no_node,
     run_virtually,
 )
@@ -317,6 +321,51 @@
     assert history.count("sent") == 1, history
 
 
+def newest_term(ledger):
+    found = Ledger()
+    for key, value in ledger.records:
+        found.apply(key, value)
+    return found.term
+
+
+@given("a scheduler's log in which the answer to an append is lost {times:d} times")
+def step_lost_answer(context, times):
+    context.lost = times
+
+
+async def append_release(context):
+    store = context.ledger = SequencedPartition()
+    claim = KeyedRecord(*encode(Term(1, "a", 5)))
+    await store.append([claim], clock.monotonic() + 1, Fence(1, 7))
+    log = FencedLog(store, Fence(1, 7))
+    store.loses_responses = True
+    with contextlib.suppress(StoreUnknownError):
+        await log.append([KeyedRecord("x", b"x")])
+    lost = 1
+
+    async def answer_after(records, deadline, fence):
+        nonlocal lost
+        if lost < context.lost:
+            lost += 1
+            raise StoreUnknownError("no response")
+        return await append(records, deadline, fence)
+
+    store.loses_responses = False
+    append, store.append = store.append, answer_after
+    await log.append_valid([KeyedRecord(*encode(Term(1, "", 5)))], lambda: True)
+
+
+@when("the release of the term is appended to it")
+def step_append_release(context):
+    asyncio.run(append_release(context))
+
+
+@then("the store has both, in this order")
+def step_both_stored(context):
+    assert [record.key for record in context.ledger.records[1:]] == ["x", TERM_KEY]
+    assert not newest_term(context.ledger).holder
+
+
 @given("a scheduler whose queue waits have changed")
 def step_waits_changed(context):
     context.state = SchedulerState(node="a", limits=Limits())
--- a/features/term.feature
+++ b/features/term.feature
@@ -102,6 +102,18 @@
     Then the release is written after the answer
     And no order is sent after the release
 
+  # Guards against a release that the store answers as it answered an earlier append: a
+  # sequence number was used again after an append whose answer was lost.
+  Scenario Outline: A release after an append without an answer is stored
+    Given a scheduler's log in which the answer to an append is lost <times> times
+    When the release of the term is appended to it
+    Then the store has both, in this order
+
+    Examples:
+      | times |
+      | 1     |
+      | 3     |
+
   # Guards against a first term that goes to any instance, since the delays that let
   # large ones claim first had passed before the first manifest arrived at all nodes.
   Scenario: The first term goes to a large instance when all get the first manifest at once
--- a/primrosepitch/node/fenced_log.py
+++ b/primrosepitch/node/fenced_log.py
@@ -42,18 +42,51 @@
         """Continue after the append of the claim."""
         self._store = store
         self._fence = fence
+        self._unanswered: list[KeyedRecord] | None = None
+        self._lock = asyncio.Lock()
 
     async def append(self, records: list[KeyedRecord]) -> None:
         """Append records in one attempt.
 
+        The store answers a repeated sequence number as it answered the first append.
+        Records of an append without an answer are therefore repeated before others.
+
         :raises StoreUnavailableError: if nothing was appended
         :raises StoreUnknownError: if the outcome is unknown; a repeat is idempotent
         :raises StoreFencedError: if the term has ended
         """
+        async with self._lock:
+            if self._unanswered not in (None, records):
+                await self._repeat_unanswered()
+            await self._send(records)
+
+    async def _repeat_unanswered(self) -> None:
+        """Repeat the append whose outcome is unknown.
+
+        :raises StoreUnavailableError: if it still is, so that nothing else was appended
+        """
+        try:
+            await self._send(self._unanswered or [])
+        except StoreRejectedError:
+            # Nothing was appended, so its sequence number is free.
+            pass
+        except StoreUnknownError as exc:
+            raise StoreUnavailableError(str(exc)) from exc
+
+    async def _send(self, records: list[KeyedRecord]) -> None:
         fence = self._fence._replace(sequence=self._fence.sequence + 1)
         deadline = clock.monotonic() + APPEND_TIMEOUT_S
-        await self._store.append(records, deadline, fence)
-        self._fence = fence
+        repeated, self._unanswered = self._unanswered is not None, records
+        try:
+            await self._store.append(records, deadline, fence)
+        except StoreRejectedError:
+            self._unanswered = None
+            raise
+        except StoreUnavailableError:
+            if not repeated:
+                self._unanswered = None
+            raise
+        self._fence, self._unanswered = fence, None
 
     async def append_valid(
         self, records: list[KeyedRecord], may_retry: Callable[[], bool]
--- a/standins/memory_platform.py
+++ b/standins/memory_platform.py
@@ -23,6 +23,7 @@
     "MemoryPartition",
     "MemoryPlatform",
     "QueuedPartition",
+    "SequencedPartition",
     "find_no_node",
     "run_virtually",
 ]
@@ -63,6 +64,48 @@
         return await self.read(0, 0.0, deadline)
 
 
+class SequencedPartition(MemoryPartition):
+    """Partition that checks sequence numbers; a repeat gets the answer to the first.
+
+    :param append_s: time that an append takes
+    """
+
+    def __init__(self, append_s: float = 0.0) -> None:
+        """Start without records."""
+        super().__init__()
+        self.append_s = append_s
+        self.appends_begun = 0
+        self._newest = Fence(0, 0)
+        self._answers: dict[Fence, AppendOutcome] = {}
+
+    async def append(
+        self, records: list[KeyedRecord], deadline: float, fence: Fence | None = None
+    ) -> AppendOutcome:
+        """Append records, also if the caller gives up meanwhile."""
+        self.appends_begun += 1
+        work = self._append_later(records, deadline, fence)
+        return await asyncio.shield(asyncio.ensure_future(work))
+
+    async def _append_later(
+        self, records: list[KeyedRecord], deadline: float, fence: Fence | None
+    ) -> AppendOutcome:
+        """Append records, unless their sequence number has been used."""
+        await asyncio.sleep(self.append_s)
+        if fence is None:
+            return await super().append(records, deadline)
+        if fence not in self._answers:
+            if fence.epoch < self._newest.epoch:
+                raise StoreFencedError('{"reason":"fenced"}')
+            follows = fence.sequence == self._newest.sequence + 1
+            if fence.epoch == self._newest.epoch and not follows:
+                raise StoreFencedError('{"reason":"seq"}')
+            self._newest = fence
+            offset = len(self.records)
+            self._answers[fence] = AppendOutcome(offset, offset + len(records))
+            await super().append(records, deadline, fence)
+        return self._answers[fence]
+
+
 class QueuedPartition(MemoryPartition):
     """Partition whose appends wait; the newest epoch counts from its first append.
 
