Release the term also while commits follow each other

Callers of a stopped scheduler were given up: its stop waited for the release of the term until the shutdown deadline, 4.5 s, and then closed their connections. The term was not released; the next scheduler could only be the process's successor (0.8 s later) or another node after a silence of 1.1 s.

Cause: a release polled for a moment without a commit. Under load the answer to a commit begins the next one in the same step, so there was no such moment. A handover to a larger node waited in the same way, without any deadline. The release itself was one attempt of 0.6 s.

A state that is closing plans and commits nothing more, so that a release waits for one commit. Its append is repeated until the store answers; a second release joins the first.

--- a/features/steps/claims_of_terms.py
+++ b/features/steps/claims_of_terms.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import random
 from math import inf
 
@@ -20,6 +21,7 @@
 )
 from primrosepitch.jobs.records import (
     TERM_KEY,
+    Cancellation,
     Ledger,
     NodeAddress,
     Progress,
@@ -321,6 +323,56 @@
     assert history.count("sent") == 1, history
 
 
+def spec_of(job):
+    return JobSpec(
+        job,
+        QueueName("q"),
+        ServiceName("s"),
+        WorkspaceName("w"),
+        "",
+        (StepSpec(1),),
+        0,
+    )
+
+
+async def submit_and_cancel(runner):
+    """Submit and cancel jobs, so that each commit has records."""
+    for number in itertools.count():
+        job = JobId(f"{number:016x}")
+        runner.handle_record(spec_of(job))
+        runner.handle_record(Cancellation(job, 0))
+        await asyncio.sleep(0.01)
+
+
+async def stop_under_load(context, append_s, after_s, left_s):
+    loop = asyncio.get_running_loop()
+    ledger = context.ledger = SequencedPartition(append_s)
+    runner = build_runner(MemoryPlatform(ledger))
+    with loop.as_clock():
+        await runner._claim()
+        assert runner.leading
+        load = asyncio.ensure_future(submit_and_cancel(runner))
+        run = asyncio.ensure_future(runner.run())
+        await asyncio.sleep(after_s)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(left_s):
+                await runner.release_term()
+        for task in (load, run):
+            task.cancel()
+
+
+@given(
+    "a scheduler a whose appends take {append:g} s, and jobs that arrive every 0.01 s"
+)
+def step_loaded_scheduler(context, append):
+    context.append_s = append
+
+
+@when("a is stopped gracefully after {after:g} s, with {left:g} s for it")
+def step_stop_loaded(context, after, left):
+    run_virtually(stop_under_load(context, context.append_s, after, left))
+
+
 def newest_term(ledger):
     found = Ledger()
     for key, value in ledger.records:
@@ -328,6 +380,12 @@
     return found.term
 
 
+@then("the newest record of the term is its release")
+def step_released(context):
+    term = newest_term(context.ledger)
+    assert term.number == 1 and not term.holder, term
+
+
 @given("a scheduler's log in which the answer to an append is lost {times:d} times")
 def step_lost_answer(context, times):
     context.lost = times
--- a/features/term.feature
+++ b/features/term.feature
@@ -102,6 +102,13 @@
     Then the release is written after the answer
     And no order is sent after the release
 
+  # Guards against a release that waits for a moment without a commit: while work arrives,
+  # each commit is followed by the next one in the same step.
+  Scenario: A term is released although commits follow each other
+    Given a scheduler a whose appends take 0.05 s, and jobs that arrive every 0.01 s
+    When a is stopped gracefully after 1 s, with 4.5 s for it
+    Then the newest record of the term is its release
+
   # Guards against a release that the store answers as it answered an earlier append: a
   # sequence number was used again after an append whose answer was lost.
   Scenario Outline: A release after an append without an answer is stored
--- a/primrosepitch/node/node.py
+++ b/primrosepitch/node/node.py
@@ -8,12 +8,7 @@
 from collections.abc import Awaitable, Callable
 
 from primrosepitch import clock
-from primrosepitch.events import (
-    MANIFEST_IN_FORCE,
-    TASK_FAILED,
-    TERM_NOT_RELEASED,
-    emit,
-)
+from primrosepitch.events import MANIFEST_IN_FORCE, TASK_FAILED, emit
 from primrosepitch.jobs.model import JobSpec
 from primrosepitch.jobs.records import FirstAttempt, NodeAddress, Record, encode
 from primrosepitch.jobs.store import (
@@ -231,16 +226,7 @@
     async def prepare_shutdown(self, deadline: float) -> None:
         """Report the node as not ready, and release the term to another node."""
         self.stopping = True
-        try:
-            async with asyncio.timeout(max(0.0, deadline - clock.monotonic())):
-                await self.scheduler.release_term()
-        except TimeoutError:
-            emit(
-                TERM_NOT_RELEASED,
-                term=self.scheduler.state.term,
-                reason="the shutdown deadline passed",
-                waits_for=self.scheduler.release_waits_for,
-            )
+        await self.scheduler.release_term(deadline)
 
     async def _publish_address(self) -> None:
         """Write this node's address to the ledger until it is found there."""
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -188,6 +188,7 @@
         self._tick_delay = TickDelay(TICK_INTERVAL_S)
         self._start_orders = 0
         self._stopping = False
+        self._release_task: asyncio.Task[None] | None = None
         self._release_waits_for = ""
         self._order_queue = OrderQueue()
         self._move_slots = asyncio.Semaphore(MAX_CONCURRENT_MOVES)
@@ -215,11 +216,6 @@
         """Return whether this node is the scheduler."""
         return self.state.term > 0
 
-    @property
-    def release_waits_for(self) -> str:
-        """Return what the newest release of a term has waited for last."""
-        return self._release_waits_for
-
     def count_open_jobs(self) -> int:
         """Return how many jobs have not ended; 0 on a node that does not schedule."""
         return len(self.state.jobs)
@@ -562,7 +558,7 @@
             return
         emit(TERM_HANDED_OVER, term=term, to=name, cores=self._cores)
         self._claim_not_before = clock.monotonic() + HANDOVER_PAUSE_S
-        await self._release(f"{name} is larger")
+        await self._start_release(f"{name} is larger")
 
     async def _read_reports(self, term: int) -> None:
         """Read the endpoints' reports while the term lasts."""
@@ -584,60 +580,97 @@
                     self._dispatch(ev.EndpointRemoved(change, now))
             await asyncio.sleep(REPORTS_READ_PAUSE_S)
 
-    async def release_term(self) -> None:
+    async def release_term(self, deadline: float = inf) -> None:
         """Release the term, so that another node claims it without a timeout.
 
         The release follows the answers to all orders to instances, since the next
         scheduler may order the same instances at once.
+
+        :param deadline: boot-time clock at which the release is given up
         """
         self._stopping = True
-        if self._handover is not None and not self._handover.done():
-            await asyncio.wait([self._handover])
+        timeout_s = None if deadline == inf else max(0.0, deadline - clock.monotonic())
+        try:
+            async with asyncio.timeout(timeout_s):
+                if self.leading or self._releasing:
+                    await self._start_release("the process is stopping")
+        except TimeoutError:
+            emit(
+                TERM_NOT_RELEASED,
+                term=self.state.term,
+                reason="the deadline of the stop has passed",
+                waits_for=self._release_waits_for,
+            )
+
+    async def close(self) -> None:
+        """End the term, if this node still holds it, and all that was begun in it."""
+        self._stopping = True
         if self.leading:
-            await self._release("the process is stopping")
+            self._step_down(ef.StepDown("the process ends"))
+        tasks = [*self._tasks]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    @property
+    def _releasing(self) -> bool:
+        return self._release_task is not None and not self._release_task.done()
+
+    def _start_release(self, reason: str) -> asyncio.Task[None]:
+        """Return the task that releases the term, which is started unless it runs."""
+        if self._release_task is None or self._release_task.done():
+            self._release_task = self._spawn(self._release(reason))
+        return self._release_task
 
     async def _release(self, reason: str) -> None:
-        number = self.state.term
-        began_at, commits = clock.monotonic(), self.state.commit_count
+        state, log = self.state, self._ledger_log
+        number, began_at = state.term, clock.monotonic()
         emit(
             TERM_RELEASING,
             term=number,
             reason=reason,
-            commit=self.state.committing,
+            commit=state.committing,
             instance_orders=len(self._instance_orders),
-            prior_orders_s=round(max(0.0, self.state.prior_orders_until - began_at), 2),
+            prior_orders_s=round(max(0.0, state.prior_orders_until - began_at), 2),
         )
-        while self.state.committing and self.state.term == number:
-            self._release_waits_for = f"commit {self.state.committing}"
+        # Under load, each commit is followed by the next one until none may begin.
+        state.closing = True
+        self._release_waits_for = f"commit {state.committing}"
+        while state.committing and self.state is state:
             await asyncio.sleep(TICK_INTERVAL_S)
-        if self.state.term != number:
+        if self.state is not state:
             emit(TERM_NOT_RELEASED, term=number, reason="the term ended meanwhile")
             return
-        # Those of the term before may still be under way, too.
-        orders_until = self.state.prior_orders_until
-        commits = self.state.commit_count - commits
         committed_at = clock.monotonic()
         self._step_down(ef.StepDown(reason))
         self._release_waits_for = f"{len(self._instance_orders)} orders to instances"
         if self._instance_orders:
             await asyncio.wait(self._instance_orders)
-        await asyncio.sleep(max(0.0, orders_until - clock.monotonic()))
+        # Those of the term before may still be under way, too.
+        await asyncio.sleep(max(0.0, state.prior_orders_until - clock.monotonic()))
         ordered_at = clock.monotonic()
+        if await self._append_release(Term(number, self._node, state.nonce), log):
+            emit(
+                TERM_RELEASED,
+                term=number,
+                commits_s=round(committed_at - began_at, 3),
+                orders_s=round(ordered_at - committed_at, 3),
+                append_s=round(clock.monotonic() - ordered_at, 3),
+            )
+
+    async def _append_release(self, term: Term, log: FencedLog) -> bool:
+        """Append the release of a term until the store answers.
+
+        :returns: whether it was stored; if not, another node has claimed a newer term
+        """
         self._release_waits_for = "the append of the release"
-        record = KeyedRecord(*encode(Term(number, "", self.state.nonce)))
+        record = KeyedRecord(*encode(Term(term.number, "", term.nonce)))
         try:
-            await self._ledger_log.append([record])
-        except (StoreUnavailableError, StoreUnknownError, StoreFencedError) as exc:
-            emit(TERM_NOT_RELEASED, term=number, reason=f"not written: {exc}")
-            return
-        emit(
-            TERM_RELEASED,
-            term=number,
-            commits=commits,
-            commits_s=round(committed_at - began_at, 3),
-            orders_s=round(ordered_at - committed_at, 3),
-            append_s=round(clock.monotonic() - ordered_at, 3),
-        )
+            await log.append_valid([record], lambda: True)
+        except StoreFencedError as exc:
+            emit(TERM_NOT_RELEASED, term=term.number, reason=str(exc))
+            return False
+        return True
 
     # Effects
 
@@ -759,6 +792,8 @@
 
     def _send_orders(self) -> None:
         """Send the queued orders whose turn it is."""
+        if not self.leading:
+            return
         queue = self._order_queue
         while (queued := queue.take()) is not None:
             self._spawn(self._send_order(queue, *queued))
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -285,7 +285,12 @@
 
 
 def _advance(state: SchedulerState) -> list[Effect]:
-    """Run a planning pass if one is due, then commit changes and send due polls."""
+    """Run a planning pass if one is due, then commit changes and send due polls.
+
+    While the term is released, nothing new is planned or committed.
+    """
+    if state.closing:
+        return due_polls(state)
     effects: list[Effect] = []
     interval_s = (
         MIN_PLANNING_INTERVAL_S
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -563,6 +563,7 @@
     :param planned_orders: orders to instances that no commit contains yet
     :param committing_orders: orders that are sent once the newest commit is durable
     :param committing: number of the commit in progress; 0 if none
+    :param closing: whether the term is being released, so that no commit begins
     :param renewed_at: boot-time clock at which the newest commit that other nodes read
         was sent
     :param confirmed_at: boot-time clock at which the newest of these commits that is
@@ -602,6 +603,7 @@
     planned_orders: list[PlannedOrder] = msgspec.field(default_factory=list)
     committing_orders: list[PlannedOrder] = msgspec.field(default_factory=list)
     committing: int = 0
+    closing: bool = False
     commit_count: int = 0
     renewed_at: float = 0.0
     confirmed_at: float = 0.0
