Release a term that is being claimed when its node stops

Other nodes wait for a scheduler that doesn't exist, at least 1.1 s, when a node is stopped while it claims the term, as in a series of stops.

Cause: the stop asked whether this node holds the term, and a claim under way does not. Its record was stored later, or the term began on a node that was stopping and that nobody released any more.

A stop lets the claim end. No append is sent once the node stops; a claim that was won is released instead of begun.

--- a/features/steps/claims_of_terms.py
+++ b/features/steps/claims_of_terms.py
@@ -424,6 +424,40 @@
     assert not newest_term(context.ledger).holder
 
 
+async def stop_while_claiming(context, delay_s, stopped_s):
+    loop = asyncio.get_running_loop()
+    ledger = context.ledger = SequencedPartition(delay_s)
+    runner = build_runner(MemoryPlatform(ledger))
+    runner._cfg = Configuration(version=1)
+    with loop.as_clock():
+        runner._follower.connected_at = runner._follower.read_at = clock.monotonic()
+        follower = asyncio.ensure_future(runner._follower.run())
+        run = asyncio.ensure_future(runner.run())
+        while not ledger.appends_begun:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(stopped_s)
+        await runner.release_term()
+        for task in (follower, run):
+            task.cancel()
+        await asyncio.sleep(5.0)
+
+
+@given("a node a whose claim the store carries out after {delay:g} s")
+def step_slow_claim(context, delay):
+    context.delay_s = delay
+
+
+@when("a is stopped gracefully {stopped:g} s after the claim")
+def step_stop_claimer(context, stopped):
+    run_virtually(stop_while_claiming(context, context.delay_s, stopped))
+
+
+@then("no record says that a holds the newest term")
+def step_not_held(context):
+    term = newest_term(context.ledger)
+    assert term.holder != "a", term
+
+
 @given("a scheduler whose queue waits have changed")
 def step_waits_changed(context):
     context.state = SchedulerState(node="a", limits=Limits())
--- a/features/term.feature
+++ b/features/term.feature
@@ -121,6 +121,18 @@
       | 1     |
       | 3     |
 
+  # Guards against a term that a process claims while it stops, and ends with.
+  Scenario Outline: A claim that is under way at a stop leaves no term behind
+    Given a node a whose claim the store carries out after <delay> s
+    When a is stopped gracefully <stopped> s after the claim
+    Then no record says that a holds the newest term
+
+    Examples:
+      | delay | stopped |
+      | 0.1   | 0.05    |
+      | 1     | 0.3     |
+      | 2     | 0.3     |
+
   # Guards against a first term that goes to any instance, since the delays that let
   # large ones claim first had passed before the first manifest arrived at all nodes.
   Scenario: The first term goes to a large instance when all get the first manifest at once
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Iterator
 from math import inf
 from typing import Any
 
@@ -188,6 +189,8 @@
         self._tick_delay = TickDelay(TICK_INTERVAL_S)
         self._start_orders = 0
         self._stopping = False
+        self._claiming = False
+        self._claimed = Term(0, "", 0)
         self._release_task: asyncio.Task[None] | None = None
         self._release_waits_for = ""
         self._order_queue = OrderQueue()
@@ -316,7 +319,16 @@
                 and self._may_claim()
                 and observation.should_claim(clock.monotonic())
             ):
-                await self._claim()
+                with self._mark_claiming():
+                    await self._claim()
+
+    @contextlib.contextmanager
+    def _mark_claiming(self) -> Iterator[None]:
+        self._claiming = True
+        try:
+            yield
+        finally:
+            self._claiming = False
 
     def _tick(self) -> None:
         now = clock.monotonic()
@@ -355,6 +367,8 @@
         newest = self._follower.ledger.term
         if newest.holder and (self._heartbeat_at, newest) != (heartbeat_at, previous):
             return
+        if self._stopping:
+            return
         previous = newest
         number = previous.number + 1
         term = Term(number, self._node, self._rng.getrandbits(48))
@@ -363,6 +377,8 @@
         emit(TERM_CLAIMED, term=number, silent_s=round(self._heartbeat_age_s(), 2))
         record = KeyedRecord(*encode(term))
         claimed_at = clock.monotonic()
+        self._claimed = term
+        self._ledger_log = FencedLog(self._platform.ledger, fence)
         try:
             await self._append_claim(record, fence)
         except StoreFencedError as exc:
@@ -378,6 +394,8 @@
         if self._follower.ledger.term != term:
             emit(TERM_LOST, term=number, reason="another claim of the term came first")
             return
+        if self._stopping:
+            return
         try:
             records = await self._claim_runs(record, fence)
             with unreadable_as_decode_error():
@@ -396,7 +414,6 @@
             )
             await asyncio.sleep(CLAIM_PAUSE_S)
             return
-        self._ledger_log = FencedLog(self._platform.ledger, fence)
         self._runs_log = FencedLog(self._platform.runs, fence)
         slow = read_slow_endpoints(records)
         self._begin_term(term, previous, runs, moves, claimed_at, slow)
@@ -584,7 +601,8 @@
         """Release the term, so that another node claims it without a timeout.
 
         The release follows the answers to all orders to instances, since the next
-        scheduler may order the same instances at once.
+        scheduler may order the same instances at once. A claim under way ends first,
+        and its term is released too.
 
         :param deadline: boot-time clock at which the release is given up
         """
@@ -592,12 +610,17 @@
         timeout_s = None if deadline == inf else max(0.0, deadline - clock.monotonic())
         try:
             async with asyncio.timeout(timeout_s):
+                self._release_waits_for = "a claim of the term"
+                while self._claiming:
+                    await asyncio.sleep(TICK_INTERVAL_S)
                 if self.leading or self._releasing:
                     await self._start_release("the process is stopping")
+                elif self._follower.ledger.term == self._claimed:
+                    await self._append_release(self._claimed, self._ledger_log)
         except TimeoutError:
             emit(
                 TERM_NOT_RELEASED,
-                term=self.state.term,
+                term=self._claimed.number,
                 reason="the deadline of the stop has passed",
                 waits_for=self._release_waits_for,
             )
