Answer every request that a stopping process has taken

Callers got no answer around a SIGTERM: a request that a scheduler took 1.4 s after the signal was given up at the end of the process (the users' report, with a grace period of 3 s); 7 of 12 slow bodies, 5 of 7 requests sent ahead and 10 of 10 that waited for a slow or silent store lost their connection.

Cause: the stop was one deadline for everything. What came first, the release of the term, could use it up; then the node's tasks were cancelled with the appender, and the connections were closed 0.5 s later whatever they held. The stop waited for requests that are handled, not for those being received, sent ahead or unsent, took new ones until then and did not say that a connection ends. Tasks of the scheduler outlived the stop and sent orders from a loop that was being closed.

A stop has three deadlines (primrosepitch/node/stopping.py). The node listens until balancers have been told twice, or 2.5 s; each connection ends with the answer to its last request, which says so, and stays open until that can have been read. The process leaves when no request is being received, handled or sent and the term is released. 1.5 s before SIGKILL what is left is answered: 503 for what was never sent to the store, 504 for what was, 503 for what has not arrived whole. Only then are the node and what its scheduler has begun cancelled.

--- a/primrosepitch/bin/entry.py
+++ b/primrosepitch/bin/entry.py
@@ -196,7 +196,7 @@
     async def drain(self) -> None:
         """Let the balancer choose other entries and callers read their responses."""
         await asyncio.sleep(self._listen_until - clock.monotonic())
-        await self.server.drain(DRAIN_TIMEOUT_S)
+        await self.server.drain(clock.monotonic() + DRAIN_TIMEOUT_S)
 
     def close(self) -> None:
         """Close all connections."""
@@ -208,7 +208,7 @@
 
     def stop(self) -> None:
         """Begin a graceful stop; new requests are refused from now on."""
-        self.server.stopping = True
+        self.server.begin_stop()
         self._listen_until = clock.monotonic() + LAME_DUCK_S
         super().stop()
 
--- a/primrosepitch/net/http_server.py
+++ b/primrosepitch/net/http_server.py
@@ -18,6 +18,7 @@
     MessageTooLargeError,
     OverloadedError,
     PrimroseError,
+    StoppingError,
 )
 from primrosepitch.events import REQUEST_UNANSWERED, REQUEST_WHILE_STOPPING, emit
 from primrosepitch.net.client_account import (
@@ -68,6 +69,10 @@
 and in the record for the store. A submission with a long specification takes 4, one of
 many short steps up to 20; the rest of the process's memory covers the difference."""
 
+LINGER_S = 0.5
+"""Time for a caller to read its last answer before its connection is closed at the end
+of the process. A close with unread input would reset it and discard the answer."""
+
 MAX_DISCARDED_BYTES = 2 << 20
 """Maximum number of bytes that are discarded after an error response; twice the longest
 body, so that a caller can send all of it before it reads the response."""
@@ -128,7 +133,7 @@
         (b"primrose-outcome", outcome.encode()),
         (b"primrose-code", error.code.encode()),
     ]
-    if isinstance(error, OverloadedError):
+    if isinstance(error, OverloadedError | StoppingError):
         headers.append(RETRY_AFTER)
     return HttpResponse(error.status, headers, f"{error.message()}\n".encode())
 
@@ -199,8 +204,9 @@
         self.waiting: dict[_Connection, float] = {}
         self.buffered_bytes = 0
         self.unsent_bytes: dict[_Connection, int] = {}
-        self.stopping = False
         self.stop_began_at = 0.0
+        self.refusing = False
+        self.listening = False
         self.received_while_stopping: Counter[ConnectionUse] = Counter()
         self.unanswered = 0
         self._server: asyncio.Server | None = None
@@ -221,16 +227,38 @@
             sock.close()
             raise
         sock.listen(BACKLOG)
+        self.listening = True
         bound_port: int = sock.getsockname()[1]
         return bound_port
 
+    @property
+    def stopping(self) -> bool:
+        """Return whether connections end with the answer to their last request."""
+        return self.stop_began_at > 0
+
+    @property
+    def busy(self) -> bool:
+        """Return whether a request is received, handled, or not answered completely."""
+        return any(conn.stage is not None for conn in self.connections)
+
     def begin_stop(self) -> None:
-        """Log and count from now on what arrives during the process's stop."""
-        self.stop_began_at = clock.monotonic()
+        """Let each connection end with the answer to its last request.
+
+        New connections are accepted until :meth:`stop_listening`. What arrives is
+        logged and counted.
+        """
+        self.stop_began_at = self.stop_began_at or clock.monotonic()
+
+    def refuse_requests(self) -> None:
+        """Refuse, as not run, what is being received and what arrives from now on."""
+        self.begin_stop()
+        self.refusing = True
+        for conn in list(self.connections):
+            conn.refuse_incomplete()
 
     def record_request(self, target: bytes, use: ConnectionUse) -> None:
         """Log and count a complete request, if the process is stopping."""
-        if not self.stop_began_at:
+        if not self.stopping:
             return
         self.received_while_stopping[use] += 1
         emit(
@@ -242,16 +270,19 @@
 
     def stop_listening(self) -> None:
         """Stop accepting connections and close idle ones; requests continue."""
-        self.stopping = True
+        self.begin_stop()
+        self.listening = False
         if self._server is not None:
             self._server.close()
         for conn in list(self.connections):
             conn.close_if_idle()
 
-    async def drain(self, timeout_s: float) -> None:
-        """Stop listening, wait for open connections, then close the remaining ones."""
+    async def drain(self, deadline: float) -> None:
+        """Stop listening, wait for open connections, then close the remaining ones.
+
+        :param deadline: boot-time clock
+        """
         self.stop_listening()
-        deadline = clock.monotonic() + timeout_s
         while self.connections and clock.monotonic() < deadline:
             await asyncio.sleep(DRAIN_POLL_S)
         self.abort()
@@ -275,7 +306,7 @@
             target=_logged(conn.target),
             stage=stage.value,
             age_s=round(now - conn.stage_since, 3),
-            after_s=round(now - self.stop_began_at, 3) if self.stop_began_at else 0.0,
+            after_s=round(now - self.stop_began_at, 3),
         )
 
     def make_room(self) -> bool:
@@ -331,6 +362,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._write_paused = False
         self._turn_scheduled = False
+        self._reading_paused = False
         self._closing = False
         self._discarded_bytes = 0
         self._use = ConnectionUse.NEW
@@ -350,7 +382,9 @@
             return
         self._server.connections.add(self)
         self._server.waiting[self] = clock.monotonic()
-        self._set_deadline(self._limits.message_s)
+        # A connection that was accepted at last may have sent its request already.
+        listening = self._server.listening
+        self._set_deadline(self._limits.message_s if listening else LINGER_S)
         self._update_charge()
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -374,7 +408,7 @@
         self._input += self._account.read_buffer[:nbytes]
         if self._is_occupied():
             if len(self._input) >= MAX_PIPELINED_BYTES and self._transport:
-                self._transport.pause_reading()
+                self._pause_reading()
         else:
             self._process_events()
         self._update_charge()
@@ -404,10 +438,12 @@
         self._server.record_unsent(self, 0)
         if self._exchange is not None:
             self._deadline = 0.0
-        elif self._head is not None and not self._closing:
+        elif self._closing:
+            self._limit_linger()
+        elif self._head is not None:
             self._set_deadline(self._limits.message_s)
             self._schedule_turn()
-        elif not self._closing:
+        else:
             self._next_request()
         self._update_charge()
 
@@ -418,9 +454,8 @@
             return RequestStage.HANDLED
         if self._write_paused:
             return RequestStage.ANSWER_UNSENT
-        if not self._closing and (self._head is not None or self._has_input()):
-            return RequestStage.RECEIVING
-        return None
+        received = self._head is not None or self._has_input() or self._turn_scheduled
+        return RequestStage.RECEIVING if received and not self._closing else None
 
     # Account
 
@@ -532,8 +567,20 @@
         self._h11.receive_data(chunk)
 
     def _wait_for_data(self) -> None:
+        if self._server.refusing:
+            self.refuse_incomplete()
+            return
         if self._h11.they_are_waiting_for_100_continue:
             self._send_continue()
+        self._resume_reading()
+
+    def _pause_reading(self) -> None:
+        self._reading_paused = True
+        if self._transport is not None:
+            self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        self._reading_paused = False
         if self._transport is not None:
             self._transport.resume_reading()
 
@@ -589,7 +636,10 @@
         self.stage_since = clock.monotonic()
         self._server.waiting.pop(self, None)
         self._server.record_request(head.target, self._use)
-        self._server.handler(exchange)
+        if self._server.refusing:
+            exchange.respond(error_response(StoppingError()))
+        else:
+            self._server.handler(exchange)
 
     def _release_body(self) -> None:
         """Release the buffered bytes of the request body."""
@@ -605,8 +655,12 @@
             return
         self._exchange = None
         self._release_body()
-        self._send(response, close=self._server.stopping)
+        last = self._server.stopping and not self._has_further_requests()
+        self._send(response, close=last)
         self._head = None
+        if last:
+            self._close_after_reading()
+            return
         if self._h11.our_state is not h11.DONE or self._closing:
             self._close()
             return
@@ -615,6 +669,13 @@
             self._next_request()
         self._update_charge()
 
+    def _has_further_requests(self) -> bool:
+        """Return whether input beyond the request under way has arrived.
+
+        While reading is paused, more may wait in the kernel.
+        """
+        return bool(self._input or self._h11.trailing_data[0] or self._reading_paused)
+
     def _next_request(self) -> None:
         """Wait for the next request, or schedule a pipelined one on the event loop."""
         if self not in self._server.connections:
@@ -628,8 +689,7 @@
             self._schedule_turn()
             return
         self._set_deadline(self._limits.idle_s)
-        if self._transport is not None:
-            self._transport.resume_reading()
+        self._resume_reading()
 
     def _fail(self, error: PrimroseError, reason: CutOff | None = None) -> None:
         """Respond with an error and close; the rest of the request cannot be read.
@@ -674,10 +734,17 @@
     # Closing
 
     def close_if_idle(self) -> None:
-        """Close unless a request is being read or handled."""
-        if self._exchange is None and self._head is None:
+        """Close unless a request is received, handled or not answered completely."""
+        if self._closing:
+            self._limit_linger()
+        elif self.stage is None:
             self._close()
 
+    def refuse_incomplete(self) -> None:
+        """Refuse the request that is being received, if any."""
+        if self.stage is RequestStage.RECEIVING and not self._turn_scheduled:
+            self._fail(StoppingError())
+
     def abort(self) -> None:
         """Close immediately."""
         if self._transport is not None:
@@ -697,10 +764,29 @@
             return
         self._closing = True
         self._set_deadline(self._limits.write_s)
-        self._transport.resume_reading()
+        self._resume_reading()
         if self._transport.can_write_eof():
             self._transport.write_eof()
 
+    def _close_after_reading(self) -> None:
+        """Shut down the sending side, and close when the caller has read its answer.
+
+        What the caller sends meanwhile stays unread, so that no request is taken.
+        """
+        if self._transport is None or self._closing:
+            return
+        self._closing = True
+        self._set_deadline(self._limits.write_s)
+        self._pause_reading()
+        self._limit_linger()
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+
+    def _limit_linger(self) -> None:
+        """Limit the time for which a closing connection holds up the process's end."""
+        if self._server.stopping and not self._write_paused:
+            self._set_deadline(LINGER_S)
+
     def _set_deadline(self, seconds: float) -> None:
         self._deadline = clock.monotonic() + seconds
         if self._timer is None or self._timer.when() > self._loop.time() + seconds:
--- a/primrosepitch/node/follower.py
+++ b/primrosepitch/node/follower.py
@@ -57,6 +57,8 @@
 """Number of recent append durations that an attempt waits for, if that is longer. One
 that waits in a slow store is still carried out, and its repeat waits behind it."""
 
+CLOSED_REASON = "the process is stopping"
+
 MAX_APPEND_TIMEOUT_S = 2.4
 """Maximum timeout of one append attempt; the store rejects what would wait for 2 s."""
 
@@ -204,6 +206,8 @@
         self._store = store
         self._queue: list[tuple[KeyedRecord, asyncio.Future[None]]] = []
         self._wake = asyncio.Event()
+        self._closed = False
+        self._sending: list[tuple[KeyedRecord, asyncio.Future[None]]] = []
         self.last_success_at = 0.0
         self._sending_since = 0.0
         self._last_took_s = 0.0
@@ -227,11 +231,14 @@
         :raises StoreRejectedError: if the store refuses it as invalid
         :raises StoreUnknownError: if it may have been appended
         """
-        fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._queue.append((record, fut))
-        self._wake.set()
         unknown = False
         while True:
+            if self._closed:
+                kind = StoreUnknownError if unknown else StoreUnavailableError
+                raise kind(CLOSED_REASON)
+            fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+            self._queue.append((record, fut))
+            self._wake.set()
             try:
                 remaining_s = deadline - clock.monotonic()
                 await asyncio.wait_for(asyncio.shield(fut), max(0.0, remaining_s))
@@ -255,9 +262,17 @@
                 unknown = True
             else:
                 return
-            fut = asyncio.get_running_loop().create_future()
-            self._queue.append((record, fut))
-            self._wake.set()
+
+    def close(self) -> None:
+        """Send nothing more, and end all appends that have no answer yet."""
+        self._closed = True
+        queued, self._queue = self._queue, []
+        for waiters, kind in (
+            (queued, StoreUnavailableError),
+            (self._sending, StoreUnknownError),
+        ):
+            for _, fut in waiters:
+                _settle(fut, kind(CLOSED_REASON))
 
     async def run(self) -> None:
         """Send queued records until cancelled."""
@@ -281,7 +296,13 @@
     async def _send(
         self, batch: list[tuple[KeyedRecord, asyncio.Future[None]]]
     ) -> None:
+        if self._closed:
+            # The second half of a rejected batch, which the store has not taken.
+            for _, fut in batch:
+                _settle(fut, StoreUnavailableError(CLOSED_REASON))
+            return
         error: Exception | None = None
+        self._sending = batch
         timeout_s = max(APPEND_TIMEOUT_S, LATENCIES_PER_TIMEOUT * self.latency_s())
         self._sending_since = clock.monotonic()
         deadline = self._sending_since + min(timeout_s, MAX_APPEND_TIMEOUT_S)
@@ -305,12 +326,17 @@
         finally:
             self._sending_since = 0.0
         for _, fut in batch:
-            if fut.done():
-                continue
-            if error is None:
-                fut.set_result(None)
-            else:
-                fut.set_exception(error)
-                # The caller may have timed out and reported its outcome already;
-                # this marks the exception as retrieved.
-                fut.exception()
+            _settle(fut, error)
+
+
+def _settle(fut: asyncio.Future[None], error: Exception | None) -> None:
+    """Set the result of an append, unless its caller has timed out."""
+    if fut.done():
+        return
+    if error is None:
+        fut.set_result(None)
+    else:
+        fut.set_exception(error)
+        # The caller may have timed out and reported its outcome already; this marks
+        # the exception as retrieved.
+        fut.exception()
--- a/primrosepitch/node/node.py
+++ b/primrosepitch/node/node.py
@@ -24,6 +24,7 @@
 from primrosepitch.node.platform_api import Platform
 from primrosepitch.node.relay import StoreRelay
 from primrosepitch.node.scheduler import SchedulerRunner
+from primrosepitch.node.stopping import HealthReports
 from primrosepitch.node.term import larger_nodes
 from primrosepitch.scheduling.configuration import Configuration, WaveSpec
 from primrosepitch.scheduling.events import EvacuationChanged
@@ -70,6 +71,7 @@
         """Compose the parts; nothing runs before :meth:`run`."""
         self.cfg: Configuration | None = None
         self.stopping = False
+        self.health_reports = HealthReports()
         self._metrics = metrics
         self._relay = relay
         self._identity = identity
@@ -223,10 +225,19 @@
     async def _catch_up_operators(self, deadline: float) -> bool:
         return await self._operators.catch_up(deadline)
 
-    async def prepare_shutdown(self, deadline: float) -> None:
-        """Report the node as not ready, and release the term to another node."""
-        self.stopping = True
-        await self.scheduler.release_term(deadline)
+    async def release_term(self, deadline: float) -> None:
+        """Release the term, if this node holds it, to another node.
+
+        :param deadline: boot-time clock after which the process can't release it
+        """
+        try:
+            await self.scheduler.release_term(deadline)
+        except Exception as exc:
+            emit(TASK_FAILED, part="release of the term", error=repr(exc))
+
+    async def close(self) -> None:
+        """End what the scheduler has begun; the parts of :meth:`run` end before."""
+        await self.scheduler.close()
 
     async def _publish_address(self) -> None:
         """Write this node's address to the ledger until it is found there."""
