End the calls that a stopping node makes for others before it ends

A caller of a node that the store refuses got 504 after 3 s when the node that relayed its append was stopped.

Cause: the stop cancelled relayed calls and reset the connections of other nodes, with their replies.

A stopping node refuses further calls of other nodes as not made, so that they ask the next one, waits for those under way within the deadline for answers, and closes the connections when their replies are sent.

--- a/features/steps/store_relay.py
+++ b/features/steps/store_relay.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 
+from primrosepitch import clock
 from primrosepitch.jobs.store import (
     AppendOutcome,
     Batch,
@@ -36,8 +37,10 @@
     def __init__(self, ledger):
         self.ledger = ledger
         self.refused = self.loses_responses = False
+        self.append_s = 0.0
 
     async def append(self, records, deadline, fence=None):
+        await asyncio.sleep(self.append_s)
         if self.refused:
             raise StoreUnavailableError("503")
         if any(len(record.value) > RECORD_BYTES for record in records):
@@ -127,6 +130,30 @@
     context.nodes.run(asyncio.sleep(0.05))
 
 
+@when("the store refuses node a, and answers node b after {seconds:g} s")
+def step_slow(context, seconds):
+    step_refuse(context, "a")
+    context.nodes.connections["b"].append_s = seconds
+
+
+async def stop_gracefully(nodes, name):
+    relay, pool = nodes.relays[name], nodes.pools[name]
+    while not relay.serving:
+        await asyncio.sleep(0.01)
+    relay.stop_serving()
+    while relay.serving:
+        await asyncio.sleep(0.01)
+    relay.close()
+    await pool.drain(clock.monotonic() + 1.0)
+
+
+@when("a appends record x, and b is stopped gracefully meanwhile")
+def step_stop_relaying(context):
+    stop = context.nodes.loop.create_task(stop_gracefully(context.nodes, "b"))
+    append(context, "a", [KeyedRecord("x", b"1")])
+    context.nodes.run(stop)
+
+
 @when("{seconds:g} seconds elapse")
 def step_wait(context, seconds):
     context.nodes.run(asyncio.sleep(seconds))
--- a/features/store_relay.feature
+++ b/features/store_relay.feature
@@ -22,6 +22,17 @@
     And a appends record x
     Then a gets an unknown outcome
 
+  # Guards against an outcome that stays unknown because the node that makes the call is
+  # stopped, and against calls that it begins when it has to end.
+  Scenario: A node that is stopped ends the calls that it makes for another one
+    Given nodes a and b
+    When the store refuses node a, and answers node b after 0.3 s
+    And a appends record x, and b is stopped gracefully meanwhile
+    Then a gets the offset 0
+    When a appends record y
+    Then a gets a refusal
+    And the ledger holds x once
+
   # Guards against an unknown outcome where nothing was sent, since callers can't repeat
   # such a request.
   Scenario: A refusal through all nodes is a refusal
--- a/primrosepitch/net/peers.py
+++ b/primrosepitch/net/peers.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
+from primrosepitch import clock
 from primrosepitch.errors import FrameError, PeerUnavailableError
 from primrosepitch.events import PEER_FRAME_MALFORMED, emit
 from primrosepitch.gen.primrose.ttypes import Envelope
@@ -48,6 +49,8 @@
 
 UNDER_WAY_POLL_S = 0.02
 
+DRAIN_POLL_S = 0.01
+
 MAX_MESSAGES_PER_ITERATION = 32
 """Messages of one connection handled in one iteration of the event loop."""
 
@@ -128,11 +131,26 @@
 
     def close(self) -> None:
         """Stop listening and close all connections."""
-        if self._server is not None:
-            self._server.close()
+        self._stop_listening()
         for writer in list(self._writers):
             writer.transport.abort()
 
+    async def drain(self, deadline: float) -> None:
+        """Stop listening, and close all connections when their replies are sent.
+
+        :param deadline: boot-time clock
+        """
+        self._stop_listening()
+        for writer in list(self._writers):
+            writer.close()
+        while self._writers and clock.monotonic() < deadline:
+            await asyncio.sleep(DRAIN_POLL_S)
+        self.close()
+
+    def _stop_listening(self) -> None:
+        if self._server is not None:
+            self._server.close()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/primrosepitch/node/peer_pool.py
+++ b/primrosepitch/node/peer_pool.py
@@ -79,6 +79,14 @@
         for client in self._clients.values():
             client.close()
 
+    async def drain(self, deadline: float) -> None:
+        """Close all connections; replies to other nodes are sent before.
+
+        :param deadline: boot-time clock
+        """
+        await self._server.drain(deadline)
+        self.close()
+
     def _handle(self, request: PeerRequest) -> None:
         handler = self._handlers.get(type(request.body))
         if handler is not None:
--- a/primrosepitch/node/relay.py
+++ b/primrosepitch/node/relay.py
@@ -91,6 +91,7 @@
         self._probing: asyncio.Task[None] | None = None
         self._unreachable_since = 0.0
         self._serving: dict[asyncio.Task[None], tuple[str, str]] = {}
+        self._stopping = False
         for kind in (StoreAppend, StoreRead, StoreNewest):
             pool.register_handler(kind, self.handle)
 
@@ -107,6 +108,15 @@
         self._stores[partition] = peer_store
         return RelayedStore(self, partition, store)
 
+    @property
+    def serving(self) -> bool:
+        """Return whether a call is being made for another node."""
+        return bool(self._serving)
+
+    def stop_serving(self) -> None:
+        """Refuse further calls of other nodes, as not made; those under way go on."""
+        self._stopping = True
+
     def close(self) -> None:
         """Cancel all tasks, and log the calls of other nodes that this ends."""
         for call, partition in self._serving.values():
@@ -220,9 +230,15 @@
             for part in await self._read(body):
                 request.reply(part)
 
+    def _store_for_peer(self, partition: str) -> LedgerStore | None:
+        """Return a partition for another node's call; ``None`` if it can't be made."""
+        if self._stopping or not self.store_reachable:
+            return None
+        return self._stores.get(partition)
+
     async def _append(self, body: StoreAppend) -> StoreAppended:
-        store = self._stores.get(body.partition)
-        if store is None or not self.store_reachable:
+        store = self._store_for_peer(body.partition)
+        if store is None:
             return _append_answer(
                 StoreOutcome.UNAVAILABLE, reason="not served here either"
             )
@@ -243,8 +259,8 @@
 
     async def _read(self, body: StoreRead | StoreNewest) -> list[Any]:
         """Return the parts of the answer to a read; the last part has the outcome."""
-        store = self._stores.get(body.partition)
-        if store is None or not self.store_reachable:
+        store = self._store_for_peer(body.partition)
+        if store is None:
             return [StoreBatch(StoreOutcome.UNAVAILABLE, [], 0, 0)]
         now = clock.monotonic()
         try:
