Answer an interrupted submission as unknown, never as not run

Cause: the end of the process cancels what is not answered 50 ms after the store was closed, and asked then whether the job is still being stored. If the event loop stalls for that long, its outcome is known by then and not answered yet, so the answer was no.

An interrupted submission or cancellation gets 504.

--- a/features/intake.feature
+++ b/features/intake.feature
@@ -95,3 +95,18 @@
       | i    | /x/y/1  | c       |
       | i    | /x/1    | nothing |
       | h    | /x      | nothing |
+
+  # Guards against "not accepted" for a submission that the store may have: the end of the
+  # process interrupted it after its outcome was known and before it was answered.
+  Scenario Outline: A submission that the end of the process interrupts may have been stored
+    Given a job intake and a store
+    And the store does not answer
+    When a job is submitted over HTTP, and the loop stalls in iteration <iteration> of the end of the process
+    Then the response has status 504
+
+    Examples: iterations
+      | iteration |
+      | 0         |
+      | 1         |
+      | 2         |
+      | 3         |
--- a/features/steps/intake.py
+++ b/features/steps/intake.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import json
+import time
 from collections import Counter
 
-from adapter.intake import HttpIntake
+from adapter.intake import SETTLE_S, HttpIntake
 from behave import given, then, when
 from steps.denials import ActiveConfiguration, Connection
 
@@ -155,6 +156,43 @@
     context.response = conn.response
 
 
+@given("the store does not answer")
+def step_silent(context):
+    async def never_answer(records, deadline, fence=None):
+        await asyncio.Event().wait()
+
+    context.store.append = never_answer
+
+
+def stall_in_iteration(number):
+    if number:
+        asyncio.get_running_loop().call_soon(stall_in_iteration, number - 1)
+    else:
+        time.sleep(2 * SETTLE_S)
+
+
+@when(
+    "a job is submitted over HTTP, and the loop stalls in iteration {number:d} of the "
+    "end of the process"
+)
+def step_interrupted(context, number):
+    body = json.dumps({"specification": "x", "steps": [{"count": 1}]}).encode()
+    headers = [(b"host", b"h"), (b"authorization", b"Bearer right")]
+    request = HttpRequest(b"POST", b"/old/" + b"0" * 16, headers, body)
+    intake = HttpIntake(context.intake, ActiveConfiguration("recent"), Metrics())
+    conn = Connection()
+
+    async def interrupt():
+        intake.handle(Exchange(request, conn))
+        await asyncio.sleep(SETTLE_S)
+        closing = asyncio.ensure_future(intake.close())
+        asyncio.get_running_loop().call_soon(stall_in_iteration, number)
+        await closing
+
+    run_with_appender(context, interrupt)
+    context.response = conn.response
+
+
 @given("another node has stored job {job}")
 def step_stored(context, job):
     context.store.records.append(KeyedRecord(*encode(spec(job))))
--- a/primrosepitch/node/job_intake.py
+++ b/primrosepitch/node/job_intake.py
@@ -151,10 +151,6 @@
         self.first_attempts.remember(spec.job, spec.attempted_ms)
         return Rejection(after_s, spec.service, wait_ms)
 
-    def is_storing(self, job: JobId) -> bool:
-        """Return whether a job is being stored, so that its outcome is open."""
-        return job in self._pending
-
     def close(self) -> None:
         """Store nothing more; what waits for the store gets its outcome now."""
         self._appender.close()
