Release no term that this process has not claimed

Cause: no claim was kept as a term 0, which equals the term of an empty ledger.

Evidence: 'A node that is stopped before it has claimed a term appends nothing' failed before and holds.

--- a/features/steps/claims_of_terms.py
+++ b/features/steps/claims_of_terms.py
@@ -458,6 +458,22 @@
     assert term.holder != "a", term
 
 
+@given("a node a that has claimed no term")
+def step_no_claim(context):
+    context.ledger = SequencedPartition()
+
+
+@when("a is stopped gracefully before its first claim")
+def step_stop_unclaimed(context):
+    runner = build_runner(MemoryPlatform(context.ledger))
+    asyncio.run(runner.release_term())
+
+
+@then("the store has no record of a term")
+def step_nothing_appended(context):
+    assert not context.ledger.appends_begun
+
+
 @given("a scheduler whose queue waits have changed")
 def step_waits_changed(context):
     context.state = SchedulerState(node="a", limits=Limits())
--- a/features/term.feature
+++ b/features/term.feature
@@ -133,6 +133,12 @@
       | 1     | 0.3     |
       | 2     | 0.3     |
 
+  # Guards against a release of a term that nobody has claimed.
+  Scenario: A node that is stopped before it has claimed a term appends nothing
+    Given a node a that has claimed no term
+    When a is stopped gracefully before its first claim
+    Then the store has no record of a term
+
   # Guards against a first term that goes to any instance, since the delays that let
   # large ones claim first had passed before the first manifest arrived at all nodes.
   Scenario: The first term goes to a large instance when all get the first manifest at once
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -190,7 +190,7 @@
         self._start_orders = 0
         self._stopping = False
         self._claiming = False
-        self._claimed = Term(0, "", 0)
+        self._claimed: Term | None = None
         self._release_task: asyncio.Task[None] | None = None
         self._release_waits_for = ""
         self._order_queue = OrderQueue()
@@ -615,12 +615,12 @@
                     await asyncio.sleep(TICK_INTERVAL_S)
                 if self.leading or self._releasing:
                     await self._start_release("the process is stopping")
-                elif self._follower.ledger.term == self._claimed:
+                elif self._claimed and self._claimed == self._follower.ledger.term:
                     await self._append_release(self._claimed, self._ledger_log)
         except TimeoutError:
             emit(
                 TERM_NOT_RELEASED,
-                term=self._claimed.number,
+                term=self._claimed.number if self._claimed else 0,
                 reason="the deadline of the stop has passed",
                 waits_for=self._release_waits_for,
             )
