Release a term only when no earlier scheduler can act any more

A successor takes the scheduler of a released term, and the one before, for ended: it restarts their tasks 2 s earlier and orders instances at once. That was not true in three cases: a term that was taken from a silent scheduler less than 2 s before; a claim that was won and not begun; a term that an exception had ended, whose orders to instances were not waited for. Tasks could run twice where the silent scheduler was only cut off from the store.

A release waits, with heartbeats going on, until an earlier scheduler that had not ended grants no leases and its orders have expired; a claim that was not begun after such a one is left to a takeover by silence. There is one path for the end of all releases.

--- a/features/steps/claims_of_terms.py
+++ b/features/steps/claims_of_terms.py
@@ -29,7 +29,12 @@
     Term,
     encode,
 )
-from primrosepitch.jobs.store import Fence, KeyedRecord, StoreUnknownError
+from primrosepitch.jobs.store import (
+    Fence,
+    KeyedRecord,
+    StoreUnavailableError,
+    StoreUnknownError,
+)
 from primrosepitch.node.fenced_log import FencedLog
 from primrosepitch.node.follower import LedgerFollower
 from primrosepitch.node.scheduler import SchedulerRunner
@@ -273,8 +278,11 @@
     assert may_grant_leases(state)
 
 
-async def stop_with_open_order(context, answer_s):
-    """Stop a scheduler with one order under way and one that waits for its turn."""
+async def stop_with_open_order(context, answer_s, fails=False):
+    """Stop a scheduler with one order under way and one that waits for its turn.
+
+    :param fails: whether an unexpected exception ends its term before
+    """
     loop = asyncio.get_running_loop()
     ledger = MemoryPartition()
     platform = context.platform = SlowInstances(ledger, answer_s)
@@ -296,6 +304,9 @@
             return await append(records, deadline, fence)
 
         ledger.append = append_and_record
+        await runner._follower.catch_up()
+        if fails:
+            runner._handle_failure("test", ValueError("unexpected"))
         await runner.release_term()
         await asyncio.sleep(5.0)
 
@@ -310,6 +321,35 @@
     run_virtually(stop_with_open_order(context, context.answer_s))
 
 
+@when("a ends its term after an unexpected exception and is stopped gracefully")
+def step_stop_after_failure(context):
+    run_virtually(stop_with_open_order(context, context.answer_s, fails=True))
+
+
+@given("the partition of runs can't be claimed")
+def step_runs_refuse(context):
+    async def refuse(records, deadline, fence=None):
+        raise StoreUnavailableError("refused")
+
+    context.platform.runs.append = refuse
+
+
+@when("node a claims the next term, and is stopped gracefully")
+def step_claim_and_stop(context):
+    async def claim_and_stop():
+        await context.runner._claim()
+        assert not context.runner.leading
+        await context.runner.release_term()
+
+    asyncio.run(claim_and_stop())
+
+
+@then("the ledger has no release of the term")
+def step_no_release(context):
+    term = newest_term(context.platform.ledger)
+    assert term.holder == "a", term
+
+
 @then("the release is written after the answer")
 def step_release_after_answer(context):
     history = context.platform.history
--- a/features/term.feature
+++ b/features/term.feature
@@ -133,6 +133,29 @@
       | 1     | 0.3     |
       | 2     | 0.3     |
 
+  # Guards against tasks that run twice: a successor takes a released term's scheduler for
+  # ended, and with it the silent one before, which may grant leases for 2 s.
+  Scenario: A term that was taken from a silent scheduler is not released at once
+    Given a scheduler b whose last heartbeat is 1.3 s old
+    When node a claims the next term
+    And a is stopped gracefully at once
+    Then the release is written 2 s after that heartbeat, or later
+
+  # Guards against the same for a claim that was won and not begun.
+  Scenario: A claim after a silent scheduler is not released if its term has not begun
+    Given a scheduler b whose last heartbeat is 1.3 s old
+    And the partition of runs can't be claimed
+    When node a claims the next term, and is stopped gracefully
+    Then the ledger has no release of the term
+
+  # Guards against a release that overtakes an order of the term: a scheduler that ended its
+  # term by itself has dropped its state.
+  Scenario: A term that ended early is released only when its orders have been answered
+    Given a scheduler a whose order to move an instance is not answered for 0.8 s
+    When a ends its term after an unexpected exception and is stopped gracefully
+    Then the release is written after the answer
+    And no order is sent after the release
+
   # Guards against a release of a term that nobody has claimed.
   Scenario: A node that is stopped before it has claimed a term appends nothing
     Given a node a that has claimed no term
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -191,6 +191,7 @@
         self._stopping = False
         self._claiming = False
         self._claimed: Term | None = None
+        self._predecessor_until = 0.0
         self._release_task: asyncio.Task[None] | None = None
         self._release_waits_for = ""
         self._order_queue = OrderQueue()
@@ -378,6 +379,7 @@
         record = KeyedRecord(*encode(term))
         claimed_at = clock.monotonic()
         self._claimed = term
+        self._predecessor_until = inf if previous.holder else 0.0
         self._ledger_log = FencedLog(self._platform.ledger, fence)
         try:
             await self._append_claim(record, fence)
@@ -538,6 +540,12 @@
             )
         else:
             prior_orders_until = instance_orders_expire_at(heartbeat_at)
+        # A successor that finds a release takes this scheduler, and with it the one
+        # before, for ended.
+        self._predecessor_until = max(
+            prior_orders_until,
+            prior_leases_until - takeover_wait_s(self._limits, ended=True),
+        )
         event = ev.TermTaken(
             now,
             claimed_at,
@@ -616,7 +624,7 @@
                 if self.leading or self._releasing:
                     await self._start_release("the process is stopping")
                 elif self._claimed and self._claimed == self._follower.ledger.term:
-                    await self._append_release(self._claimed, self._ledger_log)
+                    await self._finish_release(self._claimed, self._ledger_log)
         except TimeoutError:
             emit(
                 TERM_NOT_RELEASED,
@@ -654,8 +662,11 @@
             reason=reason,
             commit=state.committing,
             instance_orders=len(self._instance_orders),
-            prior_orders_s=round(max(0.0, state.prior_orders_until - began_at), 2),
+            predecessor_s=round(max(0.0, self._predecessor_until - began_at), 2),
         )
+        self._release_waits_for = "the leases and orders of an earlier scheduler"
+        while self._predecessor_until > clock.monotonic() and self.state is state:
+            await asyncio.sleep(TICK_INTERVAL_S)
         # Under load, each commit is followed by the next one until none may begin.
         state.closing = True
         self._release_waits_for = f"commit {state.committing}"
@@ -664,20 +675,35 @@
         if self.state is not state:
             emit(TERM_NOT_RELEASED, term=number, reason="the term ended meanwhile")
             return
-        committed_at = clock.monotonic()
         self._step_down(ef.StepDown(reason))
+        committed_s = round(clock.monotonic() - began_at, 3)
+        await self._finish_release(
+            Term(number, self._node, state.nonce), log, committed_s=committed_s
+        )
+
+    async def _finish_release(
+        self, term: Term, log: FencedLog, **fields: float
+    ) -> None:
+        """Release a term in which nothing is ordered any more.
+
+        :param fields: further fields of the log line
+        """
+        began_at = clock.monotonic()
+        if self._predecessor_until == inf:
+            reason = "the scheduler before may grant leases, and its orders may arrive"
+            emit(TERM_NOT_RELEASED, term=term.number, reason=reason)
+            return
         self._release_waits_for = f"{len(self._instance_orders)} orders to instances"
         if self._instance_orders:
             await asyncio.wait(self._instance_orders)
-        # Those of the term before may still be under way, too.
-        await asyncio.sleep(max(0.0, state.prior_orders_until - clock.monotonic()))
+        await asyncio.sleep(max(0.0, self._predecessor_until - clock.monotonic()))
         ordered_at = clock.monotonic()
-        if await self._append_release(Term(number, self._node, state.nonce), log):
+        if await self._append_release(term, log):
             emit(
                 TERM_RELEASED,
-                term=number,
-                commits_s=round(committed_at - began_at, 3),
-                orders_s=round(ordered_at - committed_at, 3),
+                term=term.number,
+                **fields,
+                orders_s=round(ordered_at - began_at, 3),
                 append_s=round(clock.monotonic() - ordered_at, 3),
             )
 
