Leave more of the grace period to the end of the process

Cause: the last 0.5 s are 0.06 s of processor time there, and the interpreter's own end takes up to 0.45 s of them.

The throttled case is not rerun yet.

--- a/features/stopping.feature
+++ b/features/stopping.feature
@@ -27,7 +27,7 @@
 
     Examples: grace periods
       | grace | listen | answer | end |
-      | 6     | 2.5    | 4.5    | 5.5 |
-      | 3     | 1.5    | 1.5    | 2.5 |
-      | 1     | 0      | 0      | 0.5 |
+      | 6     | 2.5    | 4.25   | 5   |
+      | 3     | 1.25   | 1.25   | 2   |
+      | 1     | 0      | 0      | 0   |
       | 0     | 0      | 0      | 0   |
--- a/primrosepitch/node/stopping.py
+++ b/primrosepitch/node/stopping.py
@@ -12,10 +12,10 @@
 
 __all__ = ["HealthReports", "StopDeadlines"]
 
-ANSWER_MARGIN_S = 1.5
+ANSWER_MARGIN_S = 1.75
 """Part of the grace period in which answers are sent and nothing is waited for."""
 
-END_MARGIN_S = 0.5
+END_MARGIN_S = 1.0
 """Part of the grace period that is reserved for the end of the process."""
 
 LISTEN_S = 2.5
