--- a/primrosepitch/net/http_messages.py
+++ b/primrosepitch/net/http_messages.py
@@ -7,17 +7,22 @@
 __all__ = [
     "MAX_BODY_BYTES",
     "MAX_HEADER_BYTES",
+    "MAX_LOGGED_CHARS",
     "Headers",
     "HttpRequest",
     "HttpResponse",
     "header",
     "header_bytes",
+    "logged_target",
     "without_hop_headers",
 ]
 
 MAX_HEADER_BYTES = 16 * 1024
 MAX_BODY_BYTES = 1 << 20
 
+MAX_LOGGED_CHARS = 200
+"""Longest part of a caller's text in a log line; a target may have 16 KB."""
+
 Headers = list[tuple[bytes, bytes]]
 """Header fields in order, with names in lower case as h11 returns them."""
 
@@ -71,6 +76,11 @@
     return None
 
 
+def logged_target(target: bytes) -> str:
+    """Return the part of a request's target that a log line may have."""
+    return target[:MAX_LOGGED_CHARS].decode("latin-1")
+
+
 def header_bytes(headers: Headers) -> int:
     """Return the size of a header section in bytes.
 
--- a/primrosepitch/net/http_server.py
+++ b/primrosepitch/net/http_server.py
@@ -35,6 +35,7 @@
     HttpRequest,
     HttpResponse,
     header_bytes,
+    logged_target,
 )
 from primrosepitch.net.listening import (
     BACKLOG,
@@ -85,10 +86,6 @@
 _REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
-MAX_LOGGED_CHARS = 200
-"""Longest part of a request's target in a log line; a target may have 16 KB."""
-
-
 class ConnectionUse(enum.Enum):
     """How a connection came to carry a request."""
 
@@ -263,7 +260,7 @@
         self.received_while_stopping[use] += 1
         emit(
             REQUEST_WHILE_STOPPING,
-            target=_logged(target),
+            target=logged_target(target),
             connection=use.value,
             after_s=round(clock.monotonic() - self.stop_began_at, 3),
         )
@@ -303,7 +300,7 @@
         now = clock.monotonic()
         emit(
             REQUEST_UNANSWERED,
-            target=_logged(conn.target),
+            target=logged_target(conn.target),
             stage=stage.value,
             age_s=round(now - conn.stage_since, 3),
             after_s=round(now - self.stop_began_at, 3),
@@ -659,7 +656,7 @@
         self._send(response, close=last)
         self._head = None
         if last:
-            self._close_after_reading()
+            self._lingering_close(read_on=False)
             return
         if self._h11.our_state is not h11.DONE or self._closing:
             self._close()
@@ -701,7 +698,7 @@
             self._record_cut_off(reason)
         if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self._send(error_response(error), close=True)
-        self._lingering_close()
+        self._lingering_close(read_on=True)
         self._update_charge()
 
     def _send(self, response: HttpResponse, close: bool) -> None:
@@ -758,27 +755,21 @@
         self._set_deadline(self._limits.write_s)
         self._transport.close()
 
-    def _lingering_close(self) -> None:
-        """Shut down the sending side; discard received data until the caller closes."""
-        if self._transport is None or self._closing:
-            return
-        self._closing = True
-        self._set_deadline(self._limits.write_s)
-        self._resume_reading()
-        if self._transport.can_write_eof():
-            self._transport.write_eof()
-
-    def _close_after_reading(self) -> None:
-        """Shut down the sending side, and close when the caller has read its answer.
+    def _lingering_close(self, read_on: bool) -> None:
+        """Shut down the sending side, and close when the caller has read the response.
 
-        What the caller sends meanwhile stays unread, so that no request is taken.
+        :param read_on: discard what the caller sends until it closes; otherwise that
+            stays unread, so that no request is taken, for ``LINGER_S``
         """
         if self._transport is None or self._closing:
             return
         self._closing = True
         self._set_deadline(self._limits.write_s)
-        self._pause_reading()
-        self._limit_linger()
+        if read_on:
+            self._resume_reading()
+        else:
+            self._pause_reading()
+            self._limit_linger()
         if self._transport.can_write_eof():
             self._transport.write_eof()
 
@@ -810,10 +801,6 @@
         self._transport.abort()
 
 
-def _logged(target: bytes) -> str:
-    return target[:MAX_LOGGED_CHARS].decode("latin-1")
-
-
 def _head_bytes(head: h11.Request) -> int:
     return len(head.target) + header_bytes(list(head.headers))
 
