--- a/features/planner_program.feature
+++ b/features/planner_program.feature
@@ -16,3 +16,11 @@
     Given a planner that was asked to stop and has finished
     When it reads the closing records of an entry and of itself
     Then it returns no effects and its state is at the last record
+
+  # Guards against operators' requests that lose their connection, since the planner closed
+  # it at once when it had finished.
+  Scenario: A planner that is stopped answers a request that is arriving
+    Given a platform, an endpoint, an entry and a planner on ephemeral ports
+    When the planner is stopped while a request of an operator arrives
+    Then the operator gets an answer
+    And the planner exited with code 0 and its session is closed
--- a/features/steps/planner_program.py
+++ b/features/steps/planner_program.py
@@ -104,6 +104,35 @@
         context.records = [decode_record(r) for r in data]
 
 
+async def _stop_during_request(context):
+    async with AsyncExitStack() as stack:
+        platform = Platform(context.limits)
+        await platform.start()
+        stack.push_async_callback(platform.stop)
+        address = f"127.0.0.1:{platform.server.port}"
+        planner = await start_program(stack, Planner, "p1", address)
+        host, _, port = planner.http_address().rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        stack.callback(writer.transport.abort)
+        writer.write(b"GET /-/health HTTP/1.1\r\n")
+        await until(lambda: planner.server.busy)
+        planner.stop()
+        await until(lambda: planner.task.done() or planner.server.stopping)
+        writer.write(b"Host: planner\r\n\r\n")
+        context.status_line = await reader.readline()
+        context.exit_code = await planner.task
+
+
+@when("the planner is stopped while a request of an operator arrives")
+def step_stop_during_request(context):
+    asyncio.run(asyncio.wait_for(_stop_during_request(context), SCENARIO_S))
+
+
+@then("the operator gets an answer")
+def step_operator_answered(context):
+    assert context.status_line.startswith(b"HTTP/1.1 "), context.status_line
+
+
 @then("the endpoint was rebooted once, after its StopRequested was in the log")
 def step_rebooted_once(context):
     kinds = (InstanceUp, StopRequested)
--- a/primrosepitch/bin/daemon.py
+++ b/primrosepitch/bin/daemon.py
@@ -75,7 +75,7 @@
 from primrosepitch.settings import Settings, load_settings
 from primrosepitch.trace import Recorder, open_recorder
 
-__all__ = ["Daemon", "run_program"]
+__all__ = ["DRAIN_TIMEOUT_S", "Daemon", "run_program"]
 
 BUSY_TICK_S = 0.05
 IDLE_TICK_S = 1.0
@@ -94,6 +94,9 @@
 STOP_TIMEOUT_S = 60.0
 """Timeout of a graceful stop; longer than the longest deadline of a request (30 s)."""
 
+DRAIN_TIMEOUT_S = 2.0
+"""Time at the end of a graceful stop for open connections to end."""
+
 RELAY_TIMEOUT_S = 2.0
 RELAY_INTERVAL_S = 10.0
 
--- a/primrosepitch/bin/entry.py
+++ b/primrosepitch/bin/entry.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from primrosepitch import clock
-from primrosepitch.bin.daemon import Daemon, run_program
+from primrosepitch.bin.daemon import DRAIN_TIMEOUT_S, Daemon, run_program
 from primrosepitch.bin.entry_effects import perform
 from primrosepitch.bin.operators import OperatorsApi
 from primrosepitch.errors import (
@@ -105,7 +105,6 @@
 CLAIM_TIMEOUT_S = 0.5
 SYNC_TIMEOUT_S = 3.0
 FETCH_ANSWER_TIMEOUT_S = 2.0
-DRAIN_TIMEOUT_S = 2.0
 
 LAME_DUCK_S = 1.0
 """Time for which a stopping entry still responds that it is stopping, so that the
--- a/primrosepitch/bin/planner.py
+++ b/primrosepitch/bin/planner.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from primrosepitch import clock
-from primrosepitch.bin.daemon import Daemon, run_program
+from primrosepitch.bin.daemon import DRAIN_TIMEOUT_S, Daemon, run_program
 from primrosepitch.errors import (
     LogUnavailableError,
     MalformedMessageError,
@@ -114,6 +114,10 @@
         address = self.settings.address
         self.http_port = await self.server.listen(address, self.http_port)
 
+    async def drain(self) -> None:
+        """Let operators read their responses."""
+        await self.server.drain(clock.monotonic() + DRAIN_TIMEOUT_S)
+
     def close(self) -> None:
         """Close the operators' connections."""
         self.server.abort()
