Wait for a claim or a release that the store carries out late

A stop waits for the outcome of a claim without an answer, unless an earlier scheduler may still act, and takes a release that shows in the ledger as stored. A release that the store rejects is reported as such.

--- a/features/steps/claims_of_terms.py
+++ b/features/steps/claims_of_terms.py
@@ -498,6 +498,36 @@
     assert term.holder != "a", term
 
 
+async def stop_at_slow_store(context, answer_s, left_s):
+    loop = asyncio.get_running_loop()
+    ledger = context.ledger = SequencedPartition()
+    runner = build_runner(MemoryPlatform(ledger))
+    with loop.as_clock():
+        await runner._claim()
+        follower = asyncio.ensure_future(runner._follower.run())
+        ledger.append_s = answer_s
+        began_at = clock.monotonic()
+        await runner.release_term(began_at + left_s)
+        context.took_s = clock.monotonic() - began_at
+        follower.cancel()
+
+
+@given("a scheduler a whose store answers after {answer:g} s from now on")
+def step_store_slows(context, answer):
+    context.answer_s = answer
+
+
+@when("a is stopped gracefully with {left:g} s for it")
+def step_stop_at_slow_store(context, left):
+    run_virtually(stop_at_slow_store(context, context.answer_s, left))
+
+
+@then("its stop takes at most {most:g} s")
+def step_stop_took(context, most):
+    assert not newest_term(context.ledger).holder
+    assert context.took_s <= most, context.took_s
+
+
 @given("a node a that has claimed no term")
 def step_no_claim(context):
     context.ledger = SequencedPartition()
--- a/features/term.feature
+++ b/features/term.feature
@@ -132,6 +132,14 @@
       | 0.1   | 0.05    |
       | 1     | 0.3     |
       | 2     | 0.3     |
+      | 3     | 0.3     |
+      | 4     | 0.3     |
+
+  # Guards against a stop that waits for its deadline although the release is stored.
+  Scenario: A release that is answered late is known from the ledger
+    Given a scheduler a whose store answers after 1 s from now on
+    When a is stopped gracefully with 4.5 s for it
+    Then its stop takes at most 2 s
 
   # Guards against tasks that run twice: a successor takes a released term's scheduler for
   # ended, and with it the silent one before, which may grant leases for 2 s.
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -191,6 +191,7 @@
         self._stopping = False
         self._claiming = False
         self._claimed: Term | None = None
+        self._claim_open = False
         self._predecessor_until = 0.0
         self._release_task: asyncio.Task[None] | None = None
         self._release_waits_for = ""
@@ -378,7 +379,7 @@
         emit(TERM_CLAIMED, term=number, silent_s=round(self._heartbeat_age_s(), 2))
         record = KeyedRecord(*encode(term))
         claimed_at = clock.monotonic()
-        self._claimed = term
+        self._claimed, self._claim_open = term, False
         self._predecessor_until = inf if previous.holder else 0.0
         self._ledger_log = FencedLog(self._platform.ledger, fence)
         try:
@@ -390,6 +391,7 @@
             self._claim_not_before = clock.monotonic() + CLAIM_SILENCE_S
             return
         except (StoreUnavailableError, StoreUnknownError) as exc:
+            self._claim_open = isinstance(exc, StoreUnknownError)
             emit(TERM_LOST, term=number, reason=str(exc))
             await asyncio.sleep(CLAIM_PAUSE_S)
             return
@@ -621,6 +623,7 @@
                 self._release_waits_for = "a claim of the term"
                 while self._claiming:
                     await asyncio.sleep(TICK_INTERVAL_S)
+                await self._wait_for_open_claim()
                 if self.leading or self._releasing:
                     await self._start_release("the process is stopping")
                 elif self._claimed and self._claimed == self._follower.ledger.term:
@@ -643,6 +646,15 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    async def _wait_for_open_claim(self) -> None:
+        """Wait for a claim without an answer, which the store may carry out later."""
+        claimed = self._claimed
+        if not claimed or not self._claim_open or self._predecessor_until == inf:
+            return
+        self._release_waits_for = "the outcome of a claim"
+        while self._follower.ledger.term.number < claimed.number:
+            await asyncio.sleep(TICK_INTERVAL_S)
+
     @property
     def _releasing(self) -> bool:
         return self._release_task is not None and not self._release_task.done()
@@ -708,18 +720,25 @@
             )
 
     async def _append_release(self, term: Term, log: FencedLog) -> bool:
-        """Append the release of a term until the store answers.
+        """Append the release of a term until it is stored.
+
+        It may show in the ledger before the store answers.
 
         :returns: whether it was stored; if not, another node has claimed a newer term
         """
         self._release_waits_for = "the append of the release"
-        record = KeyedRecord(*encode(Term(term.number, "", term.nonce)))
+        release = Term(term.number, "", term.nonce)
+        record = KeyedRecord(*encode(release))
         try:
-            await log.append_valid([record], lambda: True)
+            rejected = await log.append_valid(
+                [record], lambda: self._follower.ledger.term != release
+            )
         except StoreFencedError as exc:
             emit(TERM_NOT_RELEASED, term=term.number, reason=str(exc))
             return False
-        return True
+        if rejected:
+            emit(TERM_NOT_RELEASED, term=term.number, reason="the store rejects it")
+        return not rejected
 
     # Effects
 
--- a/standins/memory_platform.py
+++ b/standins/memory_platform.py
@@ -6,6 +6,7 @@
 from collections.abc import Coroutine, Iterable
 from typing import Any
 
+from primrosepitch import clock
 from primrosepitch.jobs.records import record_size
 from primrosepitch.jobs.store import (
     AppendOutcome,
@@ -83,8 +84,12 @@
     ) -> AppendOutcome:
         """Append records, also if the caller gives up meanwhile."""
         self.appends_begun += 1
-        work = self._append_later(records, deadline, fence)
-        return await asyncio.shield(asyncio.ensure_future(work))
+        work = asyncio.ensure_future(self._append_later(records, deadline, fence))
+        try:
+            async with asyncio.timeout(max(0.0, deadline - clock.monotonic())):
+                return await asyncio.shield(work)
+        except TimeoutError as exc:
+            raise StoreUnknownError("no answer before the deadline") from exc
 
     async def _append_later(
         self, records: list[KeyedRecord], deadline: float, fence: Fence | None
