Log what the expiry of a lease follows from, and runs that outlive it

Cause: run_lost says that a lease expired, not which wait that was: of this scheduler's own grant, of a restart, or of a takeover. Nothing says that a run which counted as lost was active afterwards.

Change: run_lost has bound, born and the ages of the grant and of the clock reading; term_taken has leases_s; term_claimed names the holder before; run_starting has born; run_orphaned has outlived_s, and primrose_runs_outlived counts those runs.

Result: silent_endpoints and restarted_endpoints hold; no decision changes.

--- a/primrosepitch/node/node.py
+++ b/primrosepitch/node/node.py
@@ -132,6 +132,7 @@
         metrics.add_gauge(
             "primrose.scheduler.starts", "1", scheduler.count_start_orders
         )
+        metrics.add_gauge("primrose.runs.outlived", "1", scheduler.count_outlived_runs)
         metrics.add_gauge(
             "primrose.endpoints.cold", "1", scheduler.count_cold_endpoints
         )
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -233,6 +233,10 @@
         """Return how many orders to start a run this process has sent."""
         return self._start_orders
 
+    def count_outlived_runs(self) -> int:
+        """Return how many runs of this term were active after they counted as lost."""
+        return self.state.outlived_runs
+
     def tick_delay_s(self) -> float:
         """Return the largest recent delay of a tick; 0 without a term."""
         return self._tick_delay.largest_s(clock.monotonic()) if self.leading else 0.0
@@ -376,7 +380,12 @@
         term = Term(number, self._node, self._rng.getrandbits(48))
         fence = Fence(number, self._rng.getrandbits(40))
         self._claim_nonces.add(term.nonce)
-        emit(TERM_CLAIMED, term=number, silent_s=round(self._heartbeat_age_s(), 2))
+        emit(
+            TERM_CLAIMED,
+            term=number,
+            silent_s=round(self._heartbeat_age_s(), 2),
+            previous=previous.holder,
+        )
         record = KeyedRecord(*encode(term))
         claimed_at = clock.monotonic()
         self._claimed, self._claim_open = term, False
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -63,7 +63,14 @@
 )
 from primrosepitch.scheduling.speed_record import restore_speed
 from primrosepitch.scheduling.stalls import record_progress
-from primrosepitch.scheduling.state import Endpoint, Limits, Phase, SchedulerState, Task
+from primrosepitch.scheduling.state import (
+    Endpoint,
+    LeaseBound,
+    Limits,
+    Phase,
+    SchedulerState,
+    Task,
+)
 
 __all__ = [
     "LEASE_GRANT_WINDOW_S",
@@ -152,9 +159,7 @@
         endpoint.in_doubt_since = event.now
         if any(not task.listed for task in endpoint.tasks.values()):
             # A start order may have reached an incarnation with another clock.
-            endpoint.leases_expire_at = max(
-                endpoint.leases_expire_at, _latest_expiry(state)
-            )
+            endpoint.extend_expiry(_latest_expiry(state), LeaseBound.RESTART)
         return effects
     if report.draining and not endpoint.report.draining:
         effects.append(WriteLog(ENDPOINT_DRAINING, {"endpoint": report.endpoint}))
@@ -178,10 +183,9 @@
         if task.endpoint != endpoint.id or not task.placed:
             continue
         reserve_capacity(endpoint, task)
-        expires_at = state.prior_leases_until
+        endpoint.extend_expiry(state.prior_leases_until, LeaseBound.TAKEOVER)
         if task.born < endpoint.report.born:
-            expires_at = max(expires_at, _latest_expiry(state))
-        endpoint.leases_expire_at = max(endpoint.leases_expire_at, expires_at)
+            endpoint.extend_expiry(_latest_expiry(state), LeaseBound.RESTART)
 
 
 def _endpoint_restarted(
@@ -202,7 +206,7 @@
         else:
             effects += _await_restarted(state, task, born)
     # A poll that was sent before may have extended the leases of all that starts there.
-    endpoint.leases_expire_at = max(endpoint.leases_expire_at, _latest_expiry(state))
+    endpoint.extend_expiry(_latest_expiry(state), LeaseBound.RESTART)
     endpoint.contacted = endpoint.reachable = False
     endpoint.processed_end = endpoint.acked_end = endpoint.discarded_end = 0
     endpoint.unstored_ends.clear()
@@ -311,7 +315,8 @@
     until_ms = endpoint.clock_ms + int((elapsed_s + state.limits.lease_s) * 1000)
     span_s = (until_ms - endpoint.clock_ms) / 1000 / (1 - state.limits.clock_error)
     expires_at = endpoint.clock_read_at + span_s + EXPIRY_SLACK_S
-    endpoint.leases_expire_at = max(endpoint.leases_expire_at, expires_at)
+    endpoint.extend_expiry(expires_at, LeaseBound.GRANT)
+    endpoint.granted_at = state.now
     endpoint.lease_until_ms = until_ms
     return until_ms
 
@@ -549,12 +554,15 @@
     placed_here = task is not None and task.endpoint == endpoint.id and task.placed
     if task is not None and placed_here and task.run == row.run:
         return []
-    fields = {
+    fields: dict[str, object] = {
         "job": row.task.job,
         "task": task_name(row.task),
         "run": row.run,
         "endpoint": endpoint.id,
     }
+    if task is not None and row.run == task.lost_run:
+        fields["outlived_s"] = round(state.now - task.lost_at, 3)
+        state.outlived_runs += 1
     address = endpoint.report.address
     order = StopRun(endpoint.id, address, row.task, row.run, state.term)
     return [WriteLog(RUN_ORPHANED, fields), order]
@@ -625,8 +633,9 @@
                 endpoint.contacted or state.now > state.prior_leases_until
             ):
                 suspect_crash(state, endpoint, endpoint.tasks.values())
+                inputs = _expiry_inputs(state, endpoint)
                 for task in list(endpoint.tasks.values()):
-                    effects += run_lost(state, task, "lease expired")
+                    effects += run_lost(state, task, "lease expired", inputs)
             elif endpoint.contacted and endpoint.failed_polls >= DUPLICATE_AFTER_POLLS:
                 effects += _start_duplicates(state, endpoint)
         elif endpoint.tasks:
@@ -646,6 +655,20 @@
     return effects
 
 
+def _expiry_inputs(state: SchedulerState, endpoint: Endpoint) -> dict[str, object]:
+    """Return what the expiry of an endpoint's leases was computed from, for the log."""
+    inputs: dict[str, object] = {
+        "bound": endpoint.lease_bound.value,
+        "born": endpoint.report.born,
+        "expired_s": round(state.now - endpoint.leases_expire_at, 3),
+    }
+    if endpoint.granted_at:
+        inputs["granted_s"] = round(state.now - endpoint.granted_at, 3)
+    if endpoint.clock_read_at:
+        inputs["clock_read_s"] = round(state.now - endpoint.clock_read_at, 3)
+    return inputs
+
+
 def _start_duplicates(state: SchedulerState, endpoint: Endpoint) -> list[Effect]:
     """Let tasks that allow duplicates run elsewhere before their leases expire."""
     effects: list[Effect] = []
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -159,7 +159,12 @@
         for part in sorted(runs.parts)
     ]
     restore_arrivals(state, event.jobs.values())
-    fields = {"term": event.term, "jobs": len(state.jobs), "runs": len(event.runs)}
+    fields = {
+        "term": event.term,
+        "jobs": len(state.jobs),
+        "runs": len(event.runs),
+        "leases_s": round(event.prior_leases_until - event.now, 3),
+    }
     return [WriteLog(TERM_TAKEN, fields), *effects]
 
 
--- a/primrosepitch/scheduling/runs.py
+++ b/primrosepitch/scheduling/runs.py
@@ -324,6 +324,7 @@
         "task": task_name(task.key),
         "run": task.run,
         "endpoint": endpoint.id,
+        "born": task.born,
         **inputs,
     }
     return [WriteLog(RUN_STARTING, fields)]
@@ -554,15 +555,25 @@
     return settle_job(state, job)
 
 
-def run_lost(state: SchedulerState, task: Task, reason: str) -> list[Effect]:
-    """Mark a run as lost; its task waits for the next run."""
+def run_lost(
+    state: SchedulerState,
+    task: Task,
+    reason: str,
+    inputs: dict[str, object] | None = None,
+) -> list[Effect]:
+    """Mark a run as lost; its task waits for the next run.
+
+    :param inputs: inputs of the decision, for the log
+    """
     fields = {
         "job": task.key.job,
         "task": task_name(task.key),
         "run": task.run,
         "endpoint": task.endpoint,
         "why": reason,
+        **(inputs or {}),
     }
+    task.lost_run, task.lost_at = task.run, state.now
     release_task(state, task, Phase.WAITING)
     job = state.jobs[task.key.job]
     state.mark_dirty(task)
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -39,6 +39,7 @@
     "Endpoint",
     "InstanceMove",
     "JobRun",
+    "LeaseBound",
     "Limits",
     "MeanWork",
     "Phase",
@@ -76,6 +77,14 @@
     DONE = "done"
 
 
+class LeaseBound(enum.Enum):
+    """What determines when the leases of an endpoint have expired."""
+
+    GRANT = "grant"
+    RESTART = "restart"
+    TAKEOVER = "takeover"
+
+
 class Task(msgspec.Struct, eq=False):
     """One task of a job.
 
@@ -117,6 +126,8 @@
     :param throttled_at: time of the last change of ``rate_percent``
     :param yields: number of its runs that were stopped for a job, see ``yielding``
     :param crashes: runs that were lost with their endpoints, see ``crashes``
+    :param lost_run: newest run that counted as lost; 0 if none has
+    :param lost_at: time at which it did
     """
 
     key: TaskKey
@@ -156,6 +167,8 @@
     throttled_at: float = 0.0
     yields: int = 0
     crashes: tuple[RunCrash, ...] = ()
+    lost_run: int = 0
+    lost_at: float = 0.0
 
     @property
     def stored_in(self) -> RunsPart:
@@ -275,6 +288,8 @@
     :param clock_ms: newest reading of its clock
     :param clock_read_at: boot-time clock of that reading
     :param leases_expire_at: boot-time clock by which all its leases have expired
+    :param lease_bound: what that time follows from
+    :param granted_at: boot-time clock of the newest grant of a lease
     :param lease_until_ms: newest end of a lease granted to it, on its own clock
     :param processed_end: number of the newest run end applied to the state
     :param unstored_ends: applied ends that are not acknowledged, each with the part of
@@ -318,6 +333,8 @@
     clock_ms: int = 0
     clock_read_at: float = 0.0
     leases_expire_at: float = 0.0
+    lease_bound: LeaseBound = LeaseBound.GRANT
+    granted_at: float = 0.0
     lease_until_ms: int = 0
     processed_end: int = 0
     unstored_ends: list[tuple[int, RunsPart]] = msgspec.field(default_factory=list)
@@ -374,6 +391,11 @@
             and used.gpu + needs.gpu <= capacity.gpu
         )
 
+    def extend_expiry(self, expires_at: float, bound: LeaseBound) -> None:
+        """Raise the time by which all leases have expired; it is never lowered."""
+        if expires_at > self.leases_expire_at:
+            self.leases_expire_at, self.lease_bound = expires_at, bound
+
     def reserve_stopping(self, task: Task, since: float) -> None:
         """Reserve the capacity of a run that is being stopped, see ``stopping``."""
         self.stopping[task.key] = (task.spec.needs, since)
@@ -517,6 +539,8 @@
     :param wall_ms: Unix time of the newest tick
     :param term_started_at: boot-time clock at which the term was acquired
     :param newest_endpoint: newest endpoint of each instance
+    :param outlived_runs: number of runs that were listed as active after they had
+        counted as lost
     :param duplicate_runs: runs that still count against upper limits while a duplicate
         runs elsewhere, and the boot-time clock until which they do
     :param unattached: tasks that the ledger places on endpoints without a report yet
@@ -591,6 +615,7 @@
     endpoints: dict[EndpointId, Endpoint] = msgspec.field(default_factory=dict)
     newest_endpoint: dict[str, Endpoint] = msgspec.field(default_factory=dict)
     usage: dict[WorkspaceName, Resources] = msgspec.field(default_factory=dict)
+    outlived_runs: int = 0
     duplicate_runs: list[tuple[float, Task]] = msgspec.field(default_factory=list)
     unattached: dict[EndpointId, list[Task]] = msgspec.field(default_factory=dict)
     crashed_tasks: dict[TaskKey, Task] = msgspec.field(default_factory=dict)
