Test: restarted endpoints that are cut off after a start

Change: two scenarios in restarted_endpoints.feature, with and without a takeover, on clocks that are 2 % slow. A successor in the stand-in may know that the scheduler before has ended, and waits from its newest heartbeat.

--- a/features/restarted_endpoints.feature
+++ b/features/restarted_endpoints.feature
@@ -103,6 +103,41 @@
     And 8 runs were started
     And no rule was broken
 
+  # Guards against a run that is started elsewhere while it goes on: the restarted endpoint
+  # counted its lease from the clock of its earlier incarnation, and the scheduler that
+  # knew of it was killed.
+  Scenario Outline: The scheduler is killed <seconds> s after starts on restarted endpoints
+    Given a scheduler with 4 endpoints
+    And the clock of every endpoint runs 2 % slow
+    When 20 seconds pass
+    And every endpoint restarts with the same id
+    And job j1 of steps 8x20000 is accepted
+    And node a is killed after <seconds> seconds
+    And the endpoint of task 0 of j1 is cut off for 9 seconds
+    And node b takes the term of an ended process after 0.9 seconds
+    And 20 seconds pass
+    Then no rule was broken
+
+    Examples: delays
+      | seconds |
+      | 0.08    |
+      | 0.3     |
+      | 0.6     |
+      | 1.5     |
+
+  # Guards against the same without a takeover: the scheduler has not learned of the
+  # restart when the endpoint is cut off.
+  Scenario: A restarted endpoint takes a start and is cut off before it is polled
+    Given a scheduler with 4 endpoints
+    And the clock of every endpoint runs 2 % slow
+    When 20 seconds pass
+    And every endpoint restarts with the same id
+    And job j1 of steps 8x20000 is accepted
+    And 0.08 seconds pass
+    And the endpoint of task 0 of j1 is cut off for 9 seconds
+    And 20 seconds pass
+    Then no rule was broken
+
   # Guards against an endpoint whose answers are all ignored, because an entry by another
   # writer gave it a start that it never had: its tasks were started twice, or it was lost
   # for good and polled without a pause.
--- a/features/steps/restarted_endpoints.py
+++ b/features/steps/restarted_endpoints.py
@@ -115,6 +115,18 @@
     world.call_later(delay + seconds, lambda: setattr(worker, "mute", False))
 
 
+@given("the clock of every endpoint runs {percent:g} % slow")
+def step_slow_clocks(context, percent):
+    for worker in context.world.workers.values():
+        worker.slow_clock = percent / 100
+
+
+@when("node {name} takes the term of an ended process after {seconds:g} seconds")
+def step_take_term_of_ended(context, name, seconds):
+    context.world.run(seconds)
+    context.world.take_term(name, ended=True)
+
+
 @when("another endpoint lives on the instance of endpoint {name}, which then restarts")
 def step_other_endpoint(context, name):
     world = context.world
--- a/standins/scheduler_world.py
+++ b/standins/scheduler_world.py
@@ -690,11 +690,14 @@
         """Publish an endpoint's report again."""
         self._announce(worker)
 
-    def take_term(self, name: str, heartbeat_at: float | None = None) -> Node:
+    def take_term(
+        self, name: str, heartbeat_at: float | None = None, ended: bool = False
+    ) -> Node:
         """Make a node take the next term.
 
         :param heartbeat_at: time of the last scheduler's newest heartbeat; now if it
             is not given
+        :param ended: whether the last scheduler has certainly ended
         """
         node = next((n for n in self.nodes if n.name == name), None)
         if node is None:
@@ -712,12 +715,14 @@
             node.feed(ev.WaveRequested(wave))
         for zone in self.evacuated_at:
             node.feed(ev.EvacuationChanged(DataCentreName(zone), active=True))
-        quiet = self.now + takeover_wait_s(self.limits) if has_predecessor else self.now
+        newest = self.now if heartbeat_at is None else heartbeat_at
+        quiet = self.now
+        if has_predecessor:
+            quiet = newest + takeover_wait_s(self.limits, ended)
         jobs, runs = self.ledger.jobs, decode_runs(self.stored_runs.items())
         moves = decode_moves(self.stored_runs.items())
         orders_until = self.now
         if has_predecessor and not self.limits.fencing_required:
-            newest = self.now if heartbeat_at is None else heartbeat_at
             orders_until = instance_orders_expire_at(newest)
         node.feed(
             ev.TermTaken(
