Send orders and leases only to the incarnation that they are meant for

Callers saw a task run twice: an endpoint that was back under its id took a start order whose lease ended on the clock of its earlier incarnation, ran the task for up to 6.12 s, and was cut off; the scheduler or its successor started it elsewhere after 3.98 s.

Cause: an order names an endpoint, and an id does not tell incarnations apart. What a lease given to another incarnation can still do was known to the scheduler that had noticed the restart, if any had, and to nobody else.

Change: StartRun, StopRun and ThrottleRun name the incarnation. The adapter sends them only over a connection that has carried an answer with its born; a connection ends with its process. Without one, a poll without effect finds out who answers; if it is another incarnation the order is not sent, and the scheduler polls. Polls extend leases over the connection of an earlier answer only. So no lease is on the clock of another incarnation, and what those who wait count with holds for each of them. A run whose orders were all answered is lost with its endpoint; one whose order may still be carried out is stopped first, also if it had been listed.

--- a/features/restarted_endpoints.feature
+++ b/features/restarted_endpoints.feature
@@ -72,6 +72,38 @@
       | restarts                            | 0, 0     |
       | restarts, and the old one is silent | 0        |
 
+  # Guards against a lease that a new incarnation counts from its own clock: the poll that
+  # extends it reached that one over another connection.
+  Scenario Outline: Leases of an endpoint that <restarts> are extended
+    Given an endpoint that has answered a poll
+    When the endpoint <restarts>
+    And a poll extends the leases over the connection of that answer
+    Then the endpoint gets the lease ends <leases>
+
+    Examples:
+      | restarts | leases |
+      | goes on  | 9000   |
+      | restarts | 0      |
+
+  # Guards against an order that a new incarnation takes although it was meant for the
+  # earlier one, which listened at the same address under the same id.
+  Scenario Outline: An order to <kind> a run at an endpoint that <restarts>
+    Given an endpoint that has answered a poll
+    When an order to <kind> a run is sent to the endpoint
+    And the endpoint <restarts>
+    And an order to <kind> a run is sent to the endpoint
+    Then <count> orders have reached the endpoint, all of the incarnation meant
+    And the outcome of the last order is <outcome>
+
+    Examples:
+      | kind     | restarts                            | count | outcome           |
+      | start    | goes on                             | 2     | DONE              |
+      | start    | restarts                            | 1     | OTHER_INCARNATION |
+      | start    | restarts, and the old one is silent | 1     | UNKNOWN           |
+      | stop     | goes on                             | 2     | DONE              |
+      | stop     | restarts                            | 1     | OTHER_INCARNATION |
+      | throttle | restarts                            | 1     | OTHER_INCARNATION |
+
   # Guards against a start order to an endpoint that has fallen silent since the placement
   # was decided: a new incarnation runs the task for longer than the scheduler assumes.
   Scenario: An endpoint restarts in silence while a placement is not durable
--- a/features/scripted_client.py
+++ b/features/scripted_client.py
@@ -19,11 +19,16 @@
     def __init__(self, status, body):
         self.response = HttpResponse(status, [], body)
 
-    async def call(self, address, request, deadline, send_by=0.0, connection=0):
+    async def call(
+        self, address, request, deadline, send_by=0.0, connection=0, server=0
+    ):
         return self.response
 
+    def is_connected(self, address, server):
+        return True
 
-def platform_client(body, status=200, poll_client=None):
+
+def platform_client(body, status=200, client=None):
     address = "127.0.0.1:1"
     settings_of_node = PlatformSettings(
         node_name="n",
@@ -35,11 +40,11 @@
         advice=address,
         cloud=CloudSettings(address),
     )
-    client = ScriptedClient(status, body)
+    client = client or ScriptedClient(status, body)
     return PlatformClient(
         settings_of_node,
         client,
-        poll_client or client,
+        client,
         Metrics(),
         lambda _, s, p: s,
     )
--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -591,7 +591,9 @@
 
 
 def refused_order(body):
-    order = ef.StopRun(EndpointId("w1"), "a:1", TaskKey(JobId("0" * 16), 0, 0, 0), 1, 1)
+    order = ef.StopRun(
+        EndpointId("w1"), "a:1", 1, TaskKey(JobId("0" * 16), 0, 0, 0), 1, 1
+    )
     return asyncio.run(platform_client(body, 409).stop_run(order))
 
 
@@ -731,7 +733,12 @@
     def __init__(self):
         self.started = []
 
-    async def call(self, address, request, deadline, send_by=0.0, connection=0):
+    def is_connected(self, address, server):
+        return (address, server) == (REPORT["address"], REPORT["born"])
+
+    async def call(
+        self, address, request, deadline, send_by=0.0, connection=0, server=0
+    ):
         if address != REPORT["address"]:
             raise NotSentError(f"cannot connect to {address}")
         if request.target == b"/run-start":
@@ -745,7 +752,7 @@
             "ended": [],
             "born": REPORT["born"],
         }
-        return HttpResponse(200, [], json.dumps(lists).encode())
+        return HttpResponse(200, [], json.dumps(lists).encode(), connection=1)
 
 
 ODD_ENTRIES = {
--- a/features/steps/restarted_endpoints.py
+++ b/features/steps/restarted_endpoints.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 
 from features.scripted_client import platform_client
-from primrosepitch.jobs.model import EndpointId
+from primrosepitch.jobs.model import EndpointId, JobId, TaskKey
 from primrosepitch.net.http_messages import HttpResponse
 from primrosepitch.net.http_pool import PooledHttpClient
 from primrosepitch.net.http_server import HttpServer
@@ -146,27 +146,41 @@
     assert context.polls[name] <= count, context.polls
 
 
+BORN = 1_700_000_000_000
+
+
 class RestartingEndpoint:
-    """Endpoint on a loopback socket that may restart, and a client that polls it."""
+    """Endpoint on a loopback socket that may restart, and a client that calls it."""
 
     def __init__(self):
         self.loop = asyncio.new_event_loop()
         self.client = PooledHttpClient()
-        self.platform = platform_client(b"", poll_client=self.client)
+        self.platform = platform_client(b"", client=self.client)
         self.server = HttpServer(self.answer)
         self.silent = set()
+        self.born = BORN
         self.received = []
+        self.leases = []
+        self.orders = []
         port = self.loop.run_until_complete(self.server.listen("127.0.0.1", 0))
         self.address = f"127.0.0.1:{port}"
 
     def answer(self, exchange):
         if exchange._conn in self.silent:
             return
-        self.received.append(json.loads(exchange.request.body)["last_seen"])
-        lists = {"clock_ms": 1, "running": [], "ended": [], "born": 1_700_000_000_000}
+        body = json.loads(exchange.request.body)
+        if exchange.request.target != b"/hold":
+            path = exchange.request.target.decode()
+            self.orders.append((path, self.born))
+            exchange.respond(HttpResponse(200, [], b"{}"))
+            return
+        self.received.append(body["last_seen"])
+        self.leases.append(body.get("until_ms", 0))
+        lists = {"clock_ms": 1, "running": [], "ended": [], "born": self.born}
         exchange.respond(HttpResponse(200, [], json.dumps(lists).encode()))
 
     def restart(self, silent):
+        self.born += 1
         if silent:
             self.silent |= self.server.connections
             return
@@ -174,11 +188,27 @@
             conn.abort()
         self.loop.run_until_complete(asyncio.sleep(0.01))
 
-    def poll(self, acked_end, connection):
-        endpoint = EndpointId("e1")
-        order = ef.PollEndpoint(endpoint, self.address, 0, acked_end, connection, 0, 1)
+    def poll(self, acked_end, connection, until_ms=0):
+        order = ef.PollEndpoint(
+            EndpointId("e1"), self.address, until_ms, acked_end, connection, 0, 1
+        )
         return self.loop.run_until_complete(self.platform.poll_endpoint(order))
 
+    def order(self, kind):
+        """Send an order that is meant for the first incarnation."""
+        to_first = (EndpointId("e1"), self.address, BORN)
+        task = TaskKey(JobId("0" * 16), 0, 0, 0)
+        calls = {
+            "start": lambda: self.platform.start_run(
+                ef.StartRun(*to_first, task, 1, "p", 9000, "", "", 1)
+            ),
+            "stop": lambda: self.platform.stop_run(ef.StopRun(*to_first, task, 1, 1)),
+            "throttle": lambda: self.platform.throttle_run(
+                ef.ThrottleRun(*to_first, task, 1, 50, 1)
+            ),
+        }
+        return self.loop.run_until_complete(calls[kind]())
+
     def close(self):
         self.client.close()
         self.server.abort()
@@ -214,6 +244,35 @@
     context.endpoint.poll(number, context.connection)
 
 
+@when("a poll extends the leases over the connection of that answer")
+def step_extend(context):
+    context.endpoint.leases.clear()
+    context.endpoint.poll(0, context.connection, until_ms=9000)
+
+
+@then("the endpoint gets the lease ends {leases}")
+def step_lease_ends(context, leases):
+    expected = [int(lease) for lease in leases.split(",")]
+    assert context.endpoint.leases == expected, context.endpoint.leases
+
+
+@when("an order to {kind} a run is sent to the endpoint")
+def step_order(context, kind):
+    context.outcome = context.endpoint.order(kind)
+
+
+@then("{count:d} orders have reached the endpoint, all of the incarnation meant")
+def step_orders_received(context, count):
+    orders = context.endpoint.orders
+    assert len(orders) == count, orders
+    assert all(born == BORN for _, born in orders), orders
+
+
+@then("the outcome of the last order is {outcome}")
+def step_last_outcome(context, outcome):
+    assert context.outcome.name == outcome, context.outcome
+
+
 @then("the endpoint gets the acknowledged ends {numbers}")
 def step_received(context, numbers):
     expected = [int(number) for number in numbers.split(",")]
--- a/features/steps/starved_scheduler.py
+++ b/features/steps/starved_scheduler.py
@@ -124,10 +124,10 @@
     key = TaskKey(JobId("j"), 0, 0, task)
     endpoint = EndpointId(endpoint)
     if kind == "start":
-        return ef.StartRun(endpoint, "a:1", key, run, "p", 0, "", "", 1)
+        return ef.StartRun(endpoint, "a:1", 1, key, run, "p", 0, "", "", 1)
     if kind == "stop":
-        return ef.StopRun(endpoint, "a:1", key, run, 1)
-    return ef.ThrottleRun(endpoint, "a:1", key, run, 50, 1)
+        return ef.StopRun(endpoint, "a:1", 1, key, run, 1)
+    return ef.ThrottleRun(endpoint, "a:1", 1, key, run, 50, 1)
 
 
 @when("{orders} are issued for a task")
--- a/primrosepitch/scheduling/effects.py
+++ b/primrosepitch/scheduling/effects.py
@@ -40,12 +40,15 @@
 class StartRun(NamedTuple):
     """Start a run of a task.
 
+    :param born: incarnation of the endpoint that the order is meant for; no other may
+        get it
     :param until_ms: end of the lease, on the endpoint's clock
     :param token: fencing token
     """
 
     endpoint: EndpointId
     address: str
+    born: int
     task: TaskKey
     run: int
     payload: str
@@ -56,10 +59,14 @@
 
 
 class StopRun(NamedTuple):
-    """Stop a run of a task."""
+    """Stop a run of a task.
+
+    :param born: incarnation of the endpoint that the order is meant for
+    """
 
     endpoint: EndpointId
     address: str
+    born: int
     task: TaskKey
     run: int
     token: int
@@ -71,8 +78,8 @@
     :param until_ms: end of the leases, on the endpoint's clock; 0 extends none
     :param acked_end: number up to which the endpoint may discard run ends, since their
         effects are durable
-    :param connection: number of the connection over which ``acked_end`` is sent; if it
-        has been closed, 0 is sent over another one
+    :param connection: number of the connection over which ``until_ms`` and
+        ``acked_end`` are sent; if it has been closed, 0 is sent over another one
     :param wait_ms: time for which the endpoint may delay its answer (long poll)
     """
 
@@ -86,10 +93,14 @@
 
 
 class ThrottleRun(NamedTuple):
-    """Throttle a run to a percentage of its full rate."""
+    """Throttle a run to a percentage of its full rate.
+
+    :param born: incarnation of the endpoint that the order is meant for
+    """
 
     endpoint: EndpointId
     address: str
+    born: int
     task: TaskKey
     run: int
     percent: int
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -16,7 +16,7 @@
     ENDPOINT_SILENT,
     RUN_ORPHANED,
 )
-from primrosepitch.jobs.model import Resources, task_name
+from primrosepitch.jobs.model import EndpointId, Resources, task_name
 from primrosepitch.scheduling.crashes import (
     clear_survivor,
     refute_listed,
@@ -83,6 +83,7 @@
     "poll_failed",
     "takeover_wait_s",
     "renewed_order",
+    "doubt_incarnation",
     "start_obstacle",
     "start_order",
     "exclusion",
@@ -201,11 +202,11 @@
         endpoint.lost_at = state.now
     # A successor may know the incarnation of a run before that of its endpoint.
     for task in earlier:
-        if task.listed or task.phase is Phase.COMMITTING:
-            effects += run_lost(state, task, "endpoint restarted")
-        else:
+        if task.unanswered or task.order_pending or task.order_tries < 0:
             effects += _await_restarted(state, task, born)
-    # A poll that was sent before may have extended the leases of all that starts there.
+        else:
+            effects += run_lost(state, task, "endpoint restarted")
+    # A call that was sent before may be carried out late, on another clock.
     endpoint.extend_expiry(_latest_expiry(state), LeaseBound.RESTART)
     endpoint.contacted = endpoint.reachable = False
     endpoint.processed_end = endpoint.acked_end = endpoint.discarded_end = 0
@@ -234,20 +235,28 @@
 
 
 def _await_restarted(state: SchedulerState, task: Task, born: int) -> list[Effect]:
-    """Keep a run that no poll has listed: the new incarnation may have got its order.
+    """Keep a run whose start order may still be carried out by the new incarnation.
 
-    A run whose start was answered exists there if the next poll lists it. An order that
-    may still arrive is stopped first; it is not repeated, as the run may have crashed
-    the endpoint.
+    An order that was not answered is precluded by a stop; it is not repeated, as the
+    run may have crashed the endpoint. Whether that of an earlier term was sent is not
+    known; its run exists if the next poll lists it.
     """
     task.born = born
     state.mark_dirty(task)
-    if task.order_tries < 0 or (task.phase is Phase.RUNNING and not task.unanswered):
+    if task.order_tries < 0:
         return []
     task.started_at = 0.0
     return stop_task(state, task, "endpoint restarted")
 
 
+def doubt_incarnation(state: SchedulerState, endpoint_id: EndpointId) -> None:
+    """Poll an endpoint that another incarnation than the known one has answered for."""
+    endpoint = state.endpoints.get(endpoint_id)
+    if endpoint is not None:
+        endpoint.in_doubt_since = endpoint.next_poll_at = state.now
+        state.replan = True
+
+
 def endpoint_removed(state: SchedulerState, event: EndpointRemoved) -> list[Effect]:
     """Handle the removal of an endpoint's report."""
     endpoint = state.endpoints.get(event.endpoint)
@@ -337,7 +346,9 @@
     extend_leases = (
         extend_leases and may_grant_leases(state) and not endpoint.failed_polls
     )
-    # Another incarnation would discard its own ends up to that number.
+    # Another incarnation would count the lease from its own clock, and discard its own
+    # ends up to that number.
+    extend_leases = extend_leases and endpoint.poll_connection > 0
     acked_end = endpoint.acked_end if endpoint.poll_connection else 0
     return PollEndpoint(
         endpoint.id,
@@ -563,8 +574,10 @@
     if task is not None and row.run == task.lost_run:
         fields["outlived_s"] = round(state.now - task.lost_at, 3)
         state.outlived_runs += 1
-    address = endpoint.report.address
-    order = StopRun(endpoint.id, address, row.task, row.run, state.term)
+    report = endpoint.report
+    order = StopRun(
+        endpoint.id, report.address, report.born, row.task, row.run, state.term
+    )
     return [WriteLog(RUN_ORPHANED, fields), order]
 
 
@@ -576,6 +589,7 @@
     return StartRun(
         endpoint.id,
         endpoint.report.address,
+        endpoint.report.born,
         task.key,
         task.run,
         state.jobs[task.key.job].spec.payload,
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -33,6 +33,7 @@
     send_stored_orders,
 )
 from primrosepitch.scheduling.leases import (
+    doubt_incarnation,
     due_polls,
     endpoint_polled,
     endpoint_removed,
@@ -210,6 +211,9 @@
 def _start_answered(state: SchedulerState, event: ev.StartAnswered) -> list[Effect]:
     task = find_task(state, event.task)
     endpoint = state.endpoints.get(event.endpoint)
+    if event.outcome is ev.Outcome.OTHER_INCARNATION:
+        state.now = max(state.now, event.now)
+        doubt_incarnation(state, event.endpoint)
     if task is None or endpoint is None:
         return []
     if task.run != event.run or task.endpoint != event.endpoint:
@@ -250,6 +254,9 @@
 
 @_handles(ev.StopAnswered)
 def _stop_answered(state: SchedulerState, event: ev.StopAnswered) -> list[Effect]:
+    if event.outcome is ev.Outcome.OTHER_INCARNATION:
+        state.now = max(state.now, event.now)
+        doubt_incarnation(state, event.endpoint)
     task = find_task(state, event.task)
     if task is None or task.run != event.run or task.phase is not Phase.STOPPING:
         return []
--- a/primrosepitch/scheduling/runs.py
+++ b/primrosepitch/scheduling/runs.py
@@ -377,8 +377,10 @@
 def stop_order(state: SchedulerState, task: Task, endpoint: Endpoint) -> StopRun:
     """Return the order that stops a task's run."""
     task.stop_pending = True
-    address = endpoint.report.address
-    return StopRun(endpoint.id, address, task.key, task.run, state.term)
+    report = endpoint.report
+    return StopRun(
+        endpoint.id, report.address, report.born, task.key, task.run, state.term
+    )
 
 
 def run_ended(
--- a/primrosepitch/scheduling/throttling.py
+++ b/primrosepitch/scheduling/throttling.py
@@ -84,6 +84,8 @@
         "percent": rate,
         "strain": round(worst_ratio, 2),
     }
-    address = endpoint.report.address
-    order = ThrottleRun(endpoint.id, address, task.key, task.run, rate, state.term)
+    report = endpoint.report
+    order = ThrottleRun(
+        endpoint.id, report.address, report.born, task.key, task.run, rate, state.term
+    )
     return [WriteLog(RUN_PACED, fields), order]
--- a/standins/scheduler_world.py
+++ b/standins/scheduler_world.py
@@ -1147,6 +1147,11 @@
             if worker is None or not worker.up or worker.cut or hangs:
                 self.call_later(ORDER_TIMEOUT_S, lambda: answered(ev.Outcome.UNKNOWN))
                 return
+            if order.born != worker.born:
+                # The connection on which it would be sent ended with its process.
+                other = ev.Outcome.OTHER_INCARNATION
+                self.call_later(LATENCY_S, lambda: answered(other))
+                return
             if self.rng.random() < self.late_order_rate:
                 delay = self.rng.uniform(2.0, 12.0)
                 born = worker.born
@@ -1172,23 +1177,24 @@
             take(worker, order)
             self._carrying_out_late = False
 
-    def _do_pollendpoint(self, node: Node, order: ef.PollEndpoint) -> None:
-        worker = self.workers.get(order.endpoint)
+    def _do_pollendpoint(self, node: Node, ordered: ef.PollEndpoint) -> None:
+        worker = self.workers.get(ordered.endpoint)
         term, sent = node.state.term, self.now
 
         def failed() -> None:
-            event = ev.PollFailed(order.endpoint, ev.Outcome.UNKNOWN, self.now)
+            event = ev.PollFailed(ordered.endpoint, ev.Outcome.UNKNOWN, self.now)
             self._deliver_answer(node, term, event)
 
         def arrive() -> None:
             self.counts["looks"] += 1
             lost = self.rng.random() < self.poll_loss_rate
-            if order.acked_end and worker is not None:
-                # The connection ended with the incarnation that it was opened to.
-                lost = lost or order.connection != worker.connection
             if worker is None or not worker.up or worker.cut or lost:
-                self.call_later(order.wait_ms / 1000 + POLL_TIMEOUT_S, failed)
+                self.call_later(ordered.wait_ms / 1000 + POLL_TIMEOUT_S, failed)
                 return
+            order = ordered
+            if order.connection != worker.connection:
+                # The connection ended with the incarnation that it was opened to.
+                order = order._replace(until_ms=0, acked_end=0, wait_ms=0)
             if worker.poll(order) is ev.Outcome.FENCED:
                 self._do_stepdown(node, ef.StepDown("fenced by an endpoint"))
                 return
