Count an old clock reading as the slowest clock would

Cause: the end of a lease was the newest clock reading, its age and 3.8 s. On a clock that is 2 % slow the lease lasts 2 % of that age longer: 0.2 s after the 10 s between two polls of an idle endpoint. The scheduler counted it for itself; a successor waits for 3.8 s on a slow clock and 0.1 s more.

Change: the time since the reading counts as a slow clock would show it, so that a lease lasts 3.88 s at most from its grant, whatever its reading's age.

--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -320,9 +320,12 @@
     """
     if endpoint.failed_polls and endpoint.lease_until_ms:
         return endpoint.lease_until_ms
-    elapsed_s = state.now - endpoint.clock_read_at
-    until_ms = endpoint.clock_ms + int((elapsed_s + state.limits.lease_s) * 1000)
-    span_s = (until_ms - endpoint.clock_ms) / 1000 / (1 - state.limits.clock_error)
+    # A slow clock has advanced by less than the time since its reading. Counting the
+    # least keeps each lease within what a successor waits for, however old the reading.
+    rate = 1 - state.limits.clock_error
+    advanced_s = (state.now - endpoint.clock_read_at) * rate
+    until_ms = endpoint.clock_ms + int((advanced_s + state.limits.lease_s) * 1000)
+    span_s = (until_ms - endpoint.clock_ms) / 1000 / rate
     expires_at = endpoint.clock_read_at + span_s + EXPIRY_SLACK_S
     endpoint.extend_expiry(expires_at, LeaseBound.GRANT)
     endpoint.granted_at = state.now
