Wait for the scheduler before one that ended early

Cause: a successor that knows the last holder to have ended waits for its leases only (3.98 s). If that holder was an earlier process of its node that had claimed the term from a scheduler which may still act, or an earlier term of the same process, the first one's leases can go on for 5.98 s after its last append. Nobody waited for them: the bound was 1.2 s and 0.8 s early in two cases.

Change: the wait is that for a holder which has ended only behind a release, which follows all earlier waits, and behind the first term.

Result: two scenarios in term.feature, which failed before (4.78 s and 5.18 s of 5.98 s), hold.

--- a/features/steps/claims_of_terms.py
+++ b/features/steps/claims_of_terms.py
@@ -38,10 +38,14 @@
 from primrosepitch.node.fenced_log import FencedLog
 from primrosepitch.node.follower import LedgerFollower
 from primrosepitch.node.scheduler import SchedulerRunner
-from primrosepitch.node.term import TermObservation, claim_delay_s
+from primrosepitch.node.term import (
+    CLAIM_RECONNECTED_SILENCE_S,
+    TermObservation,
+    claim_delay_s,
+)
 from primrosepitch.scheduling import events as ev
 from primrosepitch.scheduling.configuration import Configuration
-from primrosepitch.scheduling.effects import Commit, MoveInstance
+from primrosepitch.scheduling.effects import Commit, MoveInstance, StepDown
 from primrosepitch.scheduling.leases import may_grant_leases, takeover_wait_s
 from primrosepitch.scheduling.reducer import step
 from primrosepitch.scheduling.state import Limits, SchedulerState
@@ -96,6 +100,23 @@
     context.heartbeat_at = runner._heartbeat_at = clock.monotonic() - age
 
 
+@given("an earlier process of node a that has claimed the term after it and ended")
+def step_earlier_process(context):
+    runner, ledger = context.runner, context.platform.ledger
+    ledger.records.append(KeyedRecord(*encode(Term(2, "a", 6))))
+    asyncio.run(context.follower.catch_up())
+    # The earlier process claimed once the scheduler had been silent for this time, and
+    # this process read the ledger after its end.
+    runner._heartbeat_at = context.heartbeat_at + CLAIM_RECONNECTED_SILENCE_S
+
+
+@when("node a loses its term and claims the next one")
+def step_claim_again(context):
+    context.runner._step_down(StepDown("an endpoint has a higher fencing token"))
+    asyncio.run(context.runner._claim())
+    assert context.runner.leading
+
+
 @given("a lasting job that runs, whose record node a has missed")
 def step_missed_job(context):
     job = JobId("1" * 16)
--- a/features/term.feature
+++ b/features/term.feature
@@ -29,6 +29,22 @@
     And node a claims the term after it
     Then a replaces no run of b before its grants and leases have expired
 
+  # Guards against a task that is started again while its run goes on: the scheduler
+  # before has certainly ended, but the one before it may still have granted leases.
+  Scenario: The wait after an ended process covers the scheduler before it
+    Given a scheduler b whose last heartbeat is 2 s old
+    And an earlier process of node a that has claimed the term after it and ended
+    When node a claims the next term
+    Then a replaces no run of b before its grants and leases have expired
+
+  # Guards against the same for two terms of one process, of which the first has waited for
+  # the scheduler before it.
+  Scenario: A second term of a process waits for the scheduler before its first
+    Given a scheduler b whose last heartbeat is 1.2 s old
+    When node a claims the next term
+    And node a loses its term and claims the next one
+    Then a replaces no run of b before its grants and leases have expired
+
   # Guards against leases that outlast the takeover wait. They were counted from a
   # commit that other nodes did not take as a heartbeat.
   Scenario: Leases are counted from commits that are heartbeats
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -533,11 +533,13 @@
         own_claim = previous.nonce in self._claim_nonces
         holder_ended = previous.holder in ("", self._node) and not own_claim
         self._claim_nonces.clear()
-        prior_leases_until = (
-            heartbeat_at + takeover_wait_s(self._limits, holder_ended)
-            if previous.number
-            else now
-        )
+        # An earlier process may have ended before it had waited for the scheduler
+        # before it, which may still grant leases. A release follows that wait.
+        grants_ended = holder_ended and (not previous.holder or previous.number == 1)
+        prior_leases_until = now
+        if previous.number:
+            wait_s = takeover_wait_s(self._limits, grants_ended)
+            prior_leases_until = heartbeat_at + wait_s
         # A release follows the answers to all orders. Where fencing tokens are checked,
         # a late order of an earlier scheduler is refused.
         if not previous.holder or self._limits.fencing_required:
