Test: messages and facts of former incarnations of endpoints

Cause: an endpoint may be back under its id as another kind. Scenarios covered its runs, leases and ends, but neither its labels nor reports and answers that are older or newer than the incarnation that the scheduler knows.

The simulated endpoints have a kind, and a start without the required label counts as a violation of "route".

--- a/standins/scheduler_world.py
+++ b/standins/scheduler_world.py
@@ -145,6 +145,7 @@
 class Worker:
     """A simulated endpoint that follows the platform's rules.
 
+    :param kind: label of its kind
     :param slow_clock: fraction by which its clock runs slow
     :param mute: whether it gets orders and polls while its answers are lost
     :param guards_capacity: whether it refuses starts that exceed its capacity
@@ -171,6 +172,7 @@
         self.world = world
         self.id = EndpointId(name)
         self.service = ServiceName(service)
+        self.kind = "k"
         self.rack = rack
         self.capacity = capacity
         self.instance = instance
@@ -216,7 +218,7 @@
             self.zone,
             self.draining,
             self.capacity,
-            ("k", self.rack),
+            (self.kind, self.rack),
             self.instance,
             self.clock_ms(),
             self.world.now + 5 if self.draining else 0.0,
@@ -890,6 +892,10 @@
                 )
         if job.service != worker.service:
             self._record_violation("route", f"{task} started in pool {worker.service}")
+        if spec.label and spec.label not in (worker.kind, worker.rack):
+            self._record_violation(
+                "route", f"{task} started on {worker.id} of kind {worker.kind}"
+            )
         if spec.gang and any(r.run != order.run for _, r in self._gang_members(task)):
             self._record_violation(
                 "gang", f"{task} started while an earlier run continues"
