Count nothing of an earlier incarnation until the next one reports

Cause: what is known of an endpoint was kept over its restart where it is a fact of the incarnation (its kind, until the next report; evidence of slowness, if a report replaces one before the first answer), and dropped where it is one of the instance (the reason for which it gets no tasks, while an order to move or maintain the instance has no answer). What had been decided was not checked against labels again before it was sent.

Change: a new incarnation has no kind until its report is read; the label is checked before a start is sent, renewed or repeated; the reason outlasts a restart; a report of another incarnation resets the evidence of slowness.

--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -132,6 +132,9 @@
 term, which has read that append, waits as long before it restarts runs of endpoints
 that it can't reach."""
 
+OTHER_KIND = "its endpoint lacks the required label"
+"""Reason for which a task whose start order was not sent or answered runs elsewhere."""
+
 EXPIRY_SLACK_S = 0.1
 """Added to the computed expiry of a lease for the delay of the endpoint's timers."""
 
@@ -162,6 +165,8 @@
             # A start order may have reached an incarnation with another clock.
             endpoint.extend_expiry(_latest_expiry(state), LeaseBound.RESTART)
         return effects
+    if report.born != endpoint.report.born:
+        endpoint.speed = EndpointSpeed()
     if report.draining and not endpoint.report.draining:
         effects.append(WriteLog(ENDPOINT_DRAINING, {"endpoint": report.endpoint}))
         state.replan = True
@@ -216,7 +221,6 @@
     endpoint.next_poll_at = 0.0
     for key in list(endpoint.stopping):
         endpoint.release_stopping(key)
-    endpoint.evacuation_reason = ""
     endpoint.fault_score = endpoint.ejected_until = endpoint.cold_since = 0.0
     endpoint.speed = EndpointSpeed()
     for step in state.advice_requested:
@@ -464,12 +468,15 @@
 ) -> EndpointReport:
     """Return the report of an incarnation that an answer to a poll has shown.
 
-    An endpoint may restart as another kind. Until its report is read, it counts as
-    without capacity if it would start whatever it is told to.
+    An endpoint may restart as another kind. Until its report is read, it has no kind,
+    and no capacity if it would start whatever it is told to.
     """
     if endpoint.announced is not None and endpoint.announced.born == born:
         return endpoint.announced
-    report = msgspec.structs.replace(endpoint.report, born=born)
+    earlier = endpoint.report
+    # The rack stays with the instance.
+    labels = ("", *earlier.labels[1:])
+    report = msgspec.structs.replace(earlier, born=born, labels=labels)
     if _checks_admission(state, endpoint):
         return report
     return msgspec.structs.replace(report, capacity=Resources())
@@ -603,14 +610,16 @@
     )
 
 
-def start_obstacle(state: SchedulerState, endpoint: Endpoint | None) -> str:
-    """Return why no start order may be sent to an endpoint, or an empty string."""
+def start_obstacle(state: SchedulerState, task: Task, endpoint: Endpoint | None) -> str:
+    """Return why no start order of a task may be sent, or an empty string."""
     if endpoint is None:
         return ""
     if is_evacuated(state, endpoint):
         return EVACUATED
     if endpoint.report.draining:
         return "endpoint draining"
+    if _lacks_label(task, endpoint):
+        return OTHER_KIND
     if not endpoint.reachable:
         return "endpoint silent"
     if endpoint.in_doubt_since:
@@ -632,7 +641,7 @@
     if not isinstance(order, StartRun):
         return order
     task, endpoint = find_task(state, order.task), state.endpoints.get(order.endpoint)
-    if task is None or endpoint is None or start_obstacle(state, endpoint):
+    if task is None or endpoint is None or start_obstacle(state, task, endpoint):
         return None
     starting = task.phase in (Phase.STARTING, Phase.RUNNING)
     if not starting or task.run != order.run or endpoint.failed_polls:
@@ -722,8 +731,12 @@
         if task.phase is Phase.STARTING and (task.order_tries < 0 or task.refused_at):
             # The next poll shows whether the run exists.
             continue
-        if task.phase is Phase.STARTING and task.order_tries and _takes_none(endpoint):
-            effects += stop_task(state, task, start_obstacle(state, endpoint))
+        if (
+            task.phase is Phase.STARTING
+            and task.order_tries
+            and _precludes(task, endpoint)
+        ):
+            effects += stop_task(state, task, start_obstacle(state, task, endpoint))
         elif (
             task.phase is Phase.STARTING
             and task.order_tries
@@ -739,9 +752,19 @@
     return effects
 
 
-def _takes_none(endpoint: Endpoint) -> bool:
-    """Return whether an endpoint that answers must not get a start order."""
-    return endpoint.report.draining or endpoint.overcommitted
+def _precludes(task: Task, endpoint: Endpoint) -> bool:
+    """Return whether an endpoint that answers must not get a task's start order."""
+    return (
+        endpoint.report.draining
+        or endpoint.overcommitted
+        or _lacks_label(task, endpoint)
+    )
+
+
+def _lacks_label(task: Task, endpoint: Endpoint) -> bool:
+    """Return whether an endpoint lacks the label that a task requires."""
+    label = task.spec.label
+    return bool(label) and label not in endpoint.report.labels
 
 
 def takeover_wait_s(limits: Limits, ended: bool = False) -> float:
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -378,7 +378,9 @@
         task.key[:3]: obstacle
         for task, _ in state.committing_tasks
         if task.spec.gang
-        and (obstacle := start_obstacle(state, state.endpoints.get(task.endpoint)))
+        and (
+            obstacle := start_obstacle(state, task, state.endpoints.get(task.endpoint))
+        )
     }
     for task, run in state.committing_tasks:
         endpoint = state.endpoints.get(task.endpoint)
@@ -386,7 +388,7 @@
             continue
         if task.phase is not Phase.COMMITTING:
             continue
-        obstacle = start_obstacle(state, endpoint) or gang_obstacles.get(
+        obstacle = start_obstacle(state, task, endpoint) or gang_obstacles.get(
             task.key[:3], ""
         )
         if obstacle:
