Test: answers to stops of earlier runs while the next run is stopped

Cause: the scenario of a late answer to a stop passed without the check of its run number, as the run was not being stopped.

Change: a scenario in which it is.

--- a/features/former_incarnations.feature
+++ b/features/former_incarnations.feature
@@ -177,6 +177,20 @@
       | refusal of a start without order |
       | answer to a stop                 |
 
+  # Guards against an answer to a stop of an earlier run that counts for the present one.
+  Scenario: An answer to a stop of a former incarnation arrives while the next run is being stopped
+    Given a scheduler with 1 endpoints
+    When job j1 of 4 lasting tasks is accepted
+    And 1 seconds pass
+    And every endpoint restarts with the same id
+    And 2 seconds pass
+    And job j1 is cancelled
+    And a late answer to a stop of the former incarnation of endpoint e1 arrives
+    Then nothing is known otherwise than before of endpoint e1
+    When 2 seconds pass
+    Then job j1 is cancelled in the ledger
+    And no rule was broken
+
   # Guards against an order to an instance that ends the tasks of an endpoint: its restart
   # had cleared the reason for which it got none.
   Scenario Outline: <order> of an instance has no answer, then <event>
--- a/features/steps/former_incarnations.py
+++ b/features/steps/former_incarnations.py
@@ -149,7 +149,7 @@
         endpoint.stopping,
         endpoint.evacuation_reason,
         [
-            (t.key, t.run, t.phase, t.endpoint, t.born, t.started_at, t.crashes)
+            (t.key, t.run, t.phase, t.born, t.started_at, t.stop_pending, t.crashes)
             for t in tasks
         ],
     )
