--- a/standins/scheduler_world.py
+++ b/standins/scheduler_world.py
@@ -306,8 +306,11 @@
         self.fencing_token = order.token
         present = self.runs.get(order.task)
         if present is not None and present.run == order.run:
+            self.extend_leases(order.until_ms)
             return ev.Outcome.DONE
         if order.run <= self.highest_runs.get(order.task, 0) or present is not None:
+            # The end of the leases is also taken from a refused start.
+            self.extend_leases(order.until_ms)
             return ev.Outcome.SUPERSEDED
         if order.until_ms <= self.clock_ms():
             return ev.Outcome.LEASE_EXPIRED
@@ -315,18 +318,27 @@
         if self.world.requires_ticket(order.task) and order.ticket != self.ticket():
             return ev.Outcome.NO_TICKET
         needed = self.used_resources().add(spec.needs)
+        self.extend_leases(order.until_ms)
         if self.guards_capacity and not needed.fits(self.capacity):
             return ev.Outcome.NO_ROOM
-        self.extend_leases(order.until_ms)
         self.highest_runs[order.task] = order.run
         self.runs[order.task] = self.world.start_run(self, order, spec)
         return ev.Outcome.DONE
 
     def extend_leases(self, until_ms: int) -> None:
         """Extend the leases of all runs, at most to the maximum duration."""
+        if until_ms <= self.clock_ms():
+            return
         latest_ms = self.clock_ms() + int(self.world.limits.max_lease_s * 1000)
         self.lease_expiry_ms = max(self.lease_expiry_ms, min(until_ms, latest_ms))
 
+    def lease_ends_at(self) -> float:
+        """Return when the lease ends on the worker's clock; 0 if it has none."""
+        if not self.up or not self.lease_expiry_ms:
+            return 0.0
+        span_s = (self.lease_expiry_ms + 1) / 1000 / (1 - self.slow_clock)
+        return self.started_at + span_s
+
     def ticket(self) -> str:
         """Return the ticket of this incarnation for the steps that it may run."""
         return f"t-{self.id}-{self.born}"
@@ -449,7 +461,8 @@
     """Simulated environment of the scheduler.
 
     ``cut_nodes`` names the nodes whose appends don't reach the store, and
-    ``delayed_nodes`` those whose orders to move instances are delayed.
+    ``delayed_nodes`` those whose orders to move instances are delayed. ``severed`` has
+    the pairs of a node and an endpoint that can't reach each other.
 
     :param without: name of a part of the scheduler that is not used
     :param only_partition: the only partition to which the store applies a commit to
@@ -463,6 +476,11 @@
     :param poll_loss_rate: fraction of polls that get no answer
     :param late_order_rate: fraction of orders that get no answer and are carried out
         seconds later
+    :param late_poll_rate: fraction of polls for which the same holds
+    :param late_s: least and greatest delay of such orders and polls
+    :param late_calls_outlive_restart: whether such orders and polls are carried out by
+        a later incarnation of their endpoint as well; otherwise it has lost them
+    :param newest_append_at: time at which the store took the newest append
     :param failure_rate: fraction of runs that fail
     :param checkpoint_length: minimum length of a checkpoint
     :param duration_sigma: sigma of the log-normal factor on the duration of runs
@@ -513,6 +531,10 @@
         self.poll_delay_s = 0.0
         self.answer_loss_rate = 0.0
         self.late_order_rate = 0.0
+        self.late_poll_rate = 0.0
+        self.late_s = (2.0, 12.0)
+        self.late_calls_outlive_restart = False
+        self.newest_append_at = self.now
         self.poll_loss_rate = 0.0
         self.failure_rate = 0.0
         self.checkpoint_length = 0
@@ -549,6 +571,7 @@
         self.instance_answer_loss_rate = 0.0
         self.instance_orders: list[InstanceOrder] = []
         self.cut_nodes: set[str] = set()
+        self.severed: set[tuple[str, EndpointId]] = set()
         self.delayed_nodes: set[str] = set()
         self._ending_gang = False
         self._carrying_out_late = False
@@ -693,13 +716,19 @@
         self._announce(worker)
 
     def take_term(
-        self, name: str, heartbeat_at: float | None = None, ended: bool = False
+        self,
+        name: str,
+        heartbeat_at: float | None = None,
+        ended: bool = False,
+        leases_until: float | None = None,
     ) -> Node:
         """Make a node take the next term.
 
         :param heartbeat_at: time of the last scheduler's newest heartbeat; now if it
             is not given
         :param ended: whether the last scheduler has certainly ended
+        :param leases_until: time until which the node waits for leases of earlier
+            schedulers, in place of what follows from the other parameters
         """
         node = next((n for n in self.nodes if n.name == name), None)
         if node is None:
@@ -721,6 +750,8 @@
         quiet = self.now
         if has_predecessor:
             quiet = newest + takeover_wait_s(self.limits, ended)
+        if leases_until is not None:
+            quiet = leases_until
         jobs, runs = self.ledger.jobs, decode_runs(self.stored_runs.items())
         moves = decode_moves(self.stored_runs.items())
         orders_until = self.now
@@ -1062,6 +1093,7 @@
         if term < self.newest_term:
             self._do_stepdown(node, ef.StepDown("fenced"))
             return
+        self.newest_append_at = self.now
         for records in (effect.runs, effect.shared):
             size = sum(record_size(*record) for record in records)
             self.largest_append = max(self.largest_append, size)
@@ -1150,7 +1182,7 @@
             hangs = worker is not None and (
                 worker.hangs_on_start and isinstance(order, ef.StartRun)
             )
-            if worker is None or not worker.up or worker.cut or hangs:
+            if worker is None or not self._reaches(node, worker) or hangs:
                 self.call_later(ORDER_TIMEOUT_S, lambda: answered(ev.Outcome.UNKNOWN))
                 return
             if order.born != worker.born:
@@ -1159,10 +1191,13 @@
                 self.call_later(LATENCY_S, lambda: answered(other))
                 return
             if self.rng.random() < self.late_order_rate:
-                delay = self.rng.uniform(2.0, 12.0)
+                delay = self.rng.uniform(*self.late_s)
                 born = worker.born
                 self.call_later(
-                    delay, lambda: self._carry_out_delayed(worker, born, take, order)
+                    delay,
+                    lambda: self._carry_out_delayed(
+                        worker, born, lambda: take(worker, order)
+                    ),
                 )
                 self.call_later(ORDER_TIMEOUT_S, lambda: answered(ev.Outcome.UNKNOWN))
                 return
@@ -1174,13 +1209,20 @@
 
         self.call_later(LATENCY_S, arrive)
 
+    def _reaches(self, node: Node, worker: Worker) -> bool:
+        """Return whether a call of a node reaches an endpoint."""
+        return (
+            worker.up and not worker.cut and (node.name, worker.id) not in self.severed
+        )
+
     def _carry_out_delayed(
-        self, worker: Worker, born: int, take: Callable[..., ev.Outcome], order: Any
+        self, worker: Worker, born: int, carry_out: Callable[[], object]
     ) -> None:
-        # A restarted process has lost the orders that it had not carried out.
-        if worker.up and worker.born == born:
+        # Unless the switch says otherwise, a restarted process has lost the calls that
+        # it had not carried out.
+        if worker.up and (worker.born == born or self.late_calls_outlive_restart):
             self._carrying_out_late = True
-            take(worker, order)
+            carry_out()
             self._carrying_out_late = False
 
     def _do_pollendpoint(self, node: Node, ordered: ef.PollEndpoint) -> None:
@@ -1194,13 +1236,23 @@
         def arrive() -> None:
             self.counts["looks"] += 1
             lost = self.rng.random() < self.poll_loss_rate
-            if worker is None or not worker.up or worker.cut or lost:
+            if worker is None or not self._reaches(node, worker) or lost:
                 self.call_later(ordered.wait_ms / 1000 + POLL_TIMEOUT_S, failed)
                 return
             order = ordered
             if order.connection != worker.connection:
                 # The connection ended with the incarnation that it was opened to.
                 order = order._replace(until_ms=0, acked_end=0, wait_ms=0)
+            if self.late_poll_rate and self.rng.random() < self.late_poll_rate:
+                born = worker.born
+                self.call_later(
+                    self.rng.uniform(*self.late_s),
+                    lambda: self._carry_out_delayed(
+                        worker, born, lambda: worker.poll(order)
+                    ),
+                )
+                self.call_later(order.wait_ms / 1000 + POLL_TIMEOUT_S, failed)
+                return
             if worker.poll(order) is ev.Outcome.FENCED:
                 self._do_stepdown(node, ef.StepDown("fenced by an endpoint"))
                 return
