--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -581,7 +581,7 @@
         "run": row.run,
         "endpoint": endpoint.id,
     }
-    if task is not None and row.run == task.lost_run:
+    if task is not None and row.run == task.lost_run and not task.spec.duplicates:
         fields["outlived_s"] = round(state.now - task.lost_at, 3)
         state.outlived_runs += 1
     report = endpoint.report
