--- a/features/scripted_client.py
+++ b/features/scripted_client.py
@@ -20,11 +20,11 @@
         self.response = HttpResponse(status, [], body)
 
     async def call(
-        self, address, request, deadline, send_by=0.0, connection=0, server=0
+        self, address, request, deadline, send_by=0.0, connection=0, process=0
     ):
         return self.response
 
-    def is_connected(self, address, server):
+    def is_connected(self, address, process):
         return True
 
 
--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -733,11 +733,11 @@
     def __init__(self):
         self.started = []
 
-    def is_connected(self, address, server):
-        return (address, server) == (REPORT["address"], REPORT["born"])
+    def is_connected(self, address, process):
+        return (address, process) == (REPORT["address"], REPORT["born"])
 
     async def call(
-        self, address, request, deadline, send_by=0.0, connection=0, server=0
+        self, address, request, deadline, send_by=0.0, connection=0, process=0
     ):
         if address != REPORT["address"]:
             raise NotSentError(f"cannot connect to {address}")
--- a/primrosepitch/net/http_pool.py
+++ b/primrosepitch/net/http_pool.py
@@ -69,7 +69,7 @@
         deadline: float,
         send_by: float = inf,
         connection: int = 0,
-        server: int = 0,
+        process: int = 0,
     ) -> HttpResponse:
         """Send a request and wait for its complete response.
 
@@ -81,17 +81,17 @@
             still arriving, for instance over a slow link, is read to its end
         :param send_by: boot-time clock after which the request must not be sent
         :param connection: number of the idle connection to use, and no other; 0 for any
-        :param server: use only an idle connection that was identified as one to this
+        :param process: use only an idle connection that is labelled as one to this
             server process; 0 for any
         :raises NotSentError: if nothing was sent
         :raises NoResponseError: if the outcome is unknown
         """
-        conn = self._take_idle(address, connection, server)
+        conn = self._take_idle(address, connection, process)
         if conn is None:
             if connection:
                 raise NotSentError(f"connection {connection} is not idle any more")
-            if server:
-                raise NotSentError(f"no idle connection to process {server}")
+            if process:
+                raise NotSentError(f"no idle connection to process {process}")
             conn = await self._open(address, deadline)
         try:
             async with asyncio.timeout(
@@ -116,23 +116,23 @@
             conn.abort()
         return response
 
-    def identify(self, address: str, connection: int, server: int) -> None:
+    def label_connection(self, address: str, connection: int, process: int) -> None:
         """Record which server process an idle connection leads to.
 
         A connection ends with the process that accepted it, so what is sent over it
         later can't reach another process at the same address.
 
-        :param server: number of the process, not 0
+        :param process: number of the process, not 0
         """
         for conn in self._idle.get(address, []):
             if conn.number == connection:
-                conn.server = server
+                conn.process = process
 
-    def is_connected(self, address: str, server: int) -> bool:
+    def is_connected(self, address: str, process: int) -> bool:
         """Return whether an idle connection to a server process is open."""
         now = clock.monotonic()
         return any(
-            conn.server == server and conn.open and now < conn.idle_until
+            conn.process == process and conn.open and now < conn.idle_until
             for conn in self._idle.get(address, [])
         )
 
@@ -146,12 +146,12 @@
         for address in list(self._idle):
             self.close_idle(address)
 
-    def _take_idle(self, address: str, number: int, server: int) -> _Connection | None:
-        """Return an idle connection, that of a number or server unless these are 0."""
+    def _take_idle(self, address: str, number: int, process: int) -> _Connection | None:
+        """Return an idle connection, that of a number or process unless these are 0."""
         idle = self._idle.get(address, [])
         for conn in reversed(idle):
             if conn.open and clock.monotonic() < conn.idle_until:
-                if number in (0, conn.number) and server in (0, conn.server):
+                if number in (0, conn.number) and process in (0, conn.process):
                     idle.remove(conn)
                     return conn
             else:
@@ -180,7 +180,7 @@
 
     def __init__(self) -> None:
         self.number = 0
-        self.server = 0
+        self.process = 0
         self.open = False
         self.reusable = False
         self.idle_until = 0.0
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -83,7 +83,7 @@
     "poll_failed",
     "takeover_wait_s",
     "renewed_order",
-    "doubt_incarnation",
+    "mark_in_doubt",
     "start_obstacle",
     "start_order",
     "exclusion",
@@ -253,7 +253,7 @@
     return stop_task(state, task, "endpoint restarted")
 
 
-def doubt_incarnation(state: SchedulerState, endpoint_id: EndpointId) -> None:
+def mark_in_doubt(state: SchedulerState, endpoint_id: EndpointId) -> None:
     """Poll an endpoint that another incarnation than the known one has answered for."""
     endpoint = state.endpoints.get(endpoint_id)
     if endpoint is not None:
@@ -734,7 +734,7 @@
         if (
             task.phase is Phase.STARTING
             and task.order_tries
-            and _precludes(task, endpoint)
+            and _must_not_start(task, endpoint)
         ):
             effects += stop_task(state, task, start_obstacle(state, task, endpoint))
         elif (
@@ -752,7 +752,7 @@
     return effects
 
 
-def _precludes(task: Task, endpoint: Endpoint) -> bool:
+def _must_not_start(task: Task, endpoint: Endpoint) -> bool:
     """Return whether an endpoint that answers must not get a task's start order."""
     return (
         endpoint.report.draining
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -33,12 +33,12 @@
     send_stored_orders,
 )
 from primrosepitch.scheduling.leases import (
-    doubt_incarnation,
     due_polls,
     endpoint_polled,
     endpoint_removed,
     endpoint_reported,
     expire_leases,
+    mark_in_doubt,
     may_grant_leases,
     poll_failed,
     start_obstacle,
@@ -213,7 +213,7 @@
     endpoint = state.endpoints.get(event.endpoint)
     if event.outcome is ev.Outcome.OTHER_INCARNATION:
         state.now = max(state.now, event.now)
-        doubt_incarnation(state, event.endpoint)
+        mark_in_doubt(state, event.endpoint)
     if task is None or endpoint is None:
         return []
     if task.run != event.run or task.endpoint != event.endpoint:
@@ -256,7 +256,7 @@
 def _stop_answered(state: SchedulerState, event: ev.StopAnswered) -> list[Effect]:
     if event.outcome is ev.Outcome.OTHER_INCARNATION:
         state.now = max(state.now, event.now)
-        doubt_incarnation(state, event.endpoint)
+        mark_in_doubt(state, event.endpoint)
     task = find_task(state, event.task)
     if task is None or task.run != event.run or task.phase is not Phase.STOPPING:
         return []
