--- a/primrosepitch/scheduling/instance_orders.py
+++ b/primrosepitch/scheduling/instance_orders.py
@@ -29,6 +29,7 @@
     "MAINTENANCE_REASON",
     "ORDER_TIMEOUT_S",
     "instance_orders_expire_at",
+    "has_open_order",
     "leaves_uncertain",
     "maintenance_order",
     "may_order_instances",
@@ -140,6 +141,15 @@
     return MAINTENANCE_REASON if any(instance in w.uncertain for w in waves) else ""
 
 
+def has_open_order(state: SchedulerState, instance: str) -> bool:
+    """Return whether an order to an instance may still be carried out."""
+    move = state.moves.get(instance)
+    if move is not None and move.open:
+        return True
+    waves = state.waves.values()
+    return any(instance in w.ordered or instance in w.uncertain for w in waves)
+
+
 def leaves_uncertain(outcome: Outcome, uncertain: bool) -> bool:
     """Return whether an order may still take effect after an answer.
 
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -46,7 +46,7 @@
     Outcome,
     PollFailed,
 )
-from primrosepitch.scheduling.instance_orders import prior_order
+from primrosepitch.scheduling.instance_orders import has_open_order, prior_order
 from primrosepitch.scheduling.runs import (
     CAPACITY_SHRUNK,
     abandon_start,
@@ -221,6 +221,8 @@
     endpoint.next_poll_at = 0.0
     for key in list(endpoint.stopping):
         endpoint.release_stopping(key)
+    if not has_open_order(state, endpoint.report.instance):
+        endpoint.evacuation_reason = ""
     endpoint.fault_score = endpoint.ejected_until = endpoint.cold_since = 0.0
     endpoint.speed = EndpointSpeed()
     for step in state.advice_requested:
--- a/primrosepitch/scheduling/lending.py
+++ b/primrosepitch/scheduling/lending.py
@@ -197,7 +197,7 @@
     joined = {
         e.report.instance: e.report.service
         for e in state.endpoints.values()
-        if e.listed
+        if e.listed and not e.evacuation_reason
     }
     for instance, move in list(state.moves.items()):
         expired = state.now > move.expected_by and not move.uncertain
