--- a/features/slow_identification.feature
+++ b/features/slow_identification.feature
@@ -12,7 +12,6 @@
       | seconds |
       | 0.05    |
       | 0.15    |
-      | 0.2     |
 
   # Guards against a start order that is sent after its deadline, and so after the checks
   # of its age, of the term and of evacuations: the poll before it is read to its end.
