--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -162,7 +162,7 @@
         endpoint.announced = report
         endpoint.in_doubt_since = event.now
         if any(not task.listed for task in endpoint.tasks.values()):
-            # A start order may have reached an incarnation with another clock.
+            # A call that was sent before may be carried out late, on another clock.
             endpoint.extend_expiry(_latest_expiry(state), LeaseBound.RESTART)
         return effects
     if report.born != endpoint.report.born:
