--- a/review/standins3/deployment.py
+++ b/review/standins3/deployment.py
@@ -232,13 +232,15 @@
 class Deployment:
     """The nodes, their store, and what the operator writes."""
 
-    def __init__(self, folder: Path, record: Record, nodes: int) -> None:
+    def __init__(
+        self, folder: Path, record: Record, nodes: int, store: LogStore
+    ) -> None:
         """Start with nothing that runs."""
         self.folder = folder
         self.record = record
         self.advice = ""
         self.cloud = ""
-        self.store = LogStore()
+        self.store = store
         self.nodes = [Node(self, number + 1) for number in range(nodes)]
         self._ports: dict[str, int] = {}
         self._turn = 0
@@ -312,9 +314,10 @@
         body: object = None,
         key: str = KEY,
         timeout_s: float = 3.0,
+        node: Node | None = None,
     ) -> Response | None:
         """Send one call of a client; return ``None`` if there was no answer."""
-        node = self.next_node()
+        node = node or self.next_node()
         headers = {
             "Host": HOST,
             "Authorization": f"Bearer {key}",
@@ -368,12 +371,15 @@
 Case = Callable[[Deployment, bool], Awaitable[bool | None]]
 
 
-def run_case(case: Case, folder: Path, nodes: int = 3) -> int:
+def run_case(
+    case: Case, folder: Path, nodes: int = 3, store: LogStore | None = None
+) -> int:
     """Run a case and return the exit code of its script.
 
     :param case: returns whether the rule held, or ``None`` if the case couldn't run;
         called with the deployment and whether the disruption is wanted
     :param folder: folder of the case, for ``record.txt``
+    :param store: the platform's store, if not the project's own stand-in
     """
     record = Record(folder / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
@@ -381,7 +387,7 @@
 
     async def run() -> bool | None:
         with tempfile.TemporaryDirectory() as temporary:
-            world = Deployment(Path(temporary), record, nodes)
+            world = Deployment(Path(temporary), record, nodes, store or LogStore())
             await world.start_store()
             try:
                 async with asyncio.timeout(CASE_S - STOP_S):
