--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 python3 -m compileall -q standins review/standins3
-PYTHONPATH=target/deps:.:review/standins3 python3 -c "import advice, cloud, worker"
+PYTHONPATH=target/deps:.:review/standins3 python3 -c "import advice, cloud, late_store, worker"
