--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,148 +1,112 @@
-"""One submission with large numbers, and no lost worker is replaced any more."""
+"""A queue with advice is replaced, and its accepted submissions never run."""
 
 from __future__ import annotations
 
 import asyncio
 import json
-import os
 import sys
 from pathlib import Path
+from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins3"))
 
+from advice import Advice  # noqa: E402
 from deployment import HOST, SERVICE, Deployment, run_case  # noqa: E402
 from worker import Worker  # noqa: E402
 
-WORKERS = 8
-LOSS = 1
-"""Workers that are lost for good; 0.14 of 8 is one."""
-
-ROUTES = [
-    {
-        "name": "r-orders",
-        "host": HOST,
-        "path_prefix": "/orders/",
-        "service": SERVICE,
-        "timeout_ms": 3000,
-        "target_duration_ms": 600,
-        "priority": 0,
-        "max_attempts": 2,
-        "stretch": 1.6,
-        "allow_anonymous": False,
-    }
-]
-SOUND = {
-    "specification": json.dumps({"work_s": 0.5, "cpu": 1000}),
-    "steps": [{"count": 2, "cpu": 1000, "memory_request_mb": 64, "estimated_ms": 500}],
-}
-ITEMS = 16
-LASTING = {
-    "specification": json.dumps({"lasts": True, "cpu": 1000}),
+WORKERS = 6
+SUBMISSIONS = 4
+JOBS = [f"{0xADE0 + number:016x}" for number in range(SUBMISSIONS)]
+FIRST_S = 6.0
+SUBMISSION = {
+    "specification": json.dumps({"work_s": FIRST_S, "cpu": 1000}),
     "steps": [
+        {"count": 2, "cpu": 1000, "memory_request_mb": 64, "estimated_ms": 6000},
         {
-            "count": ITEMS,
+            "count": 2,
             "cpu": 1000,
             "memory_request_mb": 64,
-            "estimated_ms": 500,
-            "anti_affinity": 3,
-            "long_running": True,
-        }
+            "estimated_ms": 6000,
+            "after": [0],
+        },
     ],
 }
-LASTING_JOB = f"{0x1A57:016x}"
-NEVER_DONE = {
-    "specification": json.dumps({"work_s": 0.5, "cpu": 1_000_000}),
-    "steps": [
-        {
-            "count": 1000,
-            "cpu": 1_000_000,
-            "memory_request_mb": 64,
-            "estimated_ms": 9_007_199_254_740_991,
-        }
-    ],
-}
-"""Each work item asks for 1,000 cores, and workers have 16. The estimate is the largest
-integer that every JSON implementation represents exactly."""
+CHANGE_AFTER_S = 3.0
+WATCH_S = 2 * FIRST_S + 14.0
+"""Time for both steps, and ``finish_s``."""
 
-NEVER_DONE_JOB = f"{0xFFFF:016x}"
-TRAFFIC_S = 20.0
-PAUSE_S = 0.25
-NEVER_DONE_NUMBER = 20
-"""It is the 20th submission: one in 20 is the ``share`` of 0.05 for ``poison``."""
+IDLE_S = 3.0
 
-LOSS_AT_S = 9.0
-FINISH_S = 14.0
-LIMIT_S = 6.0
-"""Time from a lasting work item's last run until it has to run again."""
 
-WATCH_S = 3.0
+def route(name: str) -> dict[str, Any]:
+    """Return the queue's route under a name."""
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": "/books/",
+        "service": SERVICE,
+        "timeout_ms": 3000,
+        "target_duration_ms": 600,
+        "priority": 0,
+        "max_attempts": 3,
+        "stretch": 1.6,
+        "allow_anonymous": False,
+        "advice": Advice.spec,
+    }
 
 
 async def case(world: Deployment, trouble: bool) -> bool | None:
-    """Send sound submissions and one that can never be done; lose a worker.
-
-    ``ONLY=loss`` and ``ONLY=poison`` leave out the other disruption.
-    """
-    only = os.environ.get("ONLY", "")
+    """Submit work in two steps; the manifest changes while the first one runs."""
+    advice = Advice()
+    world.advice = await advice.start()
     workers = [Worker(world, number + 1) for number in range(WORKERS)]
     for worker in workers:
+        worker.advice = advice
         await worker.start()
-    world.write_manifest(1, ROUTES)
+    world.write_manifest(1, [route("r-books")])
     world.start_nodes()
     if not await world.wait_until_ready():
         return None
     await asyncio.sleep(3.0)
-    if not await world.submit(f"/orders/{LASTING_JOB}", LASTING):
+    for job in JOBS:
+        if not await world.submit(f"/books/{job}", SUBMISSION):
+            return None
+    await asyncio.sleep(CHANGE_AFTER_S)
+    if sum(len(worker.runs) for worker in workers) < 2 * SUBMISSIONS:
+        world.record.write("the first steps aren't running as they should")
         return None
-    accepted: list[str] = []
-    begun_at = world.record.now()
-    number = 0
-    lost: list[Worker] = []
-    while world.record.now() < begun_at + TRAFFIC_S:
-        number += 1
-        if trouble and number == NEVER_DONE_NUMBER and only != "loss":
-            world.record.write("TROUBLE: a submission that can never be done")
-            if not await world.submit(f"/orders/{NEVER_DONE_JOB}", NEVER_DONE):
-                world.record.write("it was refused")
-        elif await world.submit(f"/orders/{number:016x}", SOUND):
-            accepted.append(f"{number:016x}")
-        due = world.record.now() > begun_at + LOSS_AT_S
-        if trouble and due and not lost and only != "poison":
-            world.record.write("TROUBLE: a worker is lost for good")
-            holding = [w for w in workers if any(r.lasts for r in w.runs.values())]
-            lost = holding[:LOSS]
-            for worker in lost:
-                await worker.crash()
-        await asyncio.sleep(PAUSE_S)
-    world.record.write(f"end of the traffic, {len(accepted)} accepted")
-    await asyncio.sleep(FINISH_S)
-    missing = set(range(ITEMS))
-    end = world.record.now() + WATCH_S
-    while world.record.now() < end:
-        running = {task for worker in workers for task in worker.runs}
-        missing = {i for i in missing if f"{LASTING_JOB}.0.0.{i}" not in running}
-        await asyncio.sleep(0.1)
-    done = {
-        task for worker in workers for _, task, _, how in worker.ends if how == "done"
-    }
-    undone = [
-        job
-        for job in accepted
-        if not all(f"{job}.0.0.{index}" in done for index in range(2))
-    ]
-    state = await world.state_of(f"/orders/{LASTING_JOB}")
-    free = sum(w.capacity["cpu"] for w in workers if w.up)
-    free -= sum(run.cpu for worker in workers for run in worker.runs.values())
-    world.record.write(
-        f"lasting submission: state {state!r}, its items {sorted(missing)} have not "
-        f"run for {WATCH_S} s; free cpu {free}; sound submissions undone: {len(undone)}"
-    )
-    entries = [entry for node in world.nodes for entry in node.log()]
-    terms = sum(entry["event"] == "term_taken" for entry in entries)
-    world.record.write(f"the nodes' logs show {terms} schedulers one after the other")
+    if trouble:
+        world.record.write("TROUBLE: a version removes the route and adds another one")
+        world.write_manifest(2, [route("r-books-v2")])
+    await asyncio.sleep(WATCH_S)
+    idle_since = world.record.now()
+    await asyncio.sleep(IDLE_S)
+    lost = 0
+    for job in JOBS:
+        state = await world.state_of(f"/books/{job}")
+        started = [
+            at
+            for worker in workers
+            for at, task, _ in worker.starts
+            if task.startswith(f"{job}.0.1.")
+        ]
+        refused = sum(
+            task.startswith(f"{job}.0.1.")
+            for worker in workers
+            for _, task, _ in worker.refused
+        )
+        newest = f"{max(started) - idle_since:.1f}" if started else "none"
+        world.record.write(
+            f"submission {job}: state {state!r}, starts of its second step "
+            f"{len(started)} (newest {newest}), rejected for want of a ticket {refused}"
+        )
+        running = any(task.startswith(job) for w in workers for task in w.runs)
+        lost += not started and not running and state not in ("completed", "cancelled")
+    world.record.write(f"lost {lost} of {SUBMISSIONS}; all workers are empty")
     for worker in workers:
         await worker.stop()
-    return not missing and not undone
+    await advice.stop()
+    return not lost
 
 
 if __name__ == "__main__":
