--- a/review/13/case.py
+++ b/review/13/case.py
@@ -38,7 +38,7 @@
 IDLE_S = 3.0
 
 
-def route(name: str) -> dict[str, Any]:
+def route(name: str, advice: Advice) -> dict[str, Any]:
     """Return the queue's route under a name."""
     return {
         "name": name,
@@ -51,7 +51,7 @@
         "max_attempts": 3,
         "stretch": 1.6,
         "allow_anonymous": False,
-        "advice": Advice.spec,
+        "advice": advice.spec,
     }
 
 
@@ -63,7 +63,7 @@
     for worker in workers:
         worker.advice = advice
         await worker.start()
-    world.write_manifest(1, [route("r-books")])
+    world.write_manifest(1, [route("r-books", advice)])
     world.start_nodes()
     if not await world.wait_until_ready():
         return None
@@ -77,7 +77,7 @@
         return None
     if trouble:
         world.record.write("TROUBLE: a version removes the route and adds another one")
-        world.write_manifest(2, [route("r-books-v2")])
+        world.write_manifest(2, [route("r-books-v2", advice)])
     await asyncio.sleep(WATCH_S)
     idle_since = world.record.now()
     await asyncio.sleep(IDLE_S)
--- a/review/standins3/advice.py
+++ b/review/standins3/advice.py
@@ -19,15 +19,16 @@
 class Advice:
     """Allows every worker to run every step, with a ticket for each of them."""
 
-    spec = {
-        "decision_ms": DECISION_MS,
-        "period_ms": PERIOD_MS,
-        "validity_ms": VALIDITY_MS,
-    }
-    """``advice`` of a route."""
-
-    def __init__(self) -> None:
+    def __init__(
+        self, decision_ms: int = DECISION_MS, period_ms: int = PERIOD_MS
+    ) -> None:
         """Give no ticket yet; nothing listens."""
+        self.spec = {
+            "decision_ms": decision_ms,
+            "period_ms": period_ms,
+            "validity_ms": VALIDITY_MS,
+        }
+        """``advice`` of a route."""
         self.calls = 0
         self._issued: dict[str, tuple[str, str, float]] = {}
         self._server = Server(self._handle)
@@ -54,7 +55,8 @@
         step, workers = str(body["step"]), [str(name) for name in body["workers"]]
         self.calls += 1
         async with self._turn:
-            await asyncio.sleep((DECISION_MS + PERIOD_MS * len(workers)) / 1000)
+            took_ms = self.spec["decision_ms"] + self.spec["period_ms"] * len(workers)
+            await asyncio.sleep(took_ms / 1000)
         rows = []
         for worker in workers:
             ticket = f"{len(self._issued):08x}"
