Review cases 11 to 15 name their record.txt

Each case passes the path of its record.txt to the shared stand-ins, instead of its folder, and run.sh says that it is written. What the cases do is unchanged.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -140,4 +140,4 @@
 
 
 if __name__ == "__main__":
-    raise SystemExit(run_case(case, Path(__file__).resolve().parent))
+    raise SystemExit(run_case(case, Path(__file__).resolve().parent / "record.txt"))
--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
-# Runs the case; see claim.txt. Exits with 1 if the rule was broken, 0 if it held, and 2
-# if the case couldn't run.
+# Runs the case; see claim.txt. Writes what was sent, answered and run to record.txt in
+# this folder. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case
+# couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
 PYTHONPATH="target/deps:." PYTHONDONTWRITEBYTECODE=1 python3 review/12/case.py
 code=$?
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -106,4 +106,4 @@
 
 
 if __name__ == "__main__":
-    raise SystemExit(run_case(case, Path(__file__).resolve().parent))
+    raise SystemExit(run_case(case, Path(__file__).resolve().parent / "record.txt"))
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -105,5 +105,5 @@
 
 
 if __name__ == "__main__":
-    folder = Path(__file__).resolve().parent
-    raise SystemExit(run_case(case, folder, store=LateStore()))
+    record_path = Path(__file__).resolve().parent / "record.txt"
+    raise SystemExit(run_case(case, record_path, store=LateStore()))
--- a/review/standins3/deployment.py
+++ b/review/standins3/deployment.py
@@ -372,16 +372,16 @@
 
 
 def run_case(
-    case: Case, folder: Path, nodes: int = 3, store: LogStore | None = None
+    case: Case, record_path: Path, nodes: int = 3, store: LogStore | None = None
 ) -> int:
     """Run a case and return the exit code of its script.
 
     :param case: returns whether the rule held, or ``None`` if the case couldn't run;
         called with the deployment and whether the disruption is wanted
-    :param folder: folder of the case, for ``record.txt``
+    :param record_path: ``record.txt`` in the folder of the case
     :param store: the platform's store, if not the project's own stand-in
     """
-    record = Record(folder / "record.txt")
+    record = Record(record_path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"TROUBLE={int(trouble)}")
 
