Measure how long one event keeps the scheduler's loop

scheduler_held (5109) names the event, its duration, the open jobs and the waiting tasks from 50 ms on; primrose.scheduler.hold is the longest of the last 10 s. The window of the largest value is a class of its own, which the delay of ticks uses as well.

--- a/primrosepitch/events.py
+++ b/primrosepitch/events.py
@@ -387,6 +387,14 @@
     logging.WARNING,
     "The loop of the scheduler was blocked or paused; heartbeats and answers waited.",
 )
+SCHEDULER_HELD = event(
+    5109,
+    "scheduler_held",
+    logging.WARNING,
+    "One event kept the scheduler's loop for long; the line has the event, the time, "
+    "the open jobs and the tasks that wait.",
+    "compare the open jobs and waiting tasks with docs/CAPACITY.md",
+)
 ENDPOINT_JOINED = event(
     5201, "endpoint_joined", logging.INFO, "An endpoint was seen for the first time."
 )
--- a/primrosepitch/node/node.py
+++ b/primrosepitch/node/node.py
@@ -141,6 +141,12 @@
             "primrose.evacuations.tasks", "1", scheduler.count_evacuated_tasks
         )
         metrics.add_gauge("primrose.scheduler.delay", "s", scheduler.tick_delay_s)
+        metrics.add_gauge(
+            "primrose.scheduler.hold",
+            "s",
+            scheduler.longest_hold_s,
+            "Longest time of the last 10 s for which one event kept the loop.",
+        )
         metrics.add_gauge(
             "primrose.turns.right", "1", lambda: scheduler.state.turns.right
         )
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -15,6 +15,7 @@
 from primrosepitch.decoding import unreadable_as_decode_error
 from primrosepitch.events import (
     LEDGER_INCOMPLETE,
+    SCHEDULER_HELD,
     SCHEDULER_LATE,
     TASK_FAILED,
     TERM_CLAIMED,
@@ -60,6 +61,7 @@
 from primrosepitch.node.follower import LedgerFollower
 from primrosepitch.node.order_queue import MAX_ORDER_AGE_S, Order, OrderQueue
 from primrosepitch.node.platform_api import Platform
+from primrosepitch.node.recent_maximum import RecentMaximum
 from primrosepitch.node.slow_record import read_slow_endpoints
 from primrosepitch.node.term import (
     CLAIM_RECONNECTED_SILENCE_S,
@@ -88,6 +90,9 @@
 LATE_TICK_S = 0.25
 """Delay of a tick that is logged: the interval between two heartbeats."""
 
+LONG_HOLD_S = 0.05
+"""Time for one event from which it is logged; the loop serves nothing else then."""
+
 WATCH_INTERVAL_S = 0.05
 """Interval at which a node that does not schedule checks whether to claim the term."""
 
@@ -187,6 +192,7 @@
         self._claim_unread_at = inf
         self._claim_nonces: set[int] = set()
         self._tick_delay = TickDelay(TICK_INTERVAL_S)
+        self._holds = RecentMaximum()
         self._start_orders = 0
         self._stopping = False
         self._claiming = False
@@ -241,6 +247,10 @@
         """Return the largest recent delay of a tick; 0 without a term."""
         return self._tick_delay.largest_s(clock.monotonic()) if self.leading else 0.0
 
+    def longest_hold_s(self) -> float:
+        """Return the longest recent time for which one event kept the loop."""
+        return self._holds.largest(clock.monotonic())
+
     def count_unreachable_endpoints(self) -> int:
         """Return how many endpoints that answered in this term do not answer now."""
         endpoints = self.state.endpoints.values()
@@ -754,11 +764,30 @@
     # Effects
 
     def _dispatch(self, event: ev.Event) -> None:
-        try:
-            for effect in step(self.state, event):
-                self._effect_handlers[type(effect)](effect)
-        except Exception as exc:
-            self._handle_failure(type(event).__name__, exc)
+        with self._measure_hold(event):
+            try:
+                for effect in step(self.state, event):
+                    self._effect_handlers[type(effect)](effect)
+            except Exception as exc:
+                self._handle_failure(type(event).__name__, exc)
+
+    @contextlib.contextmanager
+    def _measure_hold(self, event: ev.Event) -> Iterator[None]:
+        """Measure for how long an event and its effects keep the loop."""
+        began_at = clock.monotonic()
+        yield
+        now = clock.monotonic()
+        held_s = now - began_at
+        self._holds.record(held_s, now)
+        if held_s > LONG_HOLD_S:
+            emit(
+                SCHEDULER_HELD,
+                term=self.state.term,
+                what=type(event).__name__,
+                held_ms=round(held_s * 1000),
+                jobs=len(self.state.jobs),
+                waiting=self.count_waiting_tasks(),
+            )
 
     def _handle_failure(self, source: str, exc: Exception) -> None:
         """End the term after an unexpected exception.
--- a/primrosepitch/node/tick_delay.py
+++ b/primrosepitch/node/tick_delay.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
-from collections import deque
+from primrosepitch.node.recent_maximum import RecentMaximum
 
 __all__ = ["TickDelay"]
 
-WINDOW_S = 10.0
-"""Time for which the largest delay is kept."""
-
 
 class TickDelay:
     """Delays of ticks beyond their interval.
@@ -20,8 +17,7 @@
         """Start without a tick."""
         self._interval_s = interval_s
         self._due_at = 0.0
-        # Delays that no later one exceeds: time of the tick and seconds.
-        self._delays: deque[tuple[float, float]] = deque()
+        self._delays = RecentMaximum()
 
     def record(self, now: float) -> float:
         """Record a tick.
@@ -31,20 +27,12 @@
         """
         late_s = max(0.0, now - self._due_at) if self._due_at else 0.0
         self._due_at = now + self._interval_s
-        self._expire(now)
-        while self._delays and self._delays[-1][1] <= late_s:
-            self._delays.pop()
-        self._delays.append((now, late_s))
+        self._delays.record(late_s, now)
         return late_s
 
     def largest_s(self, now: float) -> float:
-        """Return the largest delay within the window, in seconds."""
-        self._expire(now)
-        return self._delays[0][1] if self._delays else 0.0
-
-    def _expire(self, now: float) -> None:
-        while self._delays and now - self._delays[0][0] >= WINDOW_S:
-            self._delays.popleft()
+        """Return the largest delay of the last 10 s, in seconds."""
+        return self._delays.largest(now)
 
     def reset(self) -> None:
         """Forget the next tick, since this node does not schedule."""
