--- a/features/steps/contention.py
+++ b/features/steps/contention.py
@@ -14,10 +14,11 @@
     WorkspaceName,
 )
 from primrosepitch.scheduling.ordering import RANKINGS, ready_steps
-from primrosepitch.scheduling.runs import add_job
+from primrosepitch.scheduling.runs import add_job, release_task
 from primrosepitch.scheduling.state import Phase, SchedulerState
 from standins import contention, model
 from standins.patterns import build
+from standins.waiting_jobs import all_tasks
 
 
 @when("pattern {name} is compared for {rankings} with {seeds:d} seeds")
@@ -86,8 +87,9 @@
     job = add_job(state, spec)
     job.over_share = "hot" in flags
     if "begun" in flags:
+        all_tasks(state, job)
         for task in job.steps[0][0].tasks:
-            task.phase = Phase.DONE
+            release_task(state, task, Phase.DONE)
 
 
 @given("a pool ranked by value whose jobs have a mean work of {steps}")
--- a/features/steps/evacuation.py
+++ b/features/steps/evacuation.py
@@ -4,6 +4,7 @@
 
 from primrosepitch.events import EVACUATION_CHANGED, RUN_STOPPING
 from primrosepitch.scheduling.state import Phase
+from standins.waiting_jobs import all_tasks
 
 
 def runs_in(context, job, zone):
@@ -51,7 +52,7 @@
     state = context.world.nodes[0].state
 
     def unsent():
-        tasks = state.jobs[job].tasks()
+        tasks = all_tasks(state, state.jobs[job])
         return all(t.phase is Phase.STARTING and t.order_tries for t in tasks)
 
     assert context.world.run_until(unsent, 9.0)
--- a/features/steps/large_jobs.py
+++ b/features/steps/large_jobs.py
@@ -9,7 +9,7 @@
 from primrosepitch.scheduling.runs import release_task, settle_job
 from primrosepitch.scheduling.state import Phase
 from standins.large_jobs import build_pools, large_job
-from standins.waiting_jobs import WALL_MS
+from standins.waiting_jobs import WALL_MS, all_tasks
 
 ENDPOINTS = 80
 
@@ -85,7 +85,7 @@
         (large,) = state.jobs.values()
 
         def end_all(state=state, large=large):
-            for task in large.tasks():
+            for task in all_tasks(state, large):
                 release_task(state, task, Phase.DONE)
                 settle_job(state, large)
 
--- a/features/steps/operator_records.py
+++ b/features/steps/operator_records.py
@@ -33,6 +33,7 @@
     MemoryPlatform,
     run_virtually,
 )
+from standins.waiting_jobs import all_tasks
 
 LOGGER = logging.getLogger("primrosepitch")
 TOPIC = "keyed.op"
@@ -135,7 +136,7 @@
     step = StepSpec(count, 1000, 1, estimate_ms=1000)
     names = QueueName("q"), ServiceName("s"), WorkspaceName("w")
     job = add_job(state, JobSpec(JobId("1" * 16), *names, "", (step,), 0))
-    for task in job.tasks():
+    for task in all_tasks(state, job):
         place_task(state, task, endpoint, {})
         task.phase = Phase.STARTING
         runner._start_run(start_order(state, task, endpoint))
--- a/features/steps/planning_passes.py
+++ b/features/steps/planning_passes.py
@@ -20,7 +20,7 @@
 from primrosepitch.scheduling.reducer import MAX_PLANNING_INTERVAL_S, step
 from primrosepitch.scheduling.runs import place_task
 from primrosepitch.scheduling.state import Phase
-from standins.waiting_jobs import WALL_MS, build_state
+from standins.waiting_jobs import WALL_MS, all_tasks, build_state
 
 TICK_S = 0.02
 
@@ -52,6 +52,8 @@
 )
 def step_state(context, endpoints, jobs):
     context.state = build_state(endpoints, jobs)
+    for job in context.state.jobs.values():
+        all_tasks(context.state, job)
     context.placements = []
     context.rankings = 0
     cost = StepCandidates.cost
@@ -166,6 +168,7 @@
             rack=rng.choice(("", "rack-0", "rack-1")),
         )
         job = accept(context, number, spec)
+        all_tasks(state, job)
         (ready,) = [r for r in ready_steps(state) if r.job is job]
         candidates = StepCandidates(ready, pool)
         for task in ready.tasks:
@@ -198,7 +201,7 @@
 @then("its tasks are placed on more than one endpoint, in {racks:d} racks")
 def step_racks(context, racks):
     tasks = placed(context.job)
-    assert len(tasks) == len(context.job.tasks())
+    assert len(tasks) == context.job.spec.steps[0].tasks
     assert len({task.endpoint for task in tasks}) > 1
     found = {task.rack for task in tasks}
     assert len(found) == racks, found
--- a/features/steps/yielding.py
+++ b/features/steps/yielding.py
@@ -22,6 +22,7 @@
     WorkspaceSpec,
 )
 from standins.scheduler_world import objective_ms
+from standins.waiting_jobs import all_tasks
 
 HOT = WorkspaceName("hot")
 
@@ -127,7 +128,7 @@
     context.world.run(1.0)
     state = context.world.nodes[0].state
     hot = [j for j in state.jobs.values() if j.spec.workspace == HOT]
-    assert any(not task.placed for job in hot for task in job.tasks())
+    assert any(not task.placed for job in hot for task in all_tasks(state, job))
 
 
 def submit_hot(world, name, *steps, queue="q"):
@@ -148,6 +149,8 @@
 
 def limit_hot(world, cpu=0, memory=0):
     world.cfg.workspaces[HOT] = WorkspaceSpec(HOT, 100.0, Resources(cpu, memory, 0))
+    for node in world.nodes:
+        node.feed(ev.ConfigurationChanged(world.cfg))
 
 
 @waiting_work("lasting tasks beyond their limit")
@@ -244,7 +247,7 @@
     limit_hot(world, cpu=1)
     submit_hot(world, "hot", StepSpec(40, 1000, 4300, lasting=True))
     world.run(0.1)
-    for task in state.jobs[JobId("hot")].tasks():
+    for task in all_tasks(state, state.jobs[JobId("hot")]):
         task.crashes = tuple(RunCrash(n, "unknown", 1) for n in range(5))
         state.crashed_tasks[task.key] = task
     limit_hot(world)
@@ -282,4 +285,4 @@
 
 
 def _started(state, job):
-    return all(task.run for task in state.jobs[job].tasks())
+    return all(task.run for task in all_tasks(state, state.jobs[job]))
--- a/primrosepitch/jobs/model.py
+++ b/primrosepitch/jobs/model.py
@@ -125,10 +125,15 @@
     fills: bool = False
     max_unavailable: int = 0
 
+    @property
+    def reserved_cpu(self) -> int:
+        """Return the processor time that one task reserves on its endpoint."""
+        return 0 if self.fills else self.cpu
+
     @functools.cached_property
     def needs(self) -> Resources:
         """Return the capacity that one task reserves on its endpoint."""
-        return Resources(0 if self.fills else self.cpu, self.memory, self.gpu)
+        return Resources(self.reserved_cpu, self.memory, self.gpu)
 
     @functools.cached_property
     def quota_request(self) -> Resources:
@@ -184,6 +189,17 @@
         """Return whether the job runs until it is cancelled."""
         return any(step.lasting for step in self.steps)
 
+    def count_due(self, wall_ms: int) -> int:
+        """Return how many occurrences are due at a Unix time."""
+        if not self.repetitions:
+            return 1
+        if wall_ms < self.first_run_ms:
+            return 0
+        if not self.interval_ms:
+            return self.occurrences
+        passed = (wall_ms - self.first_run_ms) // self.interval_ms
+        return min(self.occurrences, passed + 1)
+
     def due_ms(self, occurrence: int) -> int:
         """Return the earliest start of an occurrence, as Unix time; 0 for at once."""
         if not self.repetitions:
--- a/primrosepitch/jobs/records.py
+++ b/primrosepitch/jobs/records.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
@@ -21,8 +22,10 @@
     JobId,
     JobSpec,
     JobState,
+    QueueName,
     ServiceName,
     TaskKey,
+    WorkspaceName,
 )
 
 __all__ = [
@@ -48,6 +51,7 @@
     "decode_moves",
     "decode_runs",
     "decode_slow_endpoints",
+    "job_size",
     "job_tombstones",
     "runs_part_of",
     "runs_tombstone",
@@ -386,12 +390,27 @@
     return slow.endpoints
 
 
+JOB_SIZE = 10
+"""Size of a job without steps, in steps: the memory of a node for both is alike."""
+
+
+def job_size(spec: JobSpec) -> int:
+    """Return the size of an open job, in steps."""
+    return JOB_SIZE + len(spec.steps)
+
+
 class JobEntry(msgspec.Struct):
-    """Records of one job in the ledger; they may arrive in any order."""
+    """Records of one job in the ledger; they may arrive in any order.
+
+    :param open_size: size with which the ledger counts it as open; 0 if it does not
+    :param queued: whether the ledger counts it as queued
+    """
 
     spec: JobSpec | None = None
     cancelled: Cancellation | None = None
     status: JobStatus | None = None
+    open_size: int = 0
+    queued: bool = False
 
     @property
     def state(self) -> JobState:
@@ -420,11 +439,17 @@
 
 
 class Ledger:
-    """State of the ledger, built by applying its records in order."""
+    """State of the ledger, built by applying its records in order.
+
+    :ivar open_sizes: sizes of the jobs that have not ended, by workspace
+    :ivar queued: number of jobs of which nothing has begun, by queue
+    """
 
     def __init__(self) -> None:
         """Create an empty ledger."""
         self.jobs: dict[JobId, JobEntry] = {}
+        self.open_sizes: Counter[WorkspaceName] = Counter()
+        self.queued: Counter[QueueName] = Counter()
         self.term = Term(0, "", 0)
         self.waves: dict[int, WaveProgress] = {}
         self.nodes: dict[str, NodeAddress] = {}
@@ -448,6 +473,25 @@
             found = self.jobs[job] = JobEntry()
         return found
 
+    def count(self, entry: JobEntry, removed: bool = False) -> None:
+        """Count a job as open and queued, as its records say now.
+
+        :param removed: whether its records are removed from the ledger
+        """
+        spec = entry.spec
+        if spec is None:
+            return
+        state = entry.state
+        size = 0 if removed or state.final else job_size(spec)
+        queued = state is JobState.QUEUED and not removed
+        self.open_sizes[spec.workspace] += size - entry.open_size
+        self.queued[spec.queue] += queued - entry.queued
+        entry.open_size, entry.queued = size, queued
+        if not self.open_sizes[spec.workspace]:
+            del self.open_sizes[spec.workspace]
+        if not self.queued[spec.queue]:
+            del self.queued[spec.queue]
+
     def largest_node_cores(self) -> float:
         """Return the processor time of the largest node; 0 if no node is known."""
         return max((node.cores for node in self.nodes.values()), default=0.0)
@@ -465,13 +509,16 @@
 @_folds(SPEC_PREFIX)
 def _fold_spec(ledger: Ledger, key: str, value: bytes) -> Record | None:
     if not value:
-        ledger.jobs.pop(JobId(key[2:]), None)
+        removed = ledger.jobs.pop(JobId(key[2:]), None)
+        if removed is not None:
+            ledger.count(removed, removed=True)
         return None
     spec: JobSpec = _decode(value, JobSpec)
     entry = ledger.entry(spec.job)
     if entry.spec is not None:
         return None
     entry.spec = spec
+    ledger.count(entry)
     return spec
 
 
@@ -484,6 +531,7 @@
     if entry.cancelled is not None:
         return None
     entry.cancelled = cancellation
+    ledger.count(entry)
     return cancellation
 
 
@@ -503,7 +551,9 @@
     if not value:
         return None
     status: JobStatus = _decode(value, JobStatus)
-    ledger.entry(status.job).status = status
+    entry = ledger.entry(status.job)
+    entry.status = status
+    ledger.count(entry)
     return status
 
 
--- a/primrosepitch/node/job_intake.py
+++ b/primrosepitch/node/job_intake.py
@@ -19,11 +19,16 @@
 from primrosepitch.jobs.model import (
     JobId,
     JobSpec,
-    JobState,
     QueueName,
     ServiceName,
 )
-from primrosepitch.jobs.records import Cancellation, JobEntry, encode, record_size
+from primrosepitch.jobs.records import (
+    Cancellation,
+    JobEntry,
+    encode,
+    job_size,
+    record_size,
+)
 from primrosepitch.jobs.store import (
     KeyedRecord,
     StoreRejectedError,
@@ -34,8 +39,15 @@
 from primrosepitch.node.follower import Appender, LedgerFollower
 from primrosepitch.scheduling.backlog import retry_after_s
 
-__all__ = ["IntakeOutcome", "JobIntake", "Rejection", "TooLarge"]
+__all__ = ["IntakeOutcome", "JobIntake", "Overload", "Rejection", "TooLarge"]
+
+
+MAX_OPEN_SIZE = 100_000
+"""Size of all open jobs, in steps, from which workspaces that have more open than their
+equal part submit no more. Each step takes up to 1 KB on a node that schedules."""
 
+OVERLOAD_RETRY_S = 5
+"""Time after which a caller may submit a job again that was refused for that reason."""
 
 BACKLOG_MAX_AGE_S = 2.0
 """Age beyond which the scheduler's backlog record is ignored; the scheduler writes it
@@ -55,6 +67,19 @@
     wait_ms: int
 
 
+class Overload(NamedTuple):
+    """Refusal of a job because too much work is open, most of it of its workspace.
+
+    :param retry_after_s: seconds after which the caller may submit it again
+    :param size: size of the workspace's open jobs and of this one, in steps
+    :param limit: what the workspace may have open now
+    """
+
+    retry_after_s: int
+    size: int
+    limit: int
+
+
 class TooLarge(NamedTuple):
     """Refusal of a job whose record the store does not take.
 
@@ -98,7 +123,7 @@
 
     async def submit(
         self, spec: JobSpec, deadline: float
-    ) -> IntakeOutcome | Rejection | TooLarge:
+    ) -> IntakeOutcome | Rejection | Overload | TooLarge:
         """Store a job; a repeated id shares the outcome of the first submission.
 
         :param deadline: boot-time clock by which the caller needs the outcome
@@ -125,12 +150,13 @@
             task.add_done_callback(lambda _: self._pending.pop(spec.job, None))
         return await asyncio.shield(task)
 
-    async def _check_admission(self, spec: JobSpec) -> Rejection | None:
+    async def _check_admission(self, spec: JobSpec) -> Rejection | Overload | None:
         """Return a rejection if a job can't be served and no node has accepted it."""
+        overload = self._check_open_work(spec)
         age_s = clock.monotonic() - self._follower.backlog_received_at
         wait_ms = self._follower.ledger.backlog.waits.get(spec.service, 0)
         after_s = retry_after_s(spec, wait_ms) if age_s < BACKLOG_MAX_AGE_S else 0
-        if not after_s:
+        if overload is None and not after_s:
             return None
         try:
             await self._follower.catch_up()
@@ -138,19 +164,36 @@
             return None
         if self._is_known(spec.job) or spec.job in self._pending:
             return None
+        self.first_attempts.remember(spec.job, spec.attempted_ms)
+        fields = {"job": spec.job, "queue": spec.queue, "workspace": spec.workspace}
+        if overload is not None:
+            reason = "too much work is open"
+            emit(JOB_REFUSED, **fields, reason=reason, **overload._asdict())
+            return overload
         emit(
             JOB_REFUSED,
-            job=spec.job,
-            queue=spec.queue,
-            workspace=spec.workspace,
+            **fields,
             reason="the job can't be served in time",
             wait_ms=wait_ms,
             wait_age_s=round(age_s, 2),
             retry_after_s=after_s,
         )
-        self.first_attempts.remember(spec.job, spec.attempted_ms)
         return Rejection(after_s, spec.service, wait_ms)
 
+    def _check_open_work(self, spec: JobSpec) -> Overload | None:
+        """Return a rejection if a workspace has more open than its part of the limit.
+
+        Others are not refused for it. Jobs that the ledger does not contain yet count.
+        """
+        sizes = self._follower.ledger.open_sizes
+        unread = [s for s in self._accepted.values() if s.workspace == spec.workspace]
+        own = sizes[spec.workspace] + sum(map(job_size, unread)) + job_size(spec)
+        total = sizes.total() - sizes[spec.workspace] + own
+        limit = MAX_OPEN_SIZE // max(1, len(sizes.keys() | {spec.workspace}))
+        if total <= MAX_OPEN_SIZE or own <= limit:
+            return None
+        return Overload(OVERLOAD_RETRY_S, own, limit)
+
     def close(self) -> None:
         """Store nothing more; what waits for the store gets its outcome now."""
         self._appender.close()
@@ -225,10 +268,4 @@
 
     def count_queued(self, queue: QueueName) -> int:
         """Return how many accepted jobs of a queue have not started."""
-        entries = self._follower.ledger.jobs.values()
-        return sum(
-            entry.spec is not None
-            and entry.spec.queue == queue
-            and entry.state is JobState.QUEUED
-            for entry in entries
-        )
+        return self._follower.ledger.queued[queue]
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -77,7 +77,6 @@
 from primrosepitch.scheduling.evacuation import count_evacuated_tasks, precludes_start
 from primrosepitch.scheduling.instance_orders import instance_orders_expire_at
 from primrosepitch.scheduling.leases import renewed_order, takeover_wait_s
-from primrosepitch.scheduling.ordering import ready_steps
 from primrosepitch.scheduling.reducer import step
 from primrosepitch.scheduling.state import Limits, SchedulerState
 from primrosepitch.scheduling.warmth import count_cold
@@ -233,7 +232,12 @@
 
     def count_waiting_tasks(self) -> int:
         """Return how many ready tasks wait for capacity."""
-        return sum(len(ready.tasks) for ready in ready_steps(self.state))
+        return sum(
+            len(step.waiting) + step.uncreated
+            for job in self.state.jobs.values()
+            for steps in job.ready.values()
+            for step in steps.values()
+        )
 
     def count_start_orders(self) -> int:
         """Return how many orders to start a run this process has sent."""
@@ -610,6 +614,8 @@
 
     async def _read_reports(self, term: int) -> None:
         """Read the endpoints' reports while the term lasts."""
+        while self.state.term == term and self.state.unrestored:
+            await asyncio.sleep(TICK_INTERVAL_S)
         feed = self._platform.open_endpoint_feed()
         monitor = DependencyMonitor("endpoints' reports")
         while self.state.term == term:
--- a/primrosepitch/scheduling/availability.py
+++ b/primrosepitch/scheduling/availability.py
@@ -34,9 +34,9 @@
     if endpoint is not None and not endpoint.reachable:
         # The task may be available there, and the state of others is unknown as well.
         return False
+    step = step_of(state, task)
     others = sum(
-        is_unavailable(state, other)
-        for other in step_of(state, task).tasks
-        if other is not task
+        is_unavailable(state, other) for other in step.tasks if other is not task
     )
+    others += step.uncreated
     return others < task.spec.max_unavailable
--- a/primrosepitch/scheduling/backlog.py
+++ b/primrosepitch/scheduling/backlog.py
@@ -12,10 +12,10 @@
 
 from primrosepitch.jobs.model import JobSpec, ServiceName
 from primrosepitch.scheduling.evacuation import all_evacuated, is_instance_evacuated
+from primrosepitch.scheduling.expansion import critical_path_ms
 from primrosepitch.scheduling.leases import usable
 from primrosepitch.scheduling.ordering import TOO_LATE_FACTOR
-from primrosepitch.scheduling.runs import critical_path_ms
-from primrosepitch.scheduling.state import JobRun, Phase, SchedulerState
+from primrosepitch.scheduling.state import JobRun, Phase, SchedulerState, Task
 
 __all__ = ["retry_after_s", "estimate_waits"]
 
@@ -36,8 +36,13 @@
     """
     work: dict[ServiceName, float] = defaultdict(float)
     for job in state.jobs.values():
-        if not (job.cancelled or job.failing or job.over_share or job.state.final):
-            work[job.spec.service] += _remaining_work(job)
+        if _counts(job):
+            work[job.spec.service] += _remaining_work(state, job)
+    for endpoint in state.endpoints.values():
+        for task in endpoint.tasks.values():
+            run_of = state.jobs.get(task.key.job)
+            if task.phase is Phase.RUNNING and run_of is not None and _counts(run_of):
+                work[run_of.spec.service] -= _done_part(task)
     waits = {}
     for service, core_ms in work.items():
         cores = _reachable_cpu(state, service)
@@ -49,20 +54,24 @@
     return waits
 
 
-def _remaining_work(job: JobRun) -> float:
-    """Return the estimated remaining work, in thousandths of a core times ms."""
-    if job.spec.lasting:
-        return 0.0
-    total = 0.0
-    for steps in job.steps.values():
-        for step in steps:
-            task_work = step.spec.needs.cpu * step.spec.estimate_ms
-            for task in step.tasks:
-                if task.phase is Phase.RUNNING:
-                    total += task_work * max(0, 100 - task.progress) / 100
-                elif task.phase is not Phase.DONE:
-                    total += task_work
-    return total
+def _counts(job: JobRun) -> bool:
+    """Return whether a new job waits behind the work of a job."""
+    return not (job.lasting or job.ending or job.over_share or job.state.final)
+
+
+def _remaining_work(state: SchedulerState, job: JobRun) -> float:
+    """Return the work of a job's tasks that are not done, without unservable steps.
+
+    It is in thousandths of a core times ms. Tasks that run count in full.
+    """
+    due = job.spec.count_due(state.wall_ms)
+    return float(max(0, due * job.work - job.done_work))
+
+
+def _done_part(task: Task) -> float:
+    """Return the work that a running task has done."""
+    work = task.spec.needs.cpu * task.spec.estimate_ms
+    return work * min(100, task.progress) / 100
 
 
 def _reachable_cpu(state: SchedulerState, service: ServiceName) -> float:
--- a/primrosepitch/scheduling/contention.py
+++ b/primrosepitch/scheduling/contention.py
@@ -63,12 +63,10 @@
 
 
 def record_work(state: SchedulerState, job: JobRun) -> None:
-    """Set a job's work and add it to the mean of its queue."""
-    spec = job.spec
-    if spec.lasting:
+    """Add a job's work to the mean of its queue."""
+    if job.lasting:
         return
-    job.work = float(sum(s.tasks * s.needs.cpu * s.estimate_ms for s in spec.steps))
-    mean = state.queue_work.setdefault(spec.queue, MeanWork())
+    mean = state.queue_work.setdefault(job.spec.queue, MeanWork())
     mean.jobs = min(MEAN_WORK_JOBS, mean.jobs + 1.0)
     mean.work += (job.work - mean.work) / mean.jobs
 
--- a/primrosepitch/scheduling/forecast.py
+++ b/primrosepitch/scheduling/forecast.py
@@ -14,7 +14,7 @@
 from primrosepitch.jobs.model import JobSpec, ServiceName
 from primrosepitch.jobs.records import JobEntry
 from primrosepitch.scheduling.effects import Effect, WriteLog
-from primrosepitch.scheduling.state import ArrivalRate, SchedulerState
+from primrosepitch.scheduling.state import ArrivalRate, JobRun, SchedulerState
 from primrosepitch.scheduling.turns import Arrival
 
 __all__ = [
@@ -35,10 +35,13 @@
 its weight is less, since a single large job doesn't indicate a burst."""
 
 
-def record_arrival(state: SchedulerState, spec: JobSpec) -> None:
-    """Add the work of an accepted job to its pool's arrival rate."""
-    work = _work(spec)
-    if not spec.lasting:
+def record_arrival(state: SchedulerState, job: JobRun) -> None:
+    """Add the work of an accepted job to its pool's arrival rate.
+
+    Work that no known endpoint can run is left out.
+    """
+    spec, work = job.spec, job.work / 1000
+    if not job.lasting:
         state.turns.record(Arrival(state.now, spec.service, work))
     rates = state.arrival_rates.setdefault(
         spec.service, [ArrivalRate(updated_at=state.now) for _ in TIME_CONSTANTS_S]
@@ -56,6 +59,8 @@
     Times of acceptance are converted to the boot-time clock of this node. A job that a
     clock ahead of this one has dated counts as a moment ago.
     """
+    if not state.turns.enabled:
+        return
     offset_s = state.now - state.wall_ms / 1000
     arrivals = [
         Arrival(
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -46,13 +46,13 @@
     Outcome,
     PollFailed,
 )
+from primrosepitch.scheduling.expansion import find_task
 from primrosepitch.scheduling.instance_orders import has_open_order, prior_order
 from primrosepitch.scheduling.runs import (
     CAPACITY_SHRUNK,
     abandon_start,
     charge_duplicate,
     confirm_soundness,
-    find_task,
     record_begun,
     release_duplicates,
     reserve_capacity,
@@ -74,6 +74,7 @@
 
 __all__ = [
     "LEASE_GRANT_WINDOW_S",
+    "attach_tasks",
     "unreachable_zones",
     "due_polls",
     "endpoint_removed",
@@ -148,7 +149,7 @@
         endpoint.evacuation_reason = prior_order(state, report.instance, report.service)
         state.add_endpoint(endpoint)
         fields = {"endpoint": report.endpoint, "service": report.service}
-        _attach_tasks(state, endpoint)
+        attach_tasks(state, endpoint)
         restore_speed(state, endpoint)
         return [WriteLog(ENDPOINT_JOINED, fields)]
     effects: list[Effect] = []
@@ -174,7 +175,7 @@
     return effects
 
 
-def _attach_tasks(state: SchedulerState, endpoint: Endpoint) -> None:
+def attach_tasks(state: SchedulerState, endpoint: Endpoint) -> None:
     """Attach the tasks that the ledger places on an endpoint.
 
     The first poll shows whether their runs exist, even if the endpoint has restarted
--- a/primrosepitch/scheduling/lending.py
+++ b/primrosepitch/scheduling/lending.py
@@ -44,12 +44,13 @@
 )
 from primrosepitch.scheduling.leases import unreachable_zones, usable
 from primrosepitch.scheduling.limits import count_startable
-from primrosepitch.scheduling.ordering import PriorityClass, ReadyStep
+from primrosepitch.scheduling.ordering import PriorityClass
 from primrosepitch.scheduling.state import (
     SMALL_JOB_COUNT,
     Endpoint,
     InstanceMove,
     PlannedOrder,
+    ReadyStep,
     SchedulerState,
 )
 
@@ -235,6 +236,7 @@
     state.turns.advance(state.now)
     lead_s = state.limits.migration_s + AHEAD_SLACK_S
     ahead = state.turns.demand_ahead(state.now, lead_s)
+    spread = _min_endpoints(state)
     pools = {}
     for service in state.cfg.services.values():
         if service.spare:
@@ -251,7 +253,7 @@
         need = max(
             need,
             with_lasting + math.ceil(for_waiting[service.name]),
-            _min_endpoints(state, service.name),
+            spread.get(service.name, 1),
             MIN_ENDPOINTS,
         )
         incoming = sum(
@@ -347,16 +349,14 @@
     return found
 
 
-def _min_endpoints(state: SchedulerState, service: ServiceName) -> int:
+def _min_endpoints(state: SchedulerState) -> dict[ServiceName, int]:
     """Return the number of endpoints over which lasting steps must be spread."""
-    least = 1
+    found: dict[ServiceName, int] = {}
     for job in state.jobs.values():
-        if job.spec.service != service or job.cancelled or not job.spec.lasting:
-            continue
-        for step in job.spec.steps:
-            if step.most_per_endpoint:
-                least = max(least, math.ceil(step.tasks / step.most_per_endpoint))
-    return least
+        if job.lasting and not job.cancelled:
+            service = job.spec.service
+            found[service] = max(job.min_endpoints, found.get(service, 1))
+    return found
 
 
 def _surplus_endpoints(
--- a/primrosepitch/scheduling/limits.py
+++ b/primrosepitch/scheduling/limits.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 from primrosepitch.jobs.model import Resources, WorkspaceName
-from primrosepitch.scheduling.ordering import ReadyStep
-from primrosepitch.scheduling.state import SchedulerState
+from primrosepitch.scheduling.state import ReadyStep, SchedulerState
 
 __all__ = ["LimitedDemand", "count_startable", "within_limit"]
 
@@ -83,7 +82,7 @@
     demand = LimitedDemand(state)
     found = []
     for ready in steps:
-        admitted = demand.admitted(ready, len(ready.tasks))
+        admitted = demand.admitted(ready, ready.task_count)
         demand.count(ready, admitted)
         if admitted:
             found.append((ready, admitted))
--- a/primrosepitch/scheduling/maintenance.py
+++ b/primrosepitch/scheduling/maintenance.py
@@ -87,6 +87,8 @@
         state.next_list_at = event.now + LIST_INTERVAL_S
         return []
     views = {view.instance: view for view in event.listing.instances}
+    for view in views.values():
+        state.servability.add_instance(view.capacity, view.labels)
     state.listing_complete = event.listing.complete
     # An incomplete list does not show which instances have left the platform.
     state.instances = views if state.listing_complete else state.instances | views
--- a/primrosepitch/scheduling/ordering.py
+++ b/primrosepitch/scheduling/ordering.py
@@ -9,16 +9,23 @@
 
 import enum
 import functools
+import heapq
+import sys
 from collections.abc import Callable
-from typing import NamedTuple
 
-from primrosepitch.jobs.model import JobId
+from primrosepitch.events import JOB_UNPLACEABLE
+from primrosepitch.scheduling.effects import Effect, WriteLog
+from primrosepitch.scheduling.expansion import (
+    assess_servability,
+    open_due_occurrences,
+)
 from primrosepitch.scheduling.state import (
     JobRun,
     Phase,
+    PlanningPass,
+    ReadyStep,
     SchedulerState,
     StepRun,
-    Task,
 )
 
 __all__ = [
@@ -26,7 +33,10 @@
     "RANKINGS",
     "Occurrence",
     "PriorityClass",
-    "ReadyStep",
+    "begin_pass",
+    "log_unplaceable",
+    "next_ready",
+    "rank_steps",
     "ready_steps",
     "still_waiting",
 ]
@@ -56,23 +66,12 @@
     BEST_EFFORT = 6
 
 
-class ReadyStep(NamedTuple):
-    """Tasks of one step that may start.
-
-    :param rank: sort key; lower ranks get capacity first
-    :param number: index of the step in its job
-    """
-
-    rank: tuple[float, ...]
-    job: JobRun
-    step: StepRun
-    number: int
-    tasks: list[Task]
+MAX_RANKED = 1000
+"""Number of jobs and steps that one slice of a planning pass looks at."""
 
-    @property
-    def key(self) -> tuple[JobId, int, int]:
-        """Return the job, occurrence and number of the step."""
-        return self.tasks[0].key[:3]
+MIN_WINDOW = 128
+"""Least number of a job's ready steps that are ranked in a planning pass. The others
+follow in turn in the next passes."""
 
 
 class Occurrence:
@@ -80,27 +79,26 @@
 
     :ivar number: number of the occurrence
     :ivar steps: its steps
+    :ivar any_step_done: whether any of them is done
     """
 
-    def __init__(self, number: int, steps: list[StepRun]) -> None:
+    def __init__(
+        self, number: int, steps: list[StepRun], any_step_done: bool = False
+    ) -> None:
         """Compute nothing yet."""
         self.number = number
         self.steps = steps
-
-    @functools.cached_property
-    def any_step_done(self) -> bool:
-        """Return whether any step is done."""
-        return any(step.done for step in self.steps)
+        self.any_step_done = any_step_done
 
     @functools.cached_property
     def waiting_work(self) -> float:
         """Return the work of waiting tasks, in thousandths of a core times ms."""
         return float(
             sum(
-                step.spec.needs.cpu * step.spec.estimate_ms
+                step.spec.needs.cpu
+                * step.spec.estimate_ms
+                * (len(step.waiting) + step.uncreated)
                 for step in self.steps
-                for task in step.tasks
-                if task.phase is Phase.WAITING
             )
         )
 
@@ -112,42 +110,122 @@
         )
 
 
+def begin_pass(state: SchedulerState) -> PlanningPass:
+    """Return a planning pass over all open jobs."""
+    return PlanningPass([*reversed(state.jobs.values())])
+
+
+def rank_steps(state: SchedulerState, plan: PlanningPass) -> list[Effect]:
+    """Rank the ready steps of the next jobs of a planning pass.
+
+    The pass goes on with the next call. Its order is known once all jobs are ranked.
+    """
+    effects: list[Effect] = []
+    ranked: list[ReadyStep] = []
+    window = max(MIN_WINDOW, MAX_RANKED // max(1, len(state.jobs)))
+    left = MAX_RANKED
+    while plan.jobs and left > 0:
+        job = plan.jobs.pop()
+        steps = _ready_steps_of(state, job, window)
+        effects += log_unplaceable(state, job)
+        ranked += steps
+        left -= 1 + len(steps)
+    ranked.sort(key=_rank)
+    plan.ranked.append(ranked)
+    if not plan.jobs:
+        plan.order = heapq.merge(*plan.ranked, key=_rank)
+    return effects
+
+
+def _rank(ready: ReadyStep) -> tuple[float, ...]:
+    return ready.rank
+
+
+def next_ready(plan: PlanningPass) -> ReadyStep | None:
+    """Return the next step of a planning pass by rank that waits still, if any."""
+    for ready in plan.order or ():
+        if not plan.sliced:
+            return ready
+        current = _as_it_waits(ready)
+        if current is not None:
+            return current
+    return None
+
+
 def ready_steps(state: SchedulerState) -> list[ReadyStep]:
-    """Return the steps with waiting tasks whose dependencies are done, in order.
+    """Return all steps with waiting tasks whose dependencies are done, in order.
 
-    Takes time in proportion to the tasks of open jobs; a planning pass calls it once.
+    Takes time in proportion to the ready steps of open jobs.
     """
-    found = []
+    found = [
+        ready
+        for job in state.jobs.values()
+        for ready in _ready_steps_of(state, job, sys.maxsize)
+    ]
+    found.sort(key=_rank)
+    return found
+
+
+def _ready_steps_of(state: SchedulerState, job: JobRun, window: int) -> list[ReadyStep]:
+    """Return the ready steps of a job, ``window`` at most.
+
+    Those that are returned are the last ones to be returned again.
+    """
+    if job.ending or job.state.final:
+        return []
+    if job.servability_epoch != state.servability.epoch:
+        assess_servability(state, job)
+    open_due_occurrences(state, job)
+    found: list[ReadyStep] = []
     rank_of = RANKINGS[state.ranking]
-    for job in state.jobs.values():
-        if job.cancelled or job.failing or job.state.final:
-            continue
-        for occurrence_number, steps in job.steps.items():
-            if occurrence_number < job.done_occurrences:
+    rotates = job.ready_count > window
+    for occurrence_number in list(job.ready):
+        steps = job.steps[occurrence_number]
+        done = job.done_in.get(occurrence_number, 0) > 0
+        occurrence = Occurrence(occurrence_number, steps, done)
+        ready = job.ready[occurrence_number]
+        for number in list(ready) if len(ready) <= window else [*ready][:window]:
+            step = ready[number]
+            tasks = [t for t in step.waiting.values() if t.phase is Phase.WAITING]
+            uncreated = step.uncreated
+            if not (tasks or uncreated):
+                del ready[number]
+                job.ready_count -= 1
+                continue
+            if rotates:
+                ready[number] = ready.pop(number)
+            if step.spec.gang and not _gang_waiting(step):
                 continue
-            occurrence = Occurrence(occurrence_number, steps)
-            for number, step in enumerate(steps):
-                if not step.may_begin(steps):
-                    continue
-                tasks = [t for t in step.tasks if t.phase is Phase.WAITING]
-                if not tasks:
-                    continue
-                if step.spec.gang and not _gang_waiting(step):
-                    continue
-                rank = rank_of(state, job, occurrence, number, step)
-                found.append(ReadyStep(rank, job, step, number, tasks))
-    found.sort(key=lambda ready: ready.rank)
+            rank = rank_of(state, job, occurrence, number, step)
+            found.append(
+                ReadyStep(rank, job, step, occurrence_number, number, tasks, uncreated)
+            )
+            if len(found) >= window:
+                break
+        if not ready:
+            del job.ready[occurrence_number]
+        elif rotates:
+            job.ready[occurrence_number] = job.ready.pop(occurrence_number)
+        if len(found) >= window:
+            break
     return found
 
 
-def still_waiting(steps: list[ReadyStep]) -> list[ReadyStep]:
-    """Return the steps with the tasks that wait still, in the same order."""
-    found = []
-    for ready in steps:
-        tasks = [task for task in ready.tasks if task.phase is Phase.WAITING]
-        if tasks:
-            found.append(ready._replace(tasks=tasks))
-    return found
+def _as_it_waits(ready: ReadyStep) -> ReadyStep | None:
+    """Return a step with the tasks that may start now, or ``None`` without any."""
+    job, step = ready.job, ready.step
+    if job.ending or job.state.final or (step.spec.gang and not _gang_waiting(step)):
+        return None
+    return still_waiting(ready)
+
+
+def still_waiting(ready: ReadyStep) -> ReadyStep | None:
+    """Return a step with the tasks that wait now, or ``None`` without any."""
+    step = ready.step
+    tasks = [task for task in step.waiting.values() if task.phase is Phase.WAITING]
+    if not (tasks or step.uncreated):
+        return None
+    return ready._replace(tasks=tasks, uncreated=step.uncreated)
 
 
 def _gang_waiting(step: StepRun) -> bool:
@@ -155,6 +233,17 @@
     return not any(task.placed for task in step.tasks)
 
 
+def log_unplaceable(state: SchedulerState, job: JobRun) -> list[Effect]:
+    """Log once per job that no known endpoint can run one of its steps."""
+    if job.unplaceable or not job.unservable:
+        return []
+    job.unplaceable = True
+    number = min(job.unservable)
+    step = job.spec.steps[number]
+    fields = {"job": job.spec.job, "step": number, "label": step.label}
+    return [WriteLog(JOB_UNPLACEABLE, {**fields, "needs": list(step.needs)})]
+
+
 RankFunction = Callable[
     [SchedulerState, JobRun, Occurrence, int, StepRun], tuple[float, ...]
 ]
--- a/primrosepitch/scheduling/placement.py
+++ b/primrosepitch/scheduling/placement.py
@@ -5,7 +5,6 @@
 import heapq
 from collections import Counter, defaultdict
 
-from primrosepitch.events import JOB_UNPLACEABLE
 from primrosepitch.jobs.model import Resources, ServiceName, StepSpec, WorkspaceName
 from primrosepitch.scheduling.crashes import (
     IsolatedTrials,
@@ -14,12 +13,24 @@
     starts_with_job,
     trial_cost,
 )
-from primrosepitch.scheduling.effects import Effect, RequestAdvice, WriteLog
+from primrosepitch.scheduling.effects import Effect, RequestAdvice
+from primrosepitch.scheduling.expansion import waiting_tasks
 from primrosepitch.scheduling.leases import usable
 from primrosepitch.scheduling.limits import within_limit
-from primrosepitch.scheduling.ordering import ReadyStep
+from primrosepitch.scheduling.ordering import (
+    log_unplaceable,
+    next_ready,
+    still_waiting,
+)
 from primrosepitch.scheduling.runs import EJECTION_FAULT_SCORE, place_task
-from primrosepitch.scheduling.state import Endpoint, Phase, SchedulerState, Task
+from primrosepitch.scheduling.state import (
+    Endpoint,
+    Phase,
+    PlanningPass,
+    ReadyStep,
+    SchedulerState,
+    Task,
+)
 from primrosepitch.scheduling.warmth import (
     free_resources,
     is_cold,
@@ -30,6 +41,7 @@
 
 __all__ = [
     "StepCandidates",
+    "leave_waiting",
     "may_be_advised",
     "requires_advice",
     "start_waiting",
@@ -40,6 +52,14 @@
 """Number of placements after which a planning pass is cut short. They take 20 to 40 ms
 with hundreds of endpoints."""
 
+MAX_VISITS = 2000
+"""Number of steps after which a slice of a planning pass ends. Most of them take no
+time, as steps with the same needs were looked at before."""
+
+MAX_WAITING = 2000
+"""Number of steps left waiting that a planning pass keeps, in the order of their ranks:
+room is made and instances are lent for them."""
+
 TICKET_MARGIN_S = 0.3
 """Minimum remaining validity of a ticket; longer than a start order takes to arrive."""
 
@@ -60,9 +80,9 @@
 class PlanningCapacity:
     """Endpoints on which a planning pass may place tasks, by pool.
 
-    ``full`` contains pool, needs and label of tasks that fit on no endpoint. Capacity
-    only shrinks during a pass, so what no endpoint has free at its begin is not looked
-    for again.
+    ``full`` contains pool, needs and label of tasks that fit on no endpoint, and
+    ``full_gangs`` what gangs don't fit. Capacity only shrinks during a pass, so what no
+    endpoint has free at its begin is not looked for again.
     """
 
     def __init__(self, state: SchedulerState) -> None:
@@ -71,6 +91,7 @@
         _limit_starts(state)
         self.isolated = IsolatedTrials(state, self.pools)
         self.full: set[tuple[ServiceName, Resources, str]] = set()
+        self.full_gangs: set[tuple[ServiceName, StepSpec, int]] = set()
         self.capped: set[tuple[WorkspaceName, Resources]] = set()
         self._most_free: dict[ServiceName, Resources] = {}
         self._labels: dict[ServiceName, set[str]] = {}
@@ -129,29 +150,45 @@
     return pools
 
 
-def start_waiting(state: SchedulerState, steps: list[ReadyStep]) -> list[Effect]:
+def start_waiting(state: SchedulerState, plan: PlanningPass) -> list[Effect]:
     """Place the tasks of waiting steps in the order of their ranks.
 
-    After ``MAX_PLACEMENTS`` the pass is cut short. The next one goes on after the
-    answers that have arrived meanwhile; polls would time out during a longer pass.
-
-    :param steps: steps with waiting tasks that may start, by rank
+    After ``MAX_PLACEMENTS`` or ``MAX_VISITS`` the pass is cut short. The next one goes
+    on after the answers that have arrived meanwhile; polls would time out during a
+    longer pass. One that was ranked in several slices goes on where it was cut short.
     """
     effects = update_warmth(state)
     capacity = PlanningCapacity(state)
     state.pass_cut_short = False
-    state.passed_over.clear()
-    for ready in steps:
-        if len(effects) >= MAX_PLACEMENTS:
-            state.pass_cut_short = True
-            break
+    if not plan.waiting:
+        state.passed_over.clear()
+    visits = 0
+    while len(effects) < MAX_PLACEMENTS and visits < MAX_VISITS:
+        ready = next_ready(plan)
+        if ready is None:
+            return effects
+        visits += 1
         if ready.step.spec.gang:
             effects += _start_gang(state, capacity, ready)
         else:
-            effects += _start_tasks(state, capacity, ready)
+            most = MAX_PLACEMENTS - len(effects)
+            effects += _start_tasks(state, capacity, ready, most)
+        waits = still_waiting(ready)
+        if waits is not None and len(plan.waiting) < MAX_WAITING:
+            plan.waiting.append(waits)
+    state.pass_cut_short = True
     return effects
 
 
+def leave_waiting(plan: PlanningPass) -> None:
+    """Count the steps of a pass that was cut short as waiting."""
+    while len(plan.waiting) < MAX_WAITING:
+        ready = next_ready(plan)
+        if ready is None:
+            return
+        plan.waiting.append(ready)
+
+
 def _limit_starts(state: SchedulerState) -> None:
     """Compute how many starts this pass may decide on, see ``order_window``."""
     for endpoint in state.endpoints.values():
@@ -164,8 +201,9 @@
 
 
 def _start_tasks(
-    state: SchedulerState, capacity: PlanningCapacity, ready: ReadyStep
+    state: SchedulerState, capacity: PlanningCapacity, ready: ReadyStep, most: int
 ) -> list[Effect]:
+    """Place the tasks of a step, or ``most`` of them."""
     spec = ready.step.spec
     service = ready.job.spec.service
     demand = (service, spec.needs, spec.label)
@@ -173,7 +211,7 @@
         t for t in ready.tasks if t.crashes and (needs_isolation(t) or is_held(t))
     ]
     effects = _start_isolated(state, capacity, ready, isolated)
-    if len(isolated) == len(ready.tasks):
+    if len(isolated) == ready.task_count:
         if len(isolated) > sum(task.placed for task in isolated):
             _pass_over(state, ready, "isolation")
         return effects
@@ -187,12 +225,12 @@
     if not (requires_advice(state, ready) or capacity.offers(service, spec)):
         capacity.full.add(demand)
         _pass_over(state, ready, "no endpoint")
-        return effects + _log_unplaceable(state, ready)
+        return effects + log_unplaceable(state, ready.job)
     whole_pool = capacity.pools.get(service, [])
     pool, requests = _restrict_to_advised(state, ready, whole_pool)
     effects += requests
     candidates = capacity.candidates(ready, pool)
-    for task in ready.tasks:
+    for task in waiting_tasks(state, ready):
         if task in isolated:
             continue
         if not within_limit(state, workspace, spec.quota_request):
@@ -207,7 +245,7 @@
             # do not concern other steps.
             if not requests and all(_common_refusal(spec, e) for e in whole_pool):
                 capacity.record_full(demand)
-            effects += _log_unplaceable(state, ready)
+            effects += log_unplaceable(state, ready.job)
             break
         if waits_for_warm(state, ready, pool, endpoint):
             break
@@ -215,6 +253,8 @@
             state, task, endpoint, _decision_fields(state, endpoint, pool, ready)
         )
         candidates.record_placement(endpoint)
+        if len(effects) >= most:
+            break
     return effects
 
 
@@ -433,11 +473,15 @@
     service = ready.job.spec.service
     if not (requires_advice(state, ready) or capacity.offers(service, spec)):
         _pass_over(state, ready, "no endpoint")
-        return _log_unplaceable(state, ready)
+        return log_unplaceable(state, ready.job)
+    demand = (service, spec, ready.task_count)
+    if demand in capacity.full_gangs:
+        _pass_over(state, ready, "no endpoint")
+        return []
     whole_pool = capacity.pools.get(service, [])
     pool, effects = _restrict_to_advised(state, ready, whole_pool)
     each = spec.quota_request
-    total = Resources(*(amount * len(ready.tasks) for amount in each))
+    total = Resources(*(amount * ready.task_count for amount in each))
     if not within_limit(state, ready.job.spec.workspace, total):
         _pass_over(state, ready, "upper limit")
         return effects
@@ -445,11 +489,14 @@
     if chosen is None:
         advised = pool is not whole_pool
         _pass_over(state, ready, "advice" if advised else "no endpoint")
-        return [*effects, *_log_unplaceable(state, ready)]
+        if not advised:
+            capacity.full_gangs.add(demand)
+        return [*effects, *log_unplaceable(state, ready.job)]
     capacity.forget_candidates()
+    tasks = [*waiting_tasks(state, ready)]
     run = max(task.run for task in ready.step.tasks)
     checkpoint = max((task.checkpoint for task in ready.step.tasks), default="")
-    for task, endpoint in zip(ready.tasks, chosen, strict=True):
+    for task, endpoint in zip(tasks, chosen, strict=True):
         task.run = run
         task.checkpoint = checkpoint
         inputs = _decision_fields(state, endpoint, pool, ready)
@@ -478,7 +525,7 @@
 
 def _fit_gang(ready: ReadyStep, group: list[Endpoint]) -> list[Endpoint] | None:
     spec = ready.step.spec
-    members = len(ready.tasks)
+    members = ready.task_count
     most = spec.most_per_endpoint or members
     left = [free_resources(endpoint) for endpoint in group]
     fitting = [
@@ -491,7 +538,7 @@
     by_cpu = [(-free.cpu, i) for i, free in enumerate(left) if fitting[i]]
     heapq.heapify(by_cpu)
     chosen = []
-    for _ in ready.tasks:
+    for _ in range(members):
         negative_cpu, i = heapq.heappop(by_cpu)
         chosen.append(group[i])
         fitting[i] -= 1
@@ -519,7 +566,7 @@
         if endpoint.id in tickets and tickets[endpoint.id].valid_until > limit
     ]
     fitting = sum(_count_fitting(ready, endpoint) for endpoint in allowed)
-    if fitting >= len(ready.tasks) or step in state.advice_pending:
+    if fitting >= ready.task_count or step in state.advice_pending:
         return allowed, []
     already_requested = state.advice_requested.setdefault(step, set())
     expired = [e for e in pool if e.id in tickets and e not in allowed]
@@ -559,26 +606,5 @@
 
 def _count_fitting(ready: ReadyStep, endpoint: Endpoint) -> int:
     spec = ready.step.spec
-    most = spec.most_per_endpoint or len(ready.tasks)
+    most = spec.most_per_endpoint or ready.task_count
     return endpoint.free().count_fitting(spec.needs, most)
-
-
-def _log_unplaceable(state: SchedulerState, ready: ReadyStep) -> list[Effect]:
-    """Log once per job that a task fits no endpoint of its pool, even an empty one."""
-    job, spec = ready.job, ready.step.spec
-    if job.unplaceable:
-        return []
-    pool = [
-        endpoint
-        for endpoint in state.endpoints.values()
-        if endpoint.report.service == job.spec.service
-    ]
-    if not pool or any(
-        spec.needs.fits(endpoint.report.capacity)
-        and (not spec.label or spec.label in endpoint.report.labels)
-        for endpoint in pool
-    ):
-        return []
-    job.unplaceable = True
-    fields = {"job": job.spec.job, "step": ready.number, "label": spec.label}
-    return [WriteLog(JOB_UNPLACEABLE, {**fields, "needs": list(spec.needs)})]
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -22,6 +22,7 @@
 from primrosepitch.scheduling.crashes import resolve_crashes
 from primrosepitch.scheduling.effects import Effect, WriteLog
 from primrosepitch.scheduling.evacuation import evacuation_changed, log_evacuations
+from primrosepitch.scheduling.expansion import find_task
 from primrosepitch.scheduling.forecast import (
     queued_pools,
     record_arrival,
@@ -33,6 +34,7 @@
     send_stored_orders,
 )
 from primrosepitch.scheduling.leases import (
+    attach_tasks,
     due_polls,
     endpoint_polled,
     endpoint_removed,
@@ -51,17 +53,16 @@
     maintenance_answered,
     wave_requested,
 )
-from primrosepitch.scheduling.ordering import ready_steps, still_waiting
-from primrosepitch.scheduling.placement import start_waiting
+from primrosepitch.scheduling.ordering import begin_pass, rank_steps
+from primrosepitch.scheduling.placement import leave_waiting, start_waiting
 from primrosepitch.scheduling.runs import (
     add_job,
     cancel_job,
-    create_due_tasks,
-    find_task,
     restore_job,
     run_lost,
     settle_job,
     start_answered,
+    stop_ending_jobs,
     stop_task,
 )
 from primrosepitch.scheduling.slow_endpoints import assess_endpoints
@@ -71,6 +72,7 @@
     SMALL_JOB_COUNT,
     Endpoint,
     Phase,
+    PlanningPass,
     SchedulerState,
     Task,
     Ticket,
@@ -82,7 +84,8 @@
 __all__ = ["step"]
 
 MIN_PLANNING_INTERVAL_S = 0.02
-"""Minimum time between planning passes; the changes of one pass share an append."""
+"""Minimum time between planning passes, and between the slices of one; the changes of
+one pass share an append."""
 
 PLANNING_INTERVAL_PER_JOB_S = 0.0005
 """Added to ``MIN_PLANNING_INTERVAL_S`` for each open job beyond ``SMALL_JOB_COUNT``: a
@@ -93,7 +96,12 @@
 """Maximum time between planning passes, for changes that depend on time alone."""
 
 MAX_SLOWED_INTERVAL_S = 0.5
-"""Maximum time between planning passes of a scheduler whose ticks are late."""
+"""Maximum time between planning passes of a scheduler whose ticks are late, or that has
+many open jobs."""
+
+MAX_RESTORED = 2000
+"""Number of jobs, steps and tasks that are restored at a time at the begin of a term;
+the heartbeats of the term go on in between."""
 
 Handler = Callable[[SchedulerState, Any], list[Effect]]
 _HANDLERS: dict[type, Handler] = {}
@@ -147,28 +155,48 @@
     for wave in state.waves.values():
         restore_wave(state, wave)
     restore_moves(state, event.moves)
-    effects: list[Effect] = []
-    for entry in sorted(event.jobs.values(), key=_accepted_ms):
-        runs = event.runs.get(entry.spec.job) if entry.spec is not None else None
-        job = restore_job(state, entry, runs)
-        if job is not None and not (job.cancelled or job.failing):
-            effects += settle_job(state, job)
-    state.ended_runs += [
-        RunsPart(job, part)
-        for job, runs in event.runs.items()
-        if job not in state.jobs
-        for part in sorted(runs.parts)
-    ]
+    state.unrestored = sorted(event.jobs.values(), key=_accepted_ms, reverse=True)
+    state.stored_runs = event.runs
     restore_arrivals(state, event.jobs.values())
+    effects = _restore_jobs(state)
     fields = {
         "term": event.term,
         "jobs": len(state.jobs),
+        "unrestored": len(state.unrestored),
         "runs": len(event.runs),
         "leases_s": round(event.prior_leases_until - event.now, 3),
     }
     return [WriteLog(TERM_TAKEN, fields), *effects]
 
 
+def _restore_jobs(state: SchedulerState) -> list[Effect]:
+    """Restore the next jobs of the ledger; nothing is planned before all are."""
+    effects: list[Effect] = []
+    left = MAX_RESTORED
+    while state.unrestored and left > 0:
+        entry = state.unrestored.pop()
+        spec = entry.spec
+        runs = state.stored_runs.get(spec.job) if spec is not None else None
+        job = restore_job(state, entry, runs)
+        left -= 1
+        if job is not None:
+            left -= len(job.spec.steps) + (len(runs.tasks) if runs is not None else 0)
+            if not job.ending:
+                effects += settle_job(state, job)
+    if not state.unrestored and state.stored_runs:
+        state.ended_runs += [
+            RunsPart(job_id, part)
+            for job_id, runs in state.stored_runs.items()
+            if job_id not in state.jobs
+            for part in sorted(runs.parts)
+        ]
+        state.stored_runs = {}
+    if not state.unrestored:
+        for endpoint in state.endpoints.values():
+            attach_tasks(state, endpoint)
+    return effects
+
+
 def _accepted_ms(entry: JobEntry) -> int:
     return entry.spec.accepted_ms if entry.spec is not None else 0
 
@@ -178,6 +206,9 @@
     state: SchedulerState, event: ev.ConfigurationChanged
 ) -> list[Effect]:
     state.cfg = event.cfg
+    state.servability.set_lending(event.cfg.spare_pool() is not None)
+    # Upper limits of workspaces may have changed.
+    state.servability.invalidate()
     state.turns.queued = queued_pools(state)
     state.replan = True
     return []
@@ -191,8 +222,7 @@
 @_handles(ev.JobAccepted)
 def _job_accepted(state: SchedulerState, event: ev.JobAccepted) -> list[Effect]:
     if event.spec.job not in state.jobs and event.spec.job not in state.finished:
-        add_job(state, event.spec)
-        record_arrival(state, event.spec)
+        record_arrival(state, add_job(state, event.spec))
     return []
 
 
@@ -303,46 +333,78 @@
     """
     if state.closing:
         return due_polls(state)
-    effects: list[Effect] = []
-    interval_s = (
-        MIN_PLANNING_INTERVAL_S
-        + max(0, len(state.jobs) - SMALL_JOB_COUNT) * PLANNING_INTERVAL_PER_JOB_S
-    )
-    if state.pass_cut_short:
-        interval_s = MIN_PLANNING_INTERVAL_S
-    elif not state.replan:
-        interval_s = max(interval_s, MAX_PLANNING_INTERVAL_S)
-    # A pass leaves the loop time for orders and answers when it falls behind.
-    interval_s = max(interval_s, min(state.tick_gap_s, MAX_SLOWED_INTERVAL_S))
-    if state.now - state.planned_at >= interval_s:
+    if state.unrestored:
+        # Runs that are not known yet would be taken for orphans.
+        return [*_restore_jobs(state), *commit_changes(state)]
+    effects = stop_ending_jobs(state)
+    if state.planning is not None:
+        if state.now - state.sliced_at >= _slice_interval_s(state):
+            effects += _plan_slice(state, state.planning)
+    elif state.now - state.planned_at >= _planning_interval_s(state):
         state.planned_at = state.now
         state.replan = False
-        for job in state.jobs.values():
-            if len(job.steps) < job.spec.occurrences:
-                create_due_tasks(state, job)
-        effects += expire_leases(state)
-        effects += resolve_crashes(state)
-        for job in state.jobs.values():
-            if job.cancelled or job.failing:
-                # Endpoints of its tasks may have been unknown when it was cancelled or
-                # failed, so their stop orders are still to be sent.
-                effects += settle_job(state, job)
-        effects += _evict_from_draining(state)
-        effects += evict_stalled(state)
-        effects += assess_endpoints(state)
-        ready = ready_steps(state)
-        effects += start_waiting(state, ready)
-        waiting = still_waiting(ready)
-        effects += yield_best_effort(state, waiting)
-        effects += log_waits(state, waiting)
-        effects += log_evacuations(state)
-        effects += advance_waves(state)
-        effects += lend_instances(state, waiting)
-        effects += throttle_best_effort(state)
+        state.planning = begin_pass(state)
+        effects += _review(state)
+        effects += _plan_slice(state, state.planning)
+    if state.now - state.reviewed_at >= MAX_SLOWED_INTERVAL_S:
+        effects += _review(state)
     effects += commit_changes(state)
     return [*effects, *due_polls(state)]
 
 
+def _planning_interval_s(state: SchedulerState) -> float:
+    """Return the time after the begin of a planning pass at which the next is due."""
+    more_jobs = max(0, len(state.jobs) - SMALL_JOB_COUNT)
+    interval_s = MIN_PLANNING_INTERVAL_S + more_jobs * PLANNING_INTERVAL_PER_JOB_S
+    interval_s = min(interval_s, MAX_SLOWED_INTERVAL_S)
+    if state.pass_cut_short:
+        interval_s = MIN_PLANNING_INTERVAL_S
+    elif not state.replan:
+        interval_s = max(interval_s, MAX_PLANNING_INTERVAL_S)
+    return max(interval_s, _slice_interval_s(state))
+
+
+def _slice_interval_s(state: SchedulerState) -> float:
+    """Return the time after a slice at which the next one is due.
+
+    It leaves the loop time for orders and answers when it falls behind.
+    """
+    gap_s = min(state.tick_gap_s, MAX_SLOWED_INTERVAL_S)
+    return max(MIN_PLANNING_INTERVAL_S, gap_s)
+
+
+def _review(state: SchedulerState) -> list[Effect]:
+    """Review leases, orders, crashes and the condition of endpoints."""
+    state.reviewed_at = state.now
+    effects = expire_leases(state)
+    effects += resolve_crashes(state)
+    effects += stop_ending_jobs(state)
+    effects += _evict_from_draining(state)
+    effects += evict_stalled(state)
+    return effects + assess_endpoints(state)
+
+
+def _plan_slice(state: SchedulerState, plan: PlanningPass) -> list[Effect]:
+    """Advance a planning pass, and complete it if no steps are left to be placed."""
+    state.sliced_at = state.now
+    effects: list[Effect] = []
+    if plan.order is None:
+        effects += rank_steps(state, plan)
+        if plan.order is None or plan.sliced:
+            return effects
+    effects += start_waiting(state, plan)
+    if state.pass_cut_short and plan.sliced:
+        return effects
+    leave_waiting(plan)
+    state.planning = None
+    effects += yield_best_effort(state, plan.waiting)
+    effects += log_waits(state, plan.waiting)
+    effects += log_evacuations(state)
+    effects += advance_waves(state)
+    effects += lend_instances(state, plan.waiting)
+    return effects + throttle_best_effort(state)
+
+
 def _evict_from_draining(state: SchedulerState) -> list[Effect]:
     """Stop tasks on draining endpoints, so that they continue elsewhere."""
     effects: list[Effect] = []
--- a/primrosepitch/scheduling/runs.py
+++ b/primrosepitch/scheduling/runs.py
@@ -17,19 +17,21 @@
     JobSpec,
     JobState,
     Resources,
-    TaskKey,
     task_name,
 )
-from primrosepitch.jobs.records import (
-    TASKS_PER_RECORD,
-    JobEntry,
-    StoredRuns,
-    TaskRecord,
-)
+from primrosepitch.jobs.records import JobEntry, StoredRuns, TaskRecord
 from primrosepitch.scheduling.contention import record_work
 from primrosepitch.scheduling.crashes import clear_survivor, in_trial, refute_listed
 from primrosepitch.scheduling.effects import Effect, StopRun, WriteLog
 from primrosepitch.scheduling.events import EndedRun, EndKind, Outcome
+from primrosepitch.scheduling.expansion import (
+    create_tasks,
+    expand_job,
+    find_task,
+    open_due_occurrences,
+    open_occurrence,
+    record_phase,
+)
 from primrosepitch.scheduling.run_speed import record_end
 from primrosepitch.scheduling.shares import exceeds_share
 from primrosepitch.scheduling.state import (
@@ -37,7 +39,6 @@
     JobRun,
     Phase,
     SchedulerState,
-    StepRun,
     Task,
 )
 
@@ -47,7 +48,6 @@
     "abandon_start",
     "add_job",
     "cancel_job",
-    "find_task",
     "charge_duplicate",
     "run_lost",
     "place_task",
@@ -57,6 +57,7 @@
     "restore_job",
     "run_ended",
     "settle_job",
+    "stop_ending_jobs",
     "stop_task",
     "reserve_capacity",
     "confirm_soundness",
@@ -108,80 +109,16 @@
 
 
 def add_job(state: SchedulerState, spec: JobSpec) -> JobRun:
-    """Add an accepted job and create the tasks that are due."""
-    job = JobRun(
-        spec,
-        critical_path_ms=critical_path_ms(spec),
-        remaining_paths_ms=remaining_paths_ms(spec),
-        has_gang=any(step.gang for step in spec.steps),
-    )
-    job.deadline_ms = (
-        spec.attempted_ms + spec.stretch * job.critical_path_ms + spec.goal_ms
-    )
+    """Add an accepted job and open the occurrences that are due."""
+    job = expand_job(state, spec)
     job.over_share = exceeds_share(state, spec)
     record_work(state, job)
     state.jobs[spec.job] = job
-    create_due_tasks(state, job)
+    open_due_occurrences(state, job)
     state.replan = True
     return job
 
 
-def critical_path_ms(spec: JobSpec) -> int:
-    """Return the estimated duration of the longest chain of steps."""
-    ends: list[int] = []
-    for step in spec.steps:
-        begin = max((ends[i] for i in step.after), default=0)
-        ends.append(begin + (0 if step.lasting else step.estimate_ms))
-    return max(ends, default=0)
-
-
-def remaining_paths_ms(spec: JobSpec) -> tuple[int, ...]:
-    """Return the estimated duration of the longest chain that starts with each step."""
-    paths = [step.estimate_ms for step in spec.steps]
-    for number in range(len(paths) - 1, -1, -1):
-        # All later steps have been added to the chain of this one.
-        for earlier in spec.steps[number].after:
-            through_ms = spec.steps[earlier].estimate_ms + paths[number]
-            paths[earlier] = max(paths[earlier], through_ms)
-    return tuple(paths)
-
-
-def create_due_tasks(state: SchedulerState, job: JobRun) -> bool:
-    """Create the tasks of occurrences that are due.
-
-    :returns: whether any were created
-    """
-    created = False
-    for occurrence in range(job.spec.occurrences):
-        if occurrence in job.steps:
-            continue
-        due_ms = job.spec.due_ms(occurrence)
-        if due_ms > state.wall_ms:
-            break
-        _create_occurrence(state, job, occurrence)
-        created = True
-    return created
-
-
-def _create_occurrence(state: SchedulerState, job: JobRun, occurrence: int) -> None:
-    steps = job.steps[occurrence] = []
-    ordinal = occurrence * sum(step.tasks for step in job.spec.steps)
-    for number, step in enumerate(job.spec.steps):
-        tasks = []
-        for index in range(step.tasks):
-            task = Task(
-                TaskKey(job.spec.job, occurrence, number, index),
-                step,
-                job.spec.workspace,
-                part=ordinal // TASKS_PER_RECORD,
-                phase_since=state.now,
-            )
-            tasks.append(task)
-            job.parts.setdefault(task.part, []).append(task)
-            ordinal += 1
-        steps.append(StepRun(step, tasks))
-
-
 def restore_job(
     state: SchedulerState, entry: JobEntry, runs: StoredRuns | None
 ) -> JobRun | None:
@@ -207,6 +144,8 @@
             _restore_task(state, job, record)
     if entry.cancelled is not None:
         job.cancelled = True
+    if job.ending:
+        state.ending_jobs[spec.job] = job
     return job
 
 
@@ -218,12 +157,12 @@
 
 
 def _restore_task(state: SchedulerState, job: JobRun, record: TaskRecord) -> None:
-    if record.occurrence not in job.steps:
-        # The earlier scheduler's time of day was ahead of this one's: an occurrence
-        # that has run once is due.
-        wall_ms, state.wall_ms = state.wall_ms, job.spec.due_ms(record.occurrence)
-        create_due_tasks(state, job)
-        state.wall_ms = wall_ms
+    if record.step >= len(job.spec.steps):
+        return
+    # An occurrence that has run once is due, even if the time of day of the earlier
+    # scheduler was ahead of this one's.
+    open_occurrence(state, job, record.occurrence)
+    create_tasks(state, job, record.occurrence, record.step, record.index + 1)
     task = find_task(state, record.key(job.spec.job))
     if task is None:
         return
@@ -238,18 +177,16 @@
         job.failing = True
     if record.done:
         task.phase = Phase.DONE
+        record_phase(state, task, Phase.WAITING)
     elif record.placed:
         task.phase = Phase.STARTING
+        record_phase(state, task, Phase.WAITING)
         task.endpoint, task.born = record.placed, record.born
         # The order may not have been sent; the first poll of the endpoint shows whether
         # the run exists.
         task.order_tries = -1
         charge_usage(state, task, 1)
-        endpoint = state.endpoints.get(record.placed)
-        if endpoint is not None and endpoint.report.born == record.born:
-            reserve_capacity(endpoint, task)
-        else:
-            state.unattached.setdefault(record.placed, []).append(task)
+        state.unattached.setdefault(record.placed, []).append(task)
 
 
 def _exhausted(job: JobRun, task: Task) -> bool:
@@ -257,16 +194,6 @@
     return not task.spec.lasting and task.failures >= job.spec.max_attempts
 
 
-def find_task(state: SchedulerState, key: TaskKey) -> Task | None:
-    """Return a task of a job that has not ended."""
-    job = state.jobs.get(key.job)
-    steps = job.steps.get(key.occurrence) if job is not None else None
-    if steps is None or key.step >= len(steps):
-        return None
-    tasks = steps[key.step].tasks
-    return tasks[key.number] if 0 <= key.number < len(tasks) else None
-
-
 def charge_usage(state: SchedulerState, task: Task, sign: int) -> None:
     """Add a task to its workspace's usage, or subtract it if ``sign`` is negative."""
     used = state.usage.get(task.workspace, Resources())
@@ -315,6 +242,7 @@
     task.rate_percent = 100
     task.order_tries = 0
     task.unanswered = task.order_pending = task.stop_pending = task.listed = False
+    record_phase(state, task, Phase.WAITING)
     charge_usage(state, task, 1)
     reserve_capacity(endpoint, task)
     endpoint.starts_left -= 1
@@ -343,7 +271,8 @@
     if task.at_full_rate or not task.unavailable_since:
         task.unavailable_since = state.now
     task.at_full_rate = False
-    task.phase = phase
+    earlier, task.phase = task.phase, phase
+    record_phase(state, task, earlier)
     task.endpoint = EndpointId("")
     task.phase_since = state.now
     state.replan = True
@@ -517,20 +446,54 @@
 def settle_job(state: SchedulerState, job: JobRun) -> list[Effect]:
     """Finish a job if it is complete, or cancelled or failing with all tasks stopped.
 
-    Tasks of a cancelled or failing job that still run are stopped first.
+    The tasks of a cancelled or failing job are stopped by :func:`stop_ending_jobs`.
     """
-    if job.cancelled or job.failing:
-        reason = "cancelled" if job.cancelled else "failed"
-        effects: list[Effect] = []
-        running = False
-        for task in job.tasks():
-            effects += stop_task(state, task, reason)
-            running = running or task.placed
-        if not running:
-            final = JobState.CANCELLED if job.cancelled else JobState.FAILED
-            effects += _finish_job(state, job, final)
-        return effects
-    return _finish_job(state, job, JobState.COMPLETED) if job.complete else []
+    if not job.ending:
+        return _finish_job(state, job, JobState.COMPLETED) if job.complete else []
+    effects: list[Effect] = []
+    if job.spec.job not in state.ending_jobs:
+        state.ending_jobs[job.spec.job] = job
+        effects += _stop_tasks(state, job, MAX_STOPS)
+    if not job.placed:
+        del state.ending_jobs[job.spec.job]
+        final = JobState.CANCELLED if job.cancelled else JobState.FAILED
+        effects += _finish_job(state, job, final)
+    return effects
+
+
+MAX_STOPS = 250
+"""Number of tasks that are stopped in one event, which takes some milliseconds."""
+
+
+def stop_ending_jobs(state: SchedulerState) -> list[Effect]:
+    """Stop tasks of cancelled and failing jobs that still run.
+
+    Endpoints of some may have been unknown when their job was cancelled or failed.
+    """
+    effects: list[Effect] = []
+    for job in list(state.ending_jobs.values()):
+        left = MAX_STOPS - len(effects) // EFFECTS_PER_STOP
+        if left <= 0:
+            break
+        effects += _stop_tasks(state, job, left)
+        effects += settle_job(state, job)
+    return effects
+
+
+EFFECTS_PER_STOP = 2
+"""Number of effects by which a task is stopped: a log line and the order."""
+
+
+def _stop_tasks(state: SchedulerState, job: JobRun, most: int) -> list[Effect]:
+    effects: list[Effect] = []
+    reason = "cancelled" if job.cancelled else "failed"
+    for task in list(job.placed.values()):
+        if task.phase is Phase.STOPPING:
+            continue
+        if len(effects) >= most * EFFECTS_PER_STOP:
+            break
+        effects += stop_task(state, task, reason)
+    return effects
 
 
 def _finish_job(state: SchedulerState, job: JobRun, final: JobState) -> list[Effect]:
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Iterator
 from math import inf
 from typing import NamedTuple
 
@@ -21,7 +22,14 @@
     TaskKey,
     WorkspaceName,
 )
-from primrosepitch.jobs.records import RunCrash, RunsPart, SlowEndpoint, WaveProgress
+from primrosepitch.jobs.records import (
+    JobEntry,
+    RunCrash,
+    RunsPart,
+    SlowEndpoint,
+    StoredRuns,
+    WaveProgress,
+)
 from primrosepitch.scheduling.configuration import Configuration, WaveSpec
 from primrosepitch.scheduling.endpoint_speed import EndpointSpeed, PoolMedian
 from primrosepitch.scheduling.events import (
@@ -30,6 +38,7 @@
     InstanceView,
 )
 from primrosepitch.scheduling.order_window import OrderWindow
+from primrosepitch.scheduling.servability import Servability
 from primrosepitch.scheduling.turns import TurnForecast
 
 __all__ = [
@@ -44,6 +53,8 @@
     "MeanWork",
     "Phase",
     "PlannedOrder",
+    "PlanningPass",
+    "ReadyStep",
     "SchedulerState",
     "StepRun",
     "Task",
@@ -85,7 +96,7 @@
     TAKEOVER = "takeover"
 
 
-class Task(msgspec.Struct, eq=False):
+class Task(msgspec.Struct, eq=False, gc=False):
     """One task of a job.
 
     Times are readings of the boot-time clock.
@@ -181,20 +192,31 @@
         return self.phase not in (Phase.WAITING, Phase.DONE)
 
 
-class StepRun(msgspec.Struct, eq=False):
+class StepRun(msgspec.Struct, eq=False, gc=False):
     """One step of one occurrence of a job.
 
-    Tasks and dependencies that are done stay so, and are not looked at again.
+    A task is created when it is about to start, see ``expansion``. Tasks and
+    dependencies that are done stay so, and are not looked at again.
 
+    :param tasks: tasks created so far, which are the first ones of the step
+    :param waiting: those that wait, by index
+    :param ready_at: boot-time clock at which its dependencies were found to be done
     :param done_tasks: number of tasks, from the first, that are known to be done
     :param done_dependencies: number of dependencies, from the first, known to be done
     """
 
     spec: StepSpec
-    tasks: list[Task]
+    tasks: list[Task] = msgspec.field(default_factory=list)
+    waiting: dict[int, Task] = msgspec.field(default_factory=dict)
+    ready_at: float = 0.0
     done_tasks: int = 0
     done_dependencies: int = 0
 
+    @property
+    def uncreated(self) -> int:
+        """Return how many tasks have not been created yet; they all wait."""
+        return self.spec.tasks - len(self.tasks)
+
     @property
     def done(self) -> bool:
         """Return whether all tasks have succeeded."""
@@ -202,7 +224,7 @@
         while count < len(tasks) and tasks[count].phase is Phase.DONE:
             count += 1
         self.done_tasks = count
-        return count == len(tasks)
+        return count == self.spec.tasks
 
     def may_begin(self, steps: list[StepRun]) -> bool:
         """Return whether the steps on which this one depends are done.
@@ -219,8 +241,21 @@
 class JobRun(msgspec.Struct, eq=False):
     """A job that has not ended.
 
-    :param steps: steps by occurrence, for the occurrences that are due
-    :param parts: the same tasks, by the part with whose record their runs are stored
+    :param lasting: whether any of its steps runs until the job is cancelled
+    :param min_endpoints: number of endpoints over which each of its steps can be spread
+    :param steps: steps by occurrence, for the occurrences that were opened
+    :param next_occurrence: first occurrence that may not have been opened yet
+    :param ready: steps that may begin and have waiting tasks, by occurrence and number;
+        those whose tasks have all been placed are removed when they are next looked at
+    :param ready_count: number of these steps
+    :param dependents: numbers of the steps that depend on each step
+    :param unservable: numbers of the steps that no known endpoint can run, and of those
+        that depend on them
+    :param servability_epoch: state of the known endpoints that this was computed from
+    :param placed: tasks for which capacity of an endpoint is reserved
+    :param parts: tasks created so far, by the part with whose record their runs are
+        stored
+    :param first_ordinals: ordinal of each step's first task within an occurrence
     :param stored_parts: parts that have a record, or will have one
     :param failing: whether a task has used up its attempts, or its runs can't be stored
     :param unstorable: whether the store rejects a record of its runs
@@ -229,15 +264,28 @@
     :param has_gang: whether the tasks of any step start together
     :param done_occurrences: number of occurrences, from the first, known to be done
     :param done_steps: number of steps of the next one, from the first, known to be done
+    :param done_in: number of steps that are done in each occurrence
     :param deadline_ms: Unix time by which the latency objective is met
     :param unplaceable: whether it was logged that a task fits no endpoint
     :param over_share: whether the job exceeds its workspace's share
-    :param work: estimated work, in thousandths of a core times ms
+    :param work: estimated work of an occurrence, without unservable steps, in
+        thousandths of a core times ms
+    :param done_work: that of the tasks that are done, in all occurrences
     """
 
     spec: JobSpec
+    lasting: bool = False
+    min_endpoints: int = 1
     steps: dict[int, list[StepRun]] = msgspec.field(default_factory=dict)
+    next_occurrence: int = 0
+    ready: dict[int, dict[int, StepRun]] = msgspec.field(default_factory=dict)
+    ready_count: int = 0
+    dependents: dict[int, list[int]] = msgspec.field(default_factory=dict)
+    unservable: frozenset[int] = frozenset()
+    servability_epoch: int = -1
+    placed: dict[TaskKey, Task] = msgspec.field(default_factory=dict)
     parts: dict[int, list[Task]] = msgspec.field(default_factory=dict)
+    first_ordinals: tuple[int, ...] = ()
     stored_parts: set[int] = msgspec.field(default_factory=set)
     state: JobState = JobState.QUEUED
     cancelled: bool = False
@@ -248,10 +296,17 @@
     has_gang: bool = False
     done_occurrences: int = 0
     done_steps: int = 0
+    done_in: dict[int, int] = msgspec.field(default_factory=dict)
     deadline_ms: float = 0.0
     unplaceable: bool = False
     over_share: bool = False
-    work: float = 0.0
+    work: int = 0
+    done_work: int = 0
+
+    @property
+    def ending(self) -> bool:
+        """Return whether its tasks are stopped, and no further ones start."""
+        return self.cancelled or self.failing
 
     @property
     def complete(self) -> bool:
@@ -267,7 +322,7 @@
         return True
 
     def tasks(self) -> list[Task]:
-        """Return the tasks of all occurrences that are due."""
+        """Return the tasks that were created so far."""
         return [
             task
             for steps in self.steps.values()
@@ -276,6 +331,55 @@
         ]
 
 
+class ReadyStep(NamedTuple):
+    """Tasks of one step that may start.
+
+    :param rank: sort key; lower ranks get capacity first
+    :param occurrence: number of the occurrence
+    :param number: index of the step in its job
+    :param tasks: waiting tasks that were created
+    :param uncreated: number of further waiting tasks
+    """
+
+    rank: tuple[float, ...]
+    job: JobRun
+    step: StepRun
+    occurrence: int
+    number: int
+    tasks: list[Task]
+    uncreated: int = 0
+
+    @property
+    def key(self) -> tuple[JobId, int, int]:
+        """Return the job, occurrence and number of the step."""
+        return self.job.spec.job, self.occurrence, self.number
+
+    @property
+    def task_count(self) -> int:
+        """Return the number of waiting tasks."""
+        return len(self.tasks) + self.uncreated
+
+
+class PlanningPass(msgspec.Struct, eq=False):
+    """A planning pass, which is cut into slices so that none holds the loop for long.
+
+    :param jobs: jobs whose steps have not been ranked yet, the next one last
+    :param ranked: ranked steps, sorted within each slice
+    :param order: all of them by rank, from the next one to be placed
+    :param waiting: steps that were left waiting, by rank
+    """
+
+    jobs: list[JobRun]
+    ranked: list[list[ReadyStep]] = msgspec.field(default_factory=list)
+    order: Iterator[ReadyStep] | None = None
+    waiting: list[ReadyStep] = msgspec.field(default_factory=list)
+
+    @property
+    def sliced(self) -> bool:
+        """Return whether the state may have changed since steps were ranked."""
+        return len(self.ranked) > 1
+
+
 class Endpoint(msgspec.Struct, eq=False):
     """Scheduler's view of an endpoint.
 
@@ -555,6 +659,10 @@
     :param replan: whether a planning pass is due without waiting for the idle interval
     :param ticked_at: boot-time clock of the newest tick
     :param tick_gap_s: time between the newest two ticks
+    :param planning: planning pass that is under way
+    :param sliced_at: boot-time clock of the newest slice of a planning pass
+    :param reviewed_at: boot-time clock at which leases and orders were last reviewed
+    :param servability: what the known endpoints could run
     :param pass_cut_short: whether the newest planning pass left waiting tasks to the
         next one
     :param passed_over: lasting and best-effort steps that the newest planning pass left
@@ -584,6 +692,10 @@
         of their runs can be deleted
     :param stored_waves: progress of each wave at the begin of the term
     :param stored_moves: orders to move instances that the ledger has as open
+    :param ending_jobs: cancelled and failing jobs whose tasks are being stopped
+    :param unrestored: jobs of the ledger that are not restored yet in this term, the
+        next one last
+    :param stored_runs: runs of these jobs
     :param planned_orders: orders to instances that no commit contains yet
     :param committing_orders: orders that are sent once the newest commit is durable
     :param committing: number of the commit in progress; 0 if none
@@ -612,6 +724,9 @@
     cfg: Configuration = msgspec.field(default_factory=Configuration)
     jobs: dict[JobId, JobRun] = msgspec.field(default_factory=dict)
     finished: dict[JobId, int] = msgspec.field(default_factory=dict)
+    ending_jobs: dict[JobId, JobRun] = msgspec.field(default_factory=dict)
+    unrestored: list[JobEntry] = msgspec.field(default_factory=list)
+    stored_runs: dict[JobId, StoredRuns] = msgspec.field(default_factory=dict)
     endpoints: dict[EndpointId, Endpoint] = msgspec.field(default_factory=dict)
     newest_endpoint: dict[str, Endpoint] = msgspec.field(default_factory=dict)
     usage: dict[WorkspaceName, Resources] = msgspec.field(default_factory=dict)
@@ -637,7 +752,11 @@
         default_factory=dict
     )
     planned_at: float = 0.0
+    sliced_at: float = 0.0
+    reviewed_at: float = 0.0
     replan: bool = False
+    planning: PlanningPass | None = None
+    servability: Servability = msgspec.field(default_factory=Servability)
     ticked_at: float = 0.0
     tick_gap_s: float = 0.0
     pass_cut_short: bool = False
@@ -706,7 +825,9 @@
     def add_endpoint(self, endpoint: Endpoint) -> None:
         """Add an endpoint and update the newest one of its instance."""
         self.endpoints[endpoint.id] = endpoint
-        instance = endpoint.report.instance
+        report = endpoint.report
+        self.servability.add_endpoint(report.service, report.capacity, report.labels)
+        instance = report.instance
         newest = self.newest_endpoint.get(instance)
         if newest is None or newest.report.born <= endpoint.report.born:
             self.newest_endpoint[instance] = endpoint
--- a/primrosepitch/scheduling/waiting.py
+++ b/primrosepitch/scheduling/waiting.py
@@ -11,9 +11,8 @@
 )
 from primrosepitch.scheduling.effects import Effect, WriteLog
 from primrosepitch.scheduling.leases import exclusion
-from primrosepitch.scheduling.ordering import ReadyStep
 from primrosepitch.scheduling.placement import StepCandidates
-from primrosepitch.scheduling.state import Endpoint, SchedulerState, Task
+from primrosepitch.scheduling.state import Endpoint, ReadyStep, SchedulerState
 
 __all__ = ["log_waits"]
 
@@ -43,7 +42,7 @@
 def _log_longest(
     state: SchedulerState, event: LogEvent, steps: list[ReadyStep]
 ) -> list[Effect]:
-    waits = [(max(_waited_s(state, t) for t in r.tasks), r) for r in steps]
+    waits = [(_longest_wait_s(state, ready), ready) for ready in steps]
     long = [wait for wait in waits if wait[0] > LOG_INTERVAL_S]
     long.sort(key=lambda wait: -wait[0])
     return [
@@ -52,8 +51,11 @@
     ]
 
 
-def _waited_s(state: SchedulerState, task: Task) -> float:
-    return state.now - (task.unavailable_since or task.phase_since)
+def _longest_wait_s(state: SchedulerState, ready: ReadyStep) -> float:
+    since = [task.unavailable_since or task.phase_since for task in ready.tasks]
+    if ready.uncreated:
+        since.append(ready.step.ready_at)
+    return state.now - min(since)
 
 
 def _log_line(
@@ -70,7 +72,7 @@
     fields = {
         "job": job.job,
         "step": ready.number,
-        "tasks": len(ready.tasks),
+        "tasks": ready.task_count,
         "longest_s": round(waited_s, 1),
         "needs": list(ready.step.spec.needs),
         "stopped_by": state.passed_over.get(ready.key, "pass cut short"),
--- a/primrosepitch/scheduling/warmth.py
+++ b/primrosepitch/scheduling/warmth.py
@@ -13,8 +13,13 @@
 from primrosepitch.events import ENDPOINT_COLD, ENDPOINT_WARM
 from primrosepitch.jobs.model import Resources
 from primrosepitch.scheduling.effects import Effect, WriteLog
-from primrosepitch.scheduling.ordering import ReadyStep
-from primrosepitch.scheduling.state import Endpoint, Phase, SchedulerState, Task
+from primrosepitch.scheduling.state import (
+    Endpoint,
+    Phase,
+    ReadyStep,
+    SchedulerState,
+    Task,
+)
 
 __all__ = [
     "count_cold",
--- a/primrosepitch/scheduling/yielding.py
+++ b/primrosepitch/scheduling/yielding.py
@@ -13,14 +13,20 @@
 from primrosepitch.scheduling.crashes import is_held, needs_isolation
 from primrosepitch.scheduling.effects import Effect
 from primrosepitch.scheduling.limits import LimitedDemand
-from primrosepitch.scheduling.ordering import PriorityClass, ReadyStep
+from primrosepitch.scheduling.ordering import PriorityClass
 from primrosepitch.scheduling.placement import (
     StepCandidates,
     may_be_advised,
     usable_pools,
 )
 from primrosepitch.scheduling.runs import stop_task
-from primrosepitch.scheduling.state import Endpoint, Phase, SchedulerState, Task
+from primrosepitch.scheduling.state import (
+    Endpoint,
+    Phase,
+    ReadyStep,
+    SchedulerState,
+    Task,
+)
 
 __all__ = ["yield_best_effort"]
 
@@ -89,6 +95,7 @@
         if len(effects) >= 2 * MAX_STOPS or examined >= MAX_EXAMINED:
             break
         waiting = sum(not (needs_isolation(t) or is_held(t)) for t in ready.tasks)
+        waiting += ready.uncreated
         waiting = demand.admitted(ready, waiting)
         if not waiting:
             continue
--- a/standins/model.py
+++ b/standins/model.py
@@ -10,8 +10,8 @@
 
 from primrosepitch.events import ENDPOINT_SLOW
 from primrosepitch.jobs.model import JobSpec, JobState
+from primrosepitch.scheduling.expansion import critical_path_ms
 from primrosepitch.scheduling.ordering import RANKINGS
-from primrosepitch.scheduling.runs import critical_path_ms
 from standins import contention
 from standins.patterns import LOAD_DURATION_S, PATTERNS, SPARE_POOL, build
 from standins.scheduler_world import SchedulerWorld
--- a/standins/scheduler_world.py
+++ b/standins/scheduler_world.py
@@ -41,11 +41,11 @@
 from primrosepitch.scheduling import effects as ef
 from primrosepitch.scheduling import events as ev
 from primrosepitch.scheduling.configuration import Configuration, WaveSpec
+from primrosepitch.scheduling.expansion import critical_path_ms
 from primrosepitch.scheduling.instance_orders import instance_orders_expire_at
 from primrosepitch.scheduling.leases import takeover_wait_s
 from primrosepitch.scheduling.ordering import TOO_LATE_FACTOR
 from primrosepitch.scheduling.reducer import step
-from primrosepitch.scheduling.runs import critical_path_ms
 from primrosepitch.scheduling.state import Limits, SchedulerState
 
 __all__ = ["Node", "SchedulerWorld", "Worker", "objective_ms"]
--- a/standins/waiting_jobs.py
+++ b/standins/waiting_jobs.py
@@ -19,10 +19,11 @@
 )
 from primrosepitch.scheduling import events as ev
 from primrosepitch.scheduling.configuration import Configuration, ServiceSpec
+from primrosepitch.scheduling.expansion import create_tasks, open_occurrence
 from primrosepitch.scheduling.reducer import step
-from primrosepitch.scheduling.state import SchedulerState
+from primrosepitch.scheduling.state import JobRun, SchedulerState, Task
 
-__all__ = ["SEED", "WALL_MS", "build_state"]
+__all__ = ["SEED", "WALL_MS", "all_tasks", "build_state"]
 
 SEED = 7
 
@@ -81,6 +82,15 @@
     return state
 
 
+def all_tasks(state: SchedulerState, job: JobRun) -> list[Task]:
+    """Return the tasks of all due occurrences of a job, and create the missing ones."""
+    for occurrence in range(job.spec.count_due(state.wall_ms)):
+        open_occurrence(state, job, occurrence)
+        for number, step_spec in enumerate(job.spec.steps):
+            create_tasks(state, job, occurrence, number, step_spec.tasks)
+    return job.tasks()
+
+
 def _draw_job(rng: random.Random, number: int) -> JobSpec:
     spread = rng.random() < SPREAD_FRACTION
     lasting = number % LASTING_INTERVAL == 0
