Bound the figures that are derived from callers' numbers

Cause: the published wait is the sum of all waiting work. It exceeded 64 bits, its record could not be encoded, and the exception ended the term with each heartbeat, sooner than advice is answered. Two defects: a derived number without a bound, and advice whose failure ends a term.

Change: the work of a task saturates in one place (StepSpec.task_work). The wait has a bound, and counts only what delays a new job: no work that no endpoint can run, no long tasks that hold their capacity in any case, no work with so much slack that new jobs start first, no occurrences that are long overdue. An exception in an advisory part is logged (advisory_failed, 5110) and the part left out.

--- a/features/steps/scheduler_rules.py
+++ b/features/steps/scheduler_rules.py
@@ -45,13 +45,13 @@
     world.run(0.5)
 
 
-def submit_job(context, name, steps, attempts=4, **options):
+def submit_job(context, name, steps, attempts=4, workspace="w", **options):
     world = context.world
     spec = JobSpec(
         job=JobId(name),
         queue=QueueName("q"),
         service=ServiceName("s"),
-        workspace=WorkspaceName("w"),
+        workspace=WorkspaceName(workspace),
         payload="p",
         steps=tuple(steps),
         accepted_ms=world.wall_ms,
--- a/primrosepitch/events.py
+++ b/primrosepitch/events.py
@@ -387,6 +387,14 @@
     logging.WARNING,
     "The loop of the scheduler was blocked or paused; heartbeats and answers waited.",
 )
+ADVISORY_FAILED = event(
+    5110,
+    "advisory_failed",
+    logging.ERROR,
+    "An unexpected exception in an advisory part of the scheduler; its record or log "
+    "line is left out, and the term goes on.",
+    "report it with the line",
+)
 SCHEDULER_HELD = event(
     5109,
     "scheduler_held",
--- a/primrosepitch/jobs/model.py
+++ b/primrosepitch/jobs/model.py
@@ -87,6 +87,11 @@
         return min([most, *counts])
 
 
+MAX_COUNTED_ESTIMATE_MS = 60_000
+"""Estimate of a task from which its work is not counted as more. Callers' estimates may
+be in wrong units, and sums of them must fit into a record."""
+
+
 class StepSpec(msgspec.Struct, frozen=True, omit_defaults=True, dict=True):
     """One step of a job.
 
@@ -130,6 +135,11 @@
         """Return the processor time that one task reserves on its endpoint."""
         return 0 if self.fills else self.cpu
 
+    @property
+    def task_work(self) -> int:
+        """Return the estimated work of a task, in thousandths of a core times ms."""
+        return self.reserved_cpu * min(self.estimate_ms, MAX_COUNTED_ESTIMATE_MS)
+
     @functools.cached_property
     def needs(self) -> Resources:
         """Return the capacity that one task reserves on its endpoint."""
--- a/primrosepitch/scheduling/backlog.py
+++ b/primrosepitch/scheduling/backlog.py
@@ -23,6 +23,17 @@
 """Minimum wait that is published: no latency objective is shorter."""
 
 
+MAX_REPORTED_WAIT_MS = 3_600_000
+"""Maximum wait that is published; a record holds integers of 64 bits."""
+
+LONG_ESTIMATE_MS = 10_000
+"""Estimate of a task from which it counts as a lasting one: the rest of the pool serves
+new jobs meanwhile."""
+
+MAX_SLACK_MS = 30_000
+"""Slack of a job from which its waiting work delays no new job: jobs with less slack
+start first."""
+
 EVACUATED_WAIT_MS = 10_000
 """Wait that is published while all data centres are evacuated. It ends
 when an operator cancels an evacuation; jobs that can wait for longer are accepted."""
@@ -38,11 +49,6 @@
     for job in state.jobs.values():
         if _counts(job):
             work[job.spec.service] += _remaining_work(state, job)
-    for endpoint in state.endpoints.values():
-        for task in endpoint.tasks.values():
-            run_of = state.jobs.get(task.key.job)
-            if task.phase is Phase.RUNNING and run_of is not None and _counts(run_of):
-                work[run_of.spec.service] -= _done_part(task)
     waits = {}
     for service, core_ms in work.items():
         cores = _reachable_cpu(state, service)
@@ -50,7 +56,7 @@
         if not cores and all_evacuated(state):
             wait_ms = EVACUATED_WAIT_MS
         if wait_ms >= MIN_REPORTED_WAIT_MS:
-            waits[service] = wait_ms
+            waits[service] = min(wait_ms, MAX_REPORTED_WAIT_MS)
     return waits
 
 
@@ -60,24 +66,49 @@
 
 
 def _remaining_work(state: SchedulerState, job: JobRun) -> float:
-    """Return the work of a job's tasks that are not done, without unservable steps.
+    """Return the work of a job for which new jobs may have to wait.
 
-    It is in thousandths of a core times ms. Tasks that run count in full.
+    It is in thousandths of a core times ms, and without unservable steps.
     """
-    due = job.spec.count_due(state.wall_ms)
-    return float(max(0, due * job.work - job.done_work))
+    placed_work = remaining = 0.0
+    for task in job.placed.values():
+        work = task.spec.task_work
+        placed_work += work
+        if not _is_long(task):
+            progress = task.progress if task.phase is Phase.RUNNING else 0
+            remaining += work * max(0, 100 - progress) / 100
+    if _slack_ms(state, job) <= MAX_SLACK_MS:
+        due = job.spec.count_due(state.wall_ms)
+        waiting = max(0.0, due * job.work - job.done_work - placed_work)
+        remaining += min(waiting, (due - _count_too_late(state, job)) * job.work)
+    return remaining
+
+
+def _count_too_late(state: SchedulerState, job: JobRun) -> int:
+    """Return how many occurrences of a schedule start only when nothing else waits."""
+    if not job.spec.repetitions:
+        return 0
+    useful_ms = TOO_LATE_FACTOR * (job.deadline_ms - job.spec.attempted_ms)
+    return job.spec.count_due(state.wall_ms - math.ceil(useful_ms))
+
+
+def _is_long(task: Task) -> bool:
+    """Return whether a task holds its capacity for longer than any new job waits."""
+    return task.spec.lasting or task.spec.estimate_ms > LONG_ESTIMATE_MS
 
 
-def _done_part(task: Task) -> float:
-    """Return the work that a running task has done."""
-    work = task.spec.needs.cpu * task.spec.estimate_ms
-    return work * min(100, task.progress) / 100
+def _slack_ms(state: SchedulerState, job: JobRun) -> float:
+    """Return the time by which the begin of a job's waiting work may be delayed."""
+    if job.spec.repetitions:
+        # Some occurrence may be late.
+        return 0.0
+    return job.deadline_ms - state.wall_ms - job.critical_path_ms
 
 
 def _reachable_cpu(state: SchedulerState, service: ServiceName) -> float:
     """Return the processor capacity that a pool has or could be lent.
 
-    It is in thousandths of a core, and excludes what lasting tasks use.
+    It is in thousandths of a core, and excludes what lasting and long tasks use.
     """
     spare = state.cfg.spare_pool()
     largest = max((v.capacity.cpu for v in state.instances.values()), default=0)
@@ -95,10 +126,8 @@
             continue
         own = endpoint.report.service == service
         if own or not endpoint.tasks:
-            lasting = sum(
-                t.spec.needs.cpu for t in endpoint.tasks.values() if t.spec.lasting
-            )
-            cores += endpoint.report.capacity.cpu - lasting
+            held = sum(t.spec.needs.cpu for t in endpoint.tasks.values() if _is_long(t))
+            cores += endpoint.report.capacity.cpu - held
     return cores
 
 
--- a/primrosepitch/scheduling/commits.py
+++ b/primrosepitch/scheduling/commits.py
@@ -25,6 +25,7 @@
     runs_tombstone,
 )
 from primrosepitch.jobs.store import MAX_APPEND_BYTES, KeyedRecord
+from primrosepitch.scheduling.advisory import advisory
 from primrosepitch.scheduling.backlog import estimate_waits
 from primrosepitch.scheduling.effects import Commit, Effect, WriteLog
 from primrosepitch.scheduling.runs import settle_job
@@ -71,8 +72,12 @@
         return []
     effects: list[Effect] = []
     runs = [*_runs_records(state, effects), *_open_moves(state, renewal)]
-    runs += slow_endpoints_record(state)
+    with advisory(effects, "slow endpoints"):
+        runs += slow_endpoints_record(state)
     shared = _shared_records(state, renewal)
+    if renewal:
+        with advisory(effects, "waits"):
+            shared += _backlog(state)
     state.committing_acks = _stored_ends(state)
     state.committing_orders, state.planned_orders = state.planned_orders, []
     state.commit_count += 1
@@ -253,10 +258,7 @@
     # The records that follow are no heartbeat to other nodes.
     if records:
         state.renewed_at = state.now
-    records += _expired_job_records(state)
-    if renewal:
-        records += _backlog(state)
-    return records
+    return records + _expired_job_records(state)
 
 
 def _job_status(state: SchedulerState, job_id: JobId) -> JobStatus:
@@ -273,8 +275,9 @@
         and state.now - state.waits_sent_at < WAITS_REFRESH_INTERVAL_S
     ):
         return []
+    record = encode(Backlog(estimated))
     state.waits, state.waits_sent_at = estimated, state.now
-    return [encode(Backlog(estimated))]
+    return [record]
 
 
 def _expired_job_records(state: SchedulerState) -> list[tuple[str, bytes]]:
--- a/primrosepitch/scheduling/expansion.py
+++ b/primrosepitch/scheduling/expansion.py
@@ -98,7 +98,7 @@
     limit = workspace.limit if workspace is not None else Resources()
     unservable = state.servability.unservable_steps(job.spec, limit)
     job.work = sum(
-        step.tasks * step.reserved_cpu * step.estimate_ms
+        step.tasks * step.task_work
         for number, step in enumerate(job.spec.steps)
         if number not in unservable and not step.lasting
     )
@@ -233,7 +233,7 @@
     else:
         job.placed.pop(key, None)
     if task.phase is Phase.DONE and earlier is not Phase.DONE:
-        job.done_work += task.spec.needs.cpu * task.spec.estimate_ms
+        job.done_work += task.spec.task_work
         if step.done:
             _complete_step(state, job, key.occurrence, key.step)
 
--- a/primrosepitch/scheduling/forecast.py
+++ b/primrosepitch/scheduling/forecast.py
@@ -99,9 +99,7 @@
 def _work(spec: JobSpec) -> float:
     """Return a job's work, in thousandths of a core times seconds."""
     return sum(
-        step.tasks * step.needs.cpu * step.estimate_ms / 1000
-        for step in spec.steps
-        if not step.lasting
+        step.tasks * step.task_work / 1000 for step in spec.steps if not step.lasting
     )
 
 
--- a/primrosepitch/scheduling/ordering.py
+++ b/primrosepitch/scheduling/ordering.py
@@ -95,9 +95,7 @@
         """Return the work of waiting tasks, in thousandths of a core times ms."""
         return float(
             sum(
-                step.spec.needs.cpu
-                * step.spec.estimate_ms
-                * (len(step.waiting) + step.uncreated)
+                step.spec.task_work * (len(step.waiting) + step.uncreated)
                 for step in self.steps
             )
         )
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -12,6 +12,7 @@
 from primrosepitch.jobs.model import task_name
 from primrosepitch.jobs.records import JobEntry, RunsPart
 from primrosepitch.scheduling import events as ev
+from primrosepitch.scheduling.advisory import advisory
 from primrosepitch.scheduling.availability import may_disrupt
 from primrosepitch.scheduling.commits import (
     acknowledge_ends,
@@ -157,8 +158,10 @@
     restore_moves(state, event.moves)
     state.unrestored = sorted(event.jobs.values(), key=_accepted_ms, reverse=True)
     state.stored_runs = event.runs
-    restore_arrivals(state, event.jobs.values())
-    effects = _restore_jobs(state)
+    effects: list[Effect] = []
+    with advisory(effects, "arrivals of earlier terms"):
+        restore_arrivals(state, event.jobs.values())
+    effects += _restore_jobs(state)
     fields = {
         "term": event.term,
         "jobs": len(state.jobs),
@@ -221,9 +224,12 @@
 
 @_handles(ev.JobAccepted)
 def _job_accepted(state: SchedulerState, event: ev.JobAccepted) -> list[Effect]:
+    effects: list[Effect] = []
     if event.spec.job not in state.jobs and event.spec.job not in state.finished:
-        record_arrival(state, add_job(state, event.spec))
-    return []
+        job = add_job(state, event.spec)
+        with advisory(effects, "arrival rates"):
+            record_arrival(state, job)
+    return effects
 
 
 @_handles(ev.CancelRequested)
@@ -398,8 +404,10 @@
     leave_waiting(plan)
     state.planning = None
     effects += yield_best_effort(state, plan.waiting)
-    effects += log_waits(state, plan.waiting)
-    effects += log_evacuations(state)
+    with advisory(effects, "log of waits"):
+        effects += log_waits(state, plan.waiting)
+    with advisory(effects, "log of evacuations"):
+        effects += log_evacuations(state)
     effects += advance_waves(state)
     effects += lend_instances(state, plan.waiting)
     return effects + throttle_best_effort(state)
