Let accepted jobs keep their queue's advice and their workspace's limit

Cause: whether a step needs tickets was looked up in the newest configuration by the name of the route, and names of routes are free. No route of that name counted as no advice, and refusals taught nothing.

Change: the job's record keeps host, path prefix and advice of its queue and the limit of its workspace; records of the version before are still read. A queue is known by its address first, then by its name (Configuration.current_queue); its newest version decides on advice, unless it is gone or sends its jobs to another pool. A start refused for want of a ticket shows that tickets are needed. A step whose starts are refused for reasons of its own (ticket, late, unknown) waits up to 1.6 s before the next. GET PREFIX counts jobs by the same identity. Requests for advice are limited to 16, and their answers are dropped with their job. A workspace that a version removes keeps its limit; endpoints of a service that no version names count as unguarded.

--- a/features/steps/denials.py
+++ b/features/steps/denials.py
@@ -41,7 +41,7 @@
 class EmptyIntake:
     """Intake without any jobs."""
 
-    def count_queued(self, queue):
+    def count_queued(self, queue, cfg):
         return 0
 
 
--- a/features/steps/lasting_tasks.py
+++ b/features/steps/lasting_tasks.py
@@ -5,6 +5,7 @@
 
 from primrosepitch.events import BEST_EFFORT_TASKS_WAITING, LASTING_TASKS_WAITING
 from primrosepitch.jobs.model import (
+    AdviceSpec,
     JobId,
     JobSpec,
     QueueName,
@@ -12,7 +13,7 @@
     StepSpec,
     WorkspaceName,
 )
-from primrosepitch.scheduling.configuration import AdviceSpec, QueueSpec
+from primrosepitch.scheduling.configuration import QueueSpec
 
 
 @when("{count:d} jobs of {tasks:d} lasting tasks are accepted")
--- a/features/steps/scheduler_rules.py
+++ b/features/steps/scheduler_rules.py
@@ -8,6 +8,7 @@
 
 from primrosepitch.events import ENDPOINT_STALLED
 from primrosepitch.jobs.model import (
+    AdviceSpec,
     JobId,
     JobSpec,
     JobState,
@@ -20,7 +21,6 @@
 )
 from primrosepitch.scheduling import events as ev
 from primrosepitch.scheduling.configuration import (
-    AdviceSpec,
     QueueSpec,
     ServiceSpec,
     WaveSpec,
--- a/features/steps/yielding.py
+++ b/features/steps/yielding.py
@@ -6,6 +6,7 @@
 from steps.scheduler_rules import submit_job
 
 from primrosepitch.jobs.model import (
+    AdviceSpec,
     JobId,
     JobSpec,
     QueueName,
@@ -17,7 +18,6 @@
 from primrosepitch.jobs.records import RunCrash
 from primrosepitch.scheduling import events as ev
 from primrosepitch.scheduling.configuration import (
-    AdviceSpec,
     QueueSpec,
     WorkspaceSpec,
 )
--- a/primrosepitch/jobs/model.py
+++ b/primrosepitch/jobs/model.py
@@ -9,6 +9,7 @@
 import msgspec
 
 __all__ = [
+    "AdviceSpec",
     "DataCentreName",
     "EndpointId",
     "JobId",
@@ -154,9 +155,25 @@
         return Resources(self.cpu, self.memory, self.gpu)
 
 
+class AdviceSpec(msgspec.Struct, frozen=True):
+    """Cost and validity of placement advice.
+
+    :param decision_ms: fixed time that a request takes
+    :param period_ms: additional time for each endpoint in the request
+    :param validity_ms: time for which a ticket is valid
+    """
+
+    decision_ms: int = 0
+    period_ms: int = 0
+    validity_ms: int = 0
+
+
 class JobSpec(msgspec.Struct, frozen=True, omit_defaults=True):
     """An accepted job, as stored.
 
+    It keeps what its queue and workspace were when it was accepted, see
+    docs/design.md; records of earlier versions lack the last four.
+
     :param payload: opaque text passed to every task
     :param accepted_ms: Unix time of acceptance
     :param first_attempt_ms: Unix time of the first submission, if that was refused; 0
@@ -166,6 +183,10 @@
     :param repetitions: number of scheduled occurrences; 0 for a job that runs once
     :param first_run_ms: Unix time of the first scheduled occurrence
     :param interval_ms: time between scheduled occurrences
+    :param host: host of the queue
+    :param prefix: path prefix of the queue
+    :param advice: advice that the queue required; ``None`` if it required none
+    :param limit: upper limit of the workspace; an amount of 0 means no limit
     """
 
     job: JobId
@@ -183,6 +204,10 @@
     first_run_ms: int = 0
     interval_ms: int = 0
     first_attempt_ms: int = 0
+    host: str = ""
+    prefix: str = ""
+    advice: AdviceSpec | None = None
+    limit: Resources = Resources()
 
     @property
     def attempted_ms(self) -> int:
--- a/primrosepitch/jobs/records.py
+++ b/primrosepitch/jobs/records.py
@@ -442,14 +442,15 @@
     """State of the ledger, built by applying its records in order.
 
     :ivar open_sizes: sizes of the jobs that have not ended, by workspace
-    :ivar queued: number of jobs of which nothing has begun, by queue
+    :ivar queued: number of jobs of which nothing has begun, by the name, host and path
+        prefix of the queue under which they were accepted
     """
 
     def __init__(self) -> None:
         """Create an empty ledger."""
         self.jobs: dict[JobId, JobEntry] = {}
         self.open_sizes: Counter[WorkspaceName] = Counter()
-        self.queued: Counter[QueueName] = Counter()
+        self.queued: Counter[tuple[QueueName, str, str]] = Counter()
         self.term = Term(0, "", 0)
         self.waves: dict[int, WaveProgress] = {}
         self.nodes: dict[str, NodeAddress] = {}
@@ -485,12 +486,13 @@
         size = 0 if removed or state.final else job_size(spec)
         queued = state is JobState.QUEUED and not removed
         self.open_sizes[spec.workspace] += size - entry.open_size
-        self.queued[spec.queue] += queued - entry.queued
+        queue = (spec.queue, spec.host, spec.prefix)
+        self.queued[queue] += queued - entry.queued
         entry.open_size, entry.queued = size, queued
         if not self.open_sizes[spec.workspace]:
             del self.open_sizes[spec.workspace]
-        if not self.queued[spec.queue]:
-            del self.queued[spec.queue]
+        if not self.queued[queue]:
+            del self.queued[queue]
 
     def largest_node_cores(self) -> float:
         """Return the processor time of the largest node; 0 if no node is known."""
--- a/primrosepitch/node/job_intake.py
+++ b/primrosepitch/node/job_intake.py
@@ -38,6 +38,7 @@
 from primrosepitch.node.first_attempts import FirstAttempts
 from primrosepitch.node.follower import Appender, LedgerFollower
 from primrosepitch.scheduling.backlog import retry_after_s
+from primrosepitch.scheduling.configuration import Configuration
 
 __all__ = ["IntakeOutcome", "JobIntake", "Overload", "Rejection", "TooLarge"]
 
@@ -266,6 +267,12 @@
         emit(JOB_CANCELLED, job=job)
         return IntakeOutcome.ACCEPTED
 
-    def count_queued(self, queue: QueueName) -> int:
-        """Return how many accepted jobs of a queue have not started."""
-        return self._follower.ledger.queued[queue]
+    def count_queued(self, queue: QueueName, cfg: Configuration) -> int:
+        """Return how many accepted jobs have not started that belong to a queue now."""
+        counts = self._follower.ledger.queued.items()
+        return sum(
+            count
+            for accepted_under, count in counts
+            if (current := cfg.current_queue(*accepted_under)) is not None
+            and current.name == queue
+        )
--- a/primrosepitch/scheduling/availability.py
+++ b/primrosepitch/scheduling/availability.py
@@ -4,7 +4,7 @@
 
 from primrosepitch.scheduling.state import Phase, SchedulerState, StepRun, Task
 
-__all__ = ["is_unavailable", "may_disrupt"]
+__all__ = ["is_unavailable", "may_disrupt", "step_of"]
 
 
 def step_of(state: SchedulerState, task: Task) -> StepRun:
--- a/primrosepitch/scheduling/commits.py
+++ b/primrosepitch/scheduling/commits.py
@@ -88,6 +88,9 @@
 
 def forget_ended_job(state: SchedulerState, job: JobRun) -> None:
     """Let the records of a job's runs be deleted, since its final state is durable."""
+    for occurrence, steps in job.steps.items():
+        for number in range(len(steps)):
+            state.drop_advice((job.spec.job, occurrence, number))
     for part in job.parts:
         state.dirty_runs.pop(RunsPart(job.spec.job, part), None)
     state.ended_runs += [RunsPart(job.spec.job, p) for p in sorted(job.stored_parts)]
--- a/primrosepitch/scheduling/configuration.py
+++ b/primrosepitch/scheduling/configuration.py
@@ -7,6 +7,8 @@
 import msgspec
 
 from primrosepitch.jobs.model import (
+    AdviceSpec,
+    JobSpec,
     QueueName,
     Resources,
     ServiceName,
@@ -14,7 +16,6 @@
 )
 
 __all__ = [
-    "AdviceSpec",
     "Configuration",
     "QueueSpec",
     "ServiceSpec",
@@ -23,19 +24,6 @@
 ]
 
 
-class AdviceSpec(msgspec.Struct, frozen=True):
-    """Cost and validity of placement advice.
-
-    :param decision_ms: fixed time that a request takes
-    :param period_ms: additional time for each endpoint in the request
-    :param validity_ms: time for which a ticket is valid
-    """
-
-    decision_ms: int = 0
-    period_ms: int = 0
-    validity_ms: int = 0
-
-
 class QueueSpec(msgspec.Struct, frozen=True):
     """A queue and the requests that are routed to it.
 
@@ -117,6 +105,28 @@
                 return queue
         return None
 
+    def current_queue(
+        self, name: QueueName, host: str, prefix: str
+    ) -> QueueSpec | None:
+        """Return the queue that jobs accepted under a queue belong to now, if any.
+
+        Callers ask for a job under the address at which it was accepted, so that
+        decides. Names are free: a version may give a queue another name, or its name to
+        another queue.
+        """
+        return self._by_prefix.get((host, prefix)) or self.queues.get(name)
+
+    def advice_for(self, job: JobSpec) -> AdviceSpec | None:
+        """Return the advice that the starts of an accepted job need, if any.
+
+        The newest version of its queue decides. Without one, or if that sends its jobs
+        to another pool, the job keeps the advice under which it was accepted.
+        """
+        queue = self.current_queue(job.queue, job.host, job.prefix)
+        if queue is None or queue.service != job.service:
+            return job.advice
+        return queue.advice
+
     @functools.cached_property
     def _by_prefix(self) -> dict[tuple[str, str], QueueSpec]:
         return {(q.host, q.prefix): q for q in self.queues.values()}
--- a/primrosepitch/scheduling/expansion.py
+++ b/primrosepitch/scheduling/expansion.py
@@ -9,7 +9,7 @@
 import math
 from collections.abc import Iterator
 
-from primrosepitch.jobs.model import JobSpec, Resources, TaskKey
+from primrosepitch.jobs.model import AdviceSpec, JobSpec, TaskKey
 from primrosepitch.jobs.records import TASKS_PER_RECORD
 from primrosepitch.scheduling.state import (
     JobRun,
@@ -38,6 +38,11 @@
 pass places fewer."""
 
 
+DEMANDED_ADVICE = AdviceSpec(validity_ms=1000)
+"""Advice of a queue of which only the refusal of a start shows that it has any. Tickets
+count as valid for as long as those of the shortest advice that is of use."""
+
+
 def expand_job(state: SchedulerState, spec: JobSpec) -> JobRun:
     """Return a job with what is derived from its steps, without any occurrence."""
     ordinals = [0]
@@ -92,10 +97,12 @@
 
 
 def assess_servability(state: SchedulerState, job: JobRun) -> None:
-    """Find the steps of a job that the known endpoints can run."""
+    """Find the steps of a job that the known endpoints can run, and its advice."""
     job.servability_epoch = state.servability.epoch
-    workspace = state.cfg.workspaces.get(job.spec.workspace)
-    limit = workspace.limit if workspace is not None else Resources()
+    job.advice = state.cfg.advice_for(job.spec)
+    if job.advice is None and state.now < job.demand_until:
+        job.advice = job.spec.advice or DEMANDED_ADVICE
+    limit = state.limit_of(job.spec.workspace)
     unservable = state.servability.unservable_steps(job.spec, limit)
     job.work = sum(
         step.tasks * step.task_work
--- a/primrosepitch/scheduling/leases.py
+++ b/primrosepitch/scheduling/leases.py
@@ -486,9 +486,12 @@
 
 
 def _checks_admission(state: SchedulerState, endpoint: Endpoint) -> bool:
-    """Return whether an endpoint refuses tasks that exceed its capacity."""
+    """Return whether an endpoint certainly refuses tasks that exceed its capacity.
+
+    That of a service that the configuration does not contain may not.
+    """
     service = state.cfg.services.get(endpoint.report.service)
-    return service is None or service.admission_check
+    return service is not None and service.admission_check
 
 
 def _next_poll_at(
--- a/primrosepitch/scheduling/limits.py
+++ b/primrosepitch/scheduling/limits.py
@@ -15,13 +15,10 @@
 
     Runs count from their placement, even before it is durable, until they have stopped.
     """
-    spec = state.cfg.workspaces.get(workspace)
-    if spec is None:
-        return True
     total = state.usage.get(workspace, Resources()).add(extra)
     return all(
         limit <= 0 or amount <= limit
-        for limit, amount in zip(spec.limit, total, strict=True)
+        for limit, amount in zip(state.limit_of(workspace), total, strict=True)
     )
 
 
@@ -44,19 +41,15 @@
         :returns: ``waiting`` at most; 0 for a gang that the limit does not admit whole
         """
         workspace = ready.job.spec.workspace
-        spec = self._state.cfg.workspaces.get(workspace)
-        if spec is None:
-            return waiting
+        limits = self._state.limit_of(workspace)
         counted = self._counted.get(workspace, Resources())
         used = self._state.usage.get(workspace, Resources()).add(counted)
         each = ready.step.spec.quota_request
-        if any(
-            0 < limit < amount for limit, amount in zip(spec.limit, used, strict=True)
-        ):
+        if any(0 < limit < amount for limit, amount in zip(limits, used, strict=True)):
             return 0
         counts = [
             (limit - amount) // need
-            for limit, amount, need in zip(spec.limit, used, each, strict=True)
+            for limit, amount, need in zip(limits, used, each, strict=True)
             if limit > 0 and need > 0
         ]
         most = min([waiting, *counts])
--- a/primrosepitch/scheduling/ordering.py
+++ b/primrosepitch/scheduling/ordering.py
@@ -171,7 +171,9 @@
     """
     if job.ending or job.state.final:
         return []
-    if job.servability_epoch != state.servability.epoch:
+    demand_ends = 0.0 < job.demand_until <= state.now
+    if demand_ends or job.servability_epoch != state.servability.epoch:
+        job.demand_until = 0.0 if demand_ends else job.demand_until
         assess_servability(state, job)
     open_due_occurrences(state, job)
     found: list[ReadyStep] = []
--- a/primrosepitch/scheduling/placement.py
+++ b/primrosepitch/scheduling/placement.py
@@ -63,6 +63,10 @@
 TICKET_MARGIN_S = 0.3
 """Minimum remaining validity of a ticket; longer than a start order takes to arrive."""
 
+MAX_ADVICE_REQUESTS = 16
+"""Maximum number of requests for advice under way. The service handles one at a time
+and rejects what 32 wait before; steps of higher rank shall not wait behind many."""
+
 MAX_ADVICE_ENDPOINTS = 20
 """Maximum number of endpoints in a request for advice; the service takes time for
 each."""
@@ -222,7 +226,10 @@
     if (workspace, spec.quota_request) in capacity.capped:
         _pass_over(state, ready, "upper limit")
         return effects
-    if not (requires_advice(state, ready) or capacity.offers(service, spec)):
+    if state.now < ready.step.not_before:
+        _pass_over(state, ready, "starts refused")
+        return effects
+    if not (requires_advice(ready) or capacity.offers(service, spec)):
         capacity.full.add(demand)
         _pass_over(state, ready, "no endpoint")
         return effects + log_unplaceable(state, ready.job)
@@ -471,7 +478,10 @@
     """Place all members of a gang under one run number, or none."""
     spec = ready.step.spec
     service = ready.job.spec.service
-    if not (requires_advice(state, ready) or capacity.offers(service, spec)):
+    if state.now < ready.step.not_before:
+        _pass_over(state, ready, "starts refused")
+        return []
+    if not (requires_advice(ready) or capacity.offers(service, spec)):
         _pass_over(state, ready, "no endpoint")
         return log_unplaceable(state, ready.job)
     demand = (service, spec, ready.task_count)
@@ -554,8 +564,8 @@
 
     :returns: the endpoints, and a request for more advice if they are too few
     """
-    queue = state.cfg.queues.get(ready.job.spec.queue)
-    if queue is None or queue.advice is None:
+    advice = ready.job.advice
+    if advice is None:
         return pool, []
     step = ready.key
     tickets = state.tickets.get(step, {})
@@ -568,6 +578,8 @@
     fitting = sum(_count_fitting(ready, endpoint) for endpoint in allowed)
     if fitting >= ready.task_count or step in state.advice_pending:
         return allowed, []
+    if len(state.advice_pending) >= MAX_ADVICE_REQUESTS:
+        return allowed, []
     already_requested = state.advice_requested.setdefault(step, set())
     expired = [e for e in pool if e.id in tickets and e not in allowed]
     fresh = [
@@ -581,13 +593,12 @@
         return allowed, []
     state.advice_pending.add(step)
     ids = tuple(endpoint.id for endpoint in requested)
-    return allowed, [RequestAdvice(step, ids, queue.advice.validity_ms / 1000)]
+    return allowed, [RequestAdvice(step, ids, advice.validity_ms / 1000)]
 
 
-def requires_advice(state: SchedulerState, ready: ReadyStep) -> bool:
+def requires_advice(ready: ReadyStep) -> bool:
     """Return whether a step runs only where the advice of its queue allows it."""
-    queue = state.cfg.queues.get(ready.job.spec.queue)
-    return queue is not None and queue.advice is not None
+    return ready.job.advice is not None
 
 
 def may_be_advised(state: SchedulerState, ready: ReadyStep, endpoint: Endpoint) -> bool:
@@ -595,7 +606,7 @@
 
     While requests for advice remain unanswered, only tickets count.
     """
-    if not requires_advice(state, ready):
+    if not requires_advice(ready):
         return True
     if endpoint.id in state.tickets.get(ready.key, {}):
         return True
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -208,6 +208,8 @@
 def _configuration_changed(
     state: SchedulerState, event: ev.ConfigurationChanged
 ) -> list[Effect]:
+    for name, workspace in state.cfg.workspaces.items():
+        state.former_limits[name] = workspace.limit
     state.cfg = event.cfg
     state.servability.set_lending(event.cfg.spare_pool() is not None)
     # Upper limits of workspaces may have changed.
@@ -308,11 +310,20 @@
     return []
 
 
+ADVICE_RETRY_PAUSE_S = 0.2
+"""Pause after a request for advice that was not answered, or was rejected."""
+
+
 @_handles(ev.AdviceReceived)
 def _advice_received(state: SchedulerState, event: ev.AdviceReceived) -> list[Effect]:
     state.advice_pending.discard(event.step)
+    job = state.jobs.get(event.step[0])
+    steps = job.steps.get(event.step[1]) if job is not None else None
+    if steps is None:
+        return []
     if event.allowed is None:
         state.advice_failed.add(event.step)
+        steps[event.step[2]].not_before = event.now + ADVICE_RETRY_PAUSE_S
         return []
     state.advice_failed.discard(event.step)
     state.advice_requested.setdefault(event.step, set()).update(event.requested)
--- a/primrosepitch/scheduling/runs.py
+++ b/primrosepitch/scheduling/runs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from math import inf
+
 from primrosepitch.events import (
     ENDPOINT_EJECTED,
     JOB_ENDED,
@@ -20,11 +22,13 @@
     task_name,
 )
 from primrosepitch.jobs.records import JobEntry, StoredRuns, TaskRecord
+from primrosepitch.scheduling.availability import step_of
 from primrosepitch.scheduling.contention import record_work
 from primrosepitch.scheduling.crashes import clear_survivor, in_trial, refute_listed
 from primrosepitch.scheduling.effects import Effect, StopRun, WriteLog
 from primrosepitch.scheduling.events import EndedRun, EndKind, Outcome
 from primrosepitch.scheduling.expansion import (
+    assess_servability,
     create_tasks,
     expand_job,
     find_task,
@@ -110,6 +114,8 @@
 
 def add_job(state: SchedulerState, spec: JobSpec) -> JobRun:
     """Add an accepted job and open the occurrences that are due."""
+    if spec.workspace not in state.cfg.workspaces and any(spec.limit):
+        state.former_limits.setdefault(spec.workspace, spec.limit)
     job = expand_job(state, spec)
     job.over_share = exceeds_share(state, spec)
     record_work(state, job)
@@ -558,6 +564,10 @@
         return _withdraw_run(state, task)
     if outcome is Outcome.DONE:
         record_begun(state, task.key.job)
+        step_of(state, task).refusals = 0
+        job = state.jobs[task.key.job]
+        if job.demand_until:
+            job.demand_until = inf
     if outcome in (Outcome.DONE, Outcome.SUPERSEDED):
         task.started_at = state.now
         if task.phase is Phase.STARTING:
@@ -575,7 +585,9 @@
         endpoint.ejected_until = state.now + REFUSAL_EJECTION_S
         task.avoid_endpoint = endpoint.id
     if outcome is Outcome.NO_TICKET:
-        state.forget_advice(task.key[:3], endpoint.id)
+        _record_missing_ticket(state, task, endpoint)
+    if outcome in STEP_REFUSALS:
+        _delay_step(state, task)
     if task.unanswered:
         # The earlier order may have been carried out: the next poll shows whether the
         # run exists. It is stopped only if it does not.
@@ -584,6 +596,41 @@
     return run_lost(state, task, f"start refused: {outcome.value}")
 
 
+STEP_REFUSALS = (Outcome.NO_TICKET, Outcome.LEASE_EXPIRED, Outcome.REFUSED)
+"""Answers to a start that other endpoints may give as well. The first one is followed
+by another start at once."""
+
+TICKET_DEMAND_S = 3.0
+"""Time for which a job's starts get tickets that only an endpoint has demanded, until
+one of them has been carried out."""
+
+REFUSAL_PAUSE_S = 0.05
+"""Pause after the second refusal of a step's starts in succession; it doubles with each
+further one."""
+
+MAX_REFUSAL_PAUSE_S = 1.6
+
+
+def _delay_step(state: SchedulerState, task: Task) -> None:
+    """Let a step wait whose starts are refused again and again."""
+    step = step_of(state, task)
+    step.refusals += 1
+    if step.refusals > 1:
+        pause_s = REFUSAL_PAUSE_S * 2 ** min(step.refusals - 2, 10)
+        step.not_before = state.now + min(pause_s, MAX_REFUSAL_PAUSE_S)
+
+
+def _record_missing_ticket(
+    state: SchedulerState, task: Task, endpoint: Endpoint
+) -> None:
+    """Request advice again, also if the configuration does not require any."""
+    job = state.jobs[task.key.job]
+    if job.advice is None:
+        job.demand_until = state.now + TICKET_DEMAND_S
+        assess_servability(state, job)
+    state.forget_advice(task.key[:3], endpoint.id)
+
+
 def _withdraw_run(state: SchedulerState, task: Task) -> list[Effect]:
     """Release a task whose endpoint was never told of its run."""
     fields = {
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from primrosepitch.jobs.model import (
+    AdviceSpec,
     DataCentreName,
     EndpointId,
     JobId,
@@ -201,6 +202,8 @@
     :param tasks: tasks created so far, which are the first ones of the step
     :param waiting: those that wait, by index
     :param ready_at: boot-time clock at which its dependencies were found to be done
+    :param refusals: number of its starts that were refused in succession
+    :param not_before: boot-time clock before which no task of it is placed again
     :param done_tasks: number of tasks, from the first, that are known to be done
     :param done_dependencies: number of dependencies, from the first, known to be done
     """
@@ -209,6 +212,8 @@
     tasks: list[Task] = msgspec.field(default_factory=list)
     waiting: dict[int, Task] = msgspec.field(default_factory=dict)
     ready_at: float = 0.0
+    refusals: int = 0
+    not_before: float = 0.0
     done_tasks: int = 0
     done_dependencies: int = 0
 
@@ -251,7 +256,12 @@
     :param dependents: numbers of the steps that depend on each step
     :param unservable: numbers of the steps that no known endpoint can run, and of those
         that depend on them
-    :param servability_epoch: state of the known endpoints that this was computed from
+    :param servability_epoch: state of the known endpoints and of the configuration that
+        this and ``advice`` were computed from
+    :param advice: advice that its starts need; ``None`` if they need none
+    :param demand_until: boot-time clock until which its starts need tickets, since an
+        endpoint has refused one without; infinite once one with a ticket was carried
+        out
     :param placed: tasks for which capacity of an endpoint is reserved
     :param parts: tasks created so far, by the part with whose record their runs are
         stored
@@ -283,6 +293,8 @@
     dependents: dict[int, list[int]] = msgspec.field(default_factory=dict)
     unservable: frozenset[int] = frozenset()
     servability_epoch: int = -1
+    advice: AdviceSpec | None = None
+    demand_until: float = 0.0
     placed: dict[TaskKey, Task] = msgspec.field(default_factory=dict)
     parts: dict[int, list[Task]] = msgspec.field(default_factory=dict)
     first_ordinals: tuple[int, ...] = ()
@@ -642,6 +654,7 @@
     :param now: boot-time clock of the newest event
     :param wall_ms: Unix time of the newest tick
     :param term_started_at: boot-time clock at which the term was acquired
+    :param former_limits: upper limits of workspaces that the configuration lacks
     :param newest_endpoint: newest endpoint of each instance
     :param outlived_runs: number of runs that were listed as active after they had
         counted as lost
@@ -722,6 +735,7 @@
     prior_leases_until: float = 0.0
     prior_orders_until: float = 0.0
     cfg: Configuration = msgspec.field(default_factory=Configuration)
+    former_limits: dict[WorkspaceName, Resources] = msgspec.field(default_factory=dict)
     jobs: dict[JobId, JobRun] = msgspec.field(default_factory=dict)
     finished: dict[JobId, int] = msgspec.field(default_factory=dict)
     ending_jobs: dict[JobId, JobRun] = msgspec.field(default_factory=dict)
@@ -859,6 +873,22 @@
         self.tickets.get(step, {}).pop(endpoint, None)
         self.advice_requested.get(step, set()).discard(endpoint)
 
+    def drop_advice(self, step: tuple[JobId, int, int]) -> None:
+        """Drop all advice on a step that will not start any more."""
+        self.tickets.pop(step, None)
+        self.advice_requested.pop(step, None)
+        self.advice_failed.discard(step)
+
+    def limit_of(self, workspace: WorkspaceName) -> Resources:
+        """Return the upper limit of a workspace; an amount of 0 means no limit.
+
+        One that the configuration does not contain any more keeps its last limit.
+        """
+        spec = self.cfg.workspaces.get(workspace)
+        if spec is not None:
+            return spec.limit
+        return self.former_limits.get(workspace, Resources())
+
     def endpoint_on(self, instance: str) -> Endpoint | None:
         """Return the newest endpoint that has reported from an instance."""
         return self.newest_endpoint.get(instance)
--- a/standins/large_jobs.py
+++ b/standins/large_jobs.py
@@ -7,6 +7,7 @@
 from msgspec import structs
 
 from primrosepitch.jobs.model import (
+    AdviceSpec,
     JobId,
     JobSpec,
     QueueName,
@@ -17,7 +18,6 @@
 )
 from primrosepitch.scheduling import events as ev
 from primrosepitch.scheduling.configuration import (
-    AdviceSpec,
     QueueSpec,
     WorkspaceSpec,
 )
--- a/standins/scheduler_world.py
+++ b/standins/scheduler_world.py
@@ -539,6 +539,7 @@
         self.failure_rate = 0.0
         self.checkpoint_length = 0
         self.duration_sigma = 0.0
+        self.always_tickets = False
         self.admission: Callable[[SchedulerWorld, JobSpec], int] | None = None
         self.refused: dict[JobId, JobSpec] = {}
         self.first_attempt_at: dict[JobId, float] = {}
@@ -846,6 +847,8 @@
 
     def requires_ticket(self, task: TaskKey) -> bool:
         """Return whether a start of a task must carry a ticket."""
+        if self.always_tickets:
+            return True
         queue = self.cfg.queues.get(self.specs[task.job].queue)
         return queue is not None and queue.advice is not None
 
