Complete a wave only on evidence from after its request

Cause: instances of a wave that the newest list lacks counted as gone. The list was judged by when it was answered in this term, not by whether its request began after the wave was read; and a status that is final rested on one list. Class: absence taken as proof.

Change: a list carries the time at which it was requested. An instance is gone when two complete lists in succession lack it that were requested after the wave was read, no endpoint reports from it, and it was seen before; one that was never seen is waited for until the wave has to end. An order that is refused, or answered with an unknown status, is no maintenance; it is repeated with growing pauses. What was seen and that a wave is complete is stored, so that a successor neither judges anew nor reports running again. A rewritten wave replaces the one before. A list that was requested before an order does not undo what its answer showed.

--- a/primrosepitch/jobs/records.py
+++ b/primrosepitch/jobs/records.py
@@ -206,11 +206,15 @@
 
     :param begun: instances whose maintenance has begun
     :param ordered: instances whose maintenance order may take effect at any time
+    :param seen: instances that were listed or had an endpoint
+    :param done: whether it is complete, which is reported to the operators
     """
 
     wave: int
     begun: list[str]
     ordered: list[str] = []
+    seen: list[str] = []
+    done: bool = False
 
 
 class OpenMoves(msgspec.Struct):
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -281,8 +281,9 @@
         self._dispatch(ev.ConfigurationChanged(cfg))
 
     def add_wave(self, wave: WaveSpec) -> None:
-        """Pass a maintenance wave to the reducer, once."""
-        if wave.wave not in self._waves:
+        """Pass a maintenance wave to the reducer, unless it requests nothing new."""
+        known = self._waves.get(wave.wave)
+        if known is None or not known.asks_same(wave):
             self._waves[wave.wave] = wave
             self._dispatch(ev.WaveRequested(wave))
 
--- a/primrosepitch/scheduling/commits.py
+++ b/primrosepitch/scheduling/commits.py
@@ -254,8 +254,14 @@
     for wave in state.waves.values():
         if wave.dirty:
             wave.dirty = False
-            begun, ordered = sorted(wave.begun), sorted(wave.ordered)
-            records.append(encode(WaveProgress(wave.spec.wave, begun, ordered)))
+            progress = WaveProgress(
+                wave.spec.wave,
+                sorted(wave.begun),
+                sorted(wave.ordered),
+                sorted(wave.seen),
+                wave.done,
+            )
+            records.append(encode(progress))
     if renewal and not records:
         records.append(encode(Term(state.term, state.node, state.nonce)))
     # The records that follow are no heartbeat to other nodes.
--- a/primrosepitch/scheduling/configuration.py
+++ b/primrosepitch/scheduling/configuration.py
@@ -84,6 +84,16 @@
     due: float
     most_at_once: int
 
+    def asks_same(self, other: WaveSpec) -> bool:
+        """Return whether another record of the wave requests the same.
+
+        The time by which it is due follows from the time at which the record was read.
+        """
+        return (self.instances, self.most_at_once) == (
+            other.instances,
+            other.most_at_once,
+        )
+
 
 class Configuration(msgspec.Struct, dict=True):
     """Configuration in force; it may contain thousands of queues.
--- a/primrosepitch/scheduling/instance_orders.py
+++ b/primrosepitch/scheduling/instance_orders.py
@@ -14,7 +14,12 @@
 from __future__ import annotations
 
 from primrosepitch.jobs.model import ServiceName
-from primrosepitch.scheduling.effects import Effect, MoveInstance, StartMaintenance
+from primrosepitch.scheduling.effects import (
+    Effect,
+    ListInstances,
+    MoveInstance,
+    StartMaintenance,
+)
 from primrosepitch.scheduling.events import Outcome
 from primrosepitch.scheduling.state import (
     TERM_CONFIRMATION_S,
@@ -31,6 +36,7 @@
     "instance_orders_expire_at",
     "has_open_order",
     "leaves_uncertain",
+    "list_instances",
     "maintenance_order",
     "may_order_instances",
     "move_order",
@@ -73,6 +79,15 @@
     return state.term_confirmed and state.now >= first_at
 
 
+def list_instances(state: SchedulerState) -> list[Effect]:
+    """Request the list of instances, unless a request is under way."""
+    if state.listing_pending:
+        return []
+    state.listing_pending = True
+    state.listing_began_at = state.now
+    return [ListInstances()]
+
+
 def move_order(state: SchedulerState, instance: str, pool: ServiceName) -> MoveInstance:
     """Return an order to move an instance to a pool."""
     return MoveInstance(instance, pool, state.term, _send_by(state))
@@ -122,6 +137,8 @@
     progress = state.stored_waves.get(wave.spec.wave)
     if progress is not None:
         wave.begun.update(progress.begun)
+        wave.seen.update(progress.seen)
+        wave.done = progress.done
         open_orders = set(progress.ordered) - wave.begun
         wave.ordered |= open_orders
         wave.uncertain |= open_orders
--- a/primrosepitch/scheduling/lending.py
+++ b/primrosepitch/scheduling/lending.py
@@ -17,7 +17,6 @@
 from primrosepitch.jobs.model import Resources, ServiceName
 from primrosepitch.scheduling.effects import (
     Effect,
-    ListInstances,
     WriteLog,
 )
 from primrosepitch.scheduling.evacuation import (
@@ -39,6 +38,7 @@
     JOIN_SLACK_S,
     LENDING_REASON,
     leaves_uncertain,
+    list_instances,
     may_order_instances,
     move_order,
 )
@@ -142,9 +142,8 @@
         return []
     state.last_lending_at = state.now
     effects: list[Effect] = []
-    if not state.listing_pending and state.now - state.listed_at >= LIST_INTERVAL_S:
-        state.listing_pending = True
-        effects.append(ListInstances())
+    if state.now - state.listed_at >= LIST_INTERVAL_S:
+        effects += list_instances(state)
     if state.listed_at < state.term_started_at:
         return effects
     _drop_finished_moves(state, spare)
--- a/primrosepitch/scheduling/maintenance.py
+++ b/primrosepitch/scheduling/maintenance.py
@@ -9,7 +9,6 @@
 from primrosepitch.scheduling.configuration import WaveSpec
 from primrosepitch.scheduling.effects import (
     Effect,
-    ListInstances,
     ReportWaveStatus,
     WriteLog,
 )
@@ -23,6 +22,7 @@
 from primrosepitch.scheduling.instance_orders import (
     MAINTENANCE_REASON,
     leaves_uncertain,
+    list_instances,
     maintenance_order,
     may_order_instances,
     restore_wave,
@@ -62,16 +62,36 @@
 """Factor on the minimum duration of the rest of a wave, in the test whether it is
 urgent: a takeover and the draining of busy instances take about as long again."""
 
+MIN_ABSENT_LISTS = 2
+"""Number of lists in succession that lack an instance which has left the platform."""
+
+REFUSAL_PAUSE_S = 0.5
+"""Pause after an instance has refused an order for its maintenance; it doubles with
+each further refusal."""
+
+MAX_REFUSAL_PAUSE_S = 4.0
+
 LIST_INTERVAL_S = 1.5
 """Interval between listings of the instances during a wave."""
 
 
 def wave_requested(state: SchedulerState, spec: WaveSpec) -> list[Effect]:
-    """Add a wave that an operator requests."""
-    if spec.wave in state.waves:
+    """Add a wave that an operator requests, or replace what it requests."""
+    wave = state.waves.get(spec.wave)
+    if wave is not None and wave.spec.asks_same(spec):
         return []
-    wave = state.waves[spec.wave] = WaveRun(spec)
-    restore_wave(state, wave)
+    if wave is None:
+        wave = state.waves[spec.wave] = WaveRun(spec)
+        restore_wave(state, wave)
+    else:
+        wave.spec, wave.status, wave.done = spec, "", False
+        wave.absent.clear()
+        wave.selected.intersection_update(spec.instances)
+        wave.dirty = True
+    wave.requested_at = state.now
+    known = {e.report.instance for e in state.endpoints.values()}
+    wave.seen |= known.union(state.instances).intersection(spec.instances)
+    state.next_list_at = 0.0
     fields = {
         "wave": spec.wave,
         "instances": len(spec.instances),
@@ -89,7 +109,16 @@
     views = {view.instance: view for view in event.listing.instances}
     for view in views.values():
         state.servability.add_instance(view.capacity, view.labels)
+    began_at = state.listing_began_at
+    # The list may not show yet what an order has changed since it was requested.
+    for instance, changed_at in list(state.instances_changed.items()):
+        if changed_at < began_at:
+            del state.instances_changed[instance]
+        elif instance in views and instance in state.instances:
+            views[instance] = state.instances[instance]
     state.listing_complete = event.listing.complete
+    for wave in state.waves.values():
+        _record_presence(state, wave, views)
     # An incomplete list does not show which instances have left the platform.
     state.instances = views if state.listing_complete else state.instances | views
     state.listed_at = event.now
@@ -97,6 +126,25 @@
     return []
 
 
+def _record_presence(
+    state: SchedulerState, wave: WaveRun, views: dict[str, InstanceView]
+) -> None:
+    """Record which instances of a wave a new list contains."""
+    newer = state.listing_began_at > wave.requested_at
+    for instance in wave.spec.instances:
+        if instance in views:
+            del wave.absent[instance]
+            _mark_seen(wave, instance)
+        elif newer and state.listing_complete:
+            wave.absent[instance] += 1
+
+
+def _mark_seen(wave: WaveRun, instance: str) -> None:
+    if instance not in wave.seen:
+        wave.seen.add(instance)
+        wave.dirty = True
+
+
 def advance_waves(state: SchedulerState) -> list[Effect]:
     """Advance every open wave, and end the evacuations that none needs any more."""
     _end_evacuations(state)
@@ -104,9 +152,8 @@
     open_waves = [w for w in state.waves.values() if w.status != "completed"]
     if not open_waves or not may_order_instances(state, state.limits.instance_lease_s):
         return effects
-    if not state.listing_pending and state.now >= state.next_list_at:
-        state.listing_pending = True
-        effects.append(ListInstances())
+    if state.now >= state.next_list_at:
+        effects += list_instances(state)
     if state.listed_at < state.term_started_at:
         return effects
     for wave in sorted(open_waves, key=lambda w: w.spec.due):
@@ -116,6 +163,10 @@
 
 def _advance(state: SchedulerState, wave: WaveRun) -> list[Effect]:
     effects: list[Effect] = []
+    if wave.done:
+        # Its status may not have been reported before the last scheduler ended.
+        wave.status = "completed"
+        return [ReportWaveStatus(wave.spec.wave, completed=True)]
     if not wave.status:
         wave.status = "running"
         effects.append(ReportWaveStatus(wave.spec.wave, completed=False))
@@ -123,13 +174,15 @@
         effects.append(maintenance_order(state, instance, wave.spec.wave))
     wave.repeat.clear()
     not_begun = [i for i in wave.spec.instances if i not in wave.begun]
-    # Instances that have left the platform need no maintenance.
-    remaining = [i for i in not_begun if i in state.instances]
-    if not remaining and (state.listing_complete or not not_begun):
+    if all(_is_gone(state, wave, instance) for instance in not_begun):
         wave.status = "completed"
+        wave.done = wave.dirty = True
         wave.selected.clear()
-        effects.append(WriteLog(WAVE_COMPLETED, {"wave": wave.spec.wave}))
+        fields = {"wave": wave.spec.wave, "gone": len(not_begun)}
+        effects.append(WriteLog(WAVE_COMPLETED, fields))
         return [*effects, ReportWaveStatus(wave.spec.wave, completed=True)]
+    # Others have left the platform, or are not on it yet.
+    remaining = [i for i in not_begun if i in state.instances]
     wave.selected &= set(remaining)
     _maintain_drained(state, wave)
     effects += _select_next(state, wave, remaining)
@@ -141,6 +194,22 @@
     return effects
 
 
+def _is_gone(state: SchedulerState, wave: WaveRun, instance: str) -> bool:
+    """Return whether an instance is certain to have left the platform.
+
+    That a wave is complete is final. A list that was requested before the wave was read
+    may predate the instance, and one may lack it by chance. An instance that was never
+    seen may be about to come, so it is waited for until the wave has to end.
+    """
+    if instance in wave.ordered or wave.absent[instance] < MIN_ABSENT_LISTS:
+        return False
+    endpoint = state.endpoint_on(instance)
+    if endpoint is not None and endpoint.listed:
+        return False
+    ends_soon = state.now >= wave.spec.due - DEADLINE_MARGIN_S
+    return instance in wave.seen or ends_soon
+
+
 def _down_count(state: SchedulerState, wave: WaveRun) -> int:
     """Return the number of instances that are or may be down for the wave."""
     down = {i for i, at in wave.down_until.items() if state.now < at}
@@ -177,7 +246,11 @@
     Idle instances come first, up to the number that may be down. Busy ones are drained
     only as many at a time as are needed to complete the wave in time.
     """
-    candidates = [i for i in remaining if i not in wave.selected]
+    candidates = [
+        i
+        for i in remaining
+        if i not in wave.selected and state.now >= wave.not_before.get(i, 0.0)
+    ]
     candidates.sort(key=lambda i: _disruption_cost(state, state.instances[i]))
     idle = [i for i in candidates if _is_idle(state, state.instances[i])]
     max_idle = wave.spec.most_at_once - len(wave.selected)
@@ -285,11 +358,10 @@
         state.set_instance_state(event.instance, InstanceState.MAINTENANCE)
         wave.begun.add(event.instance)
         wave.selected.discard(event.instance)
-    elif event.outcome is Outcome.REFUSED:
-        wave.begun.add(event.instance)
-        wave.selected.discard(event.instance)
-        wave.down_until.pop(event.instance)
+        del wave.refusals[event.instance]
     else:
+        if event.outcome in (Outcome.REFUSED, Outcome.BUSY):
+            _delay_order(state, wave, event.instance)
         if not (was_uncertain and event.outcome is Outcome.BUSY):
             # A busy one may be down for the order that was not answered.
             wave.down_until[event.instance] = known_until
@@ -298,6 +370,13 @@
     return effects
 
 
+def _delay_order(state: SchedulerState, wave: WaveRun, instance: str) -> None:
+    """Let an instance wait that has refused an order; that proves no maintenance."""
+    pause_s = REFUSAL_PAUSE_S * 2 ** min(wave.refusals[instance], 10)
+    wave.refusals[instance] += 1
+    wave.not_before[instance] = state.now + min(pause_s, MAX_REFUSAL_PAUSE_S)
+
+
 def _end_evacuations(state: SchedulerState) -> None:
     """Allow tasks on endpoints that run on after their instance's maintenance.
 
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections import Counter
 from collections.abc import Iterator
 from math import inf
 from typing import NamedTuple
@@ -537,7 +538,14 @@
 class WaveRun(msgspec.Struct, eq=False):
     """Progress of a maintenance wave.
 
+    :param requested_at: boot-time clock at which it was read; what shows that an
+        instance is gone has to begin later
     :param begun: instances whose maintenance has begun
+    :param seen: instances that were listed or had an endpoint
+    :param absent: number of lists in succession that lacked an instance
+    :param refusals: number of its orders in succession that an instance refused
+    :param not_before: boot-time clock before which a refused order is not repeated
+    :param done: whether it is complete, as stored
     :param down_until: boot-time clock until which an instance counts as down
     :param ordered: instances whose maintenance order has not been answered, or is about
         to be sent
@@ -545,11 +553,17 @@
         maintenance may have begun or may still begin
     :param repeat: instances whose order is to be sent again
     :param selected: instances that are drained for maintenance
-    :param dirty: whether ``begun`` or ``ordered`` has changes that are not committed
+    :param dirty: whether what is stored of it has changes that are not committed
     """
 
     spec: WaveSpec
+    requested_at: float = 0.0
     begun: set[str] = msgspec.field(default_factory=set)
+    seen: set[str] = msgspec.field(default_factory=set)
+    absent: Counter[str] = msgspec.field(default_factory=Counter)
+    refusals: Counter[str] = msgspec.field(default_factory=Counter)
+    not_before: dict[str, float] = msgspec.field(default_factory=dict)
+    done: bool = False
     down_until: dict[str, float] = msgspec.field(default_factory=dict)
     ordered: set[str] = msgspec.field(default_factory=set)
     uncertain: set[str] = msgspec.field(default_factory=set)
@@ -689,6 +703,9 @@
     :param evacuated: data centres in which no task may start, see ``evacuation``
     :param evacuations_logged_at: boot-time clock at which their state was last logged
     :param listing_pending: whether a listing of the instances is in progress
+    :param listing_began_at: boot-time clock at which the newest listing was requested
+    :param instances_changed: boot-time clock of the newest answer to an order that has
+        changed the state of an instance
     :param listing_complete: whether every instance of the newest list could be read
     :param moves: moves that have been ordered, by instance
     :param immovable: pairs of instance and pool whose move was refused
@@ -783,6 +800,8 @@
     evacuations_logged_at: float = 0.0
     instances: dict[str, InstanceView] = msgspec.field(default_factory=dict)
     listing_pending: bool = False
+    listing_began_at: float = 0.0
+    instances_changed: dict[str, float] = msgspec.field(default_factory=dict)
     listing_complete: bool = False
     listed_at: float = 0.0
     next_list_at: float = 0.0
@@ -835,6 +854,7 @@
         if view is not None:
             pool = view.pool if pool is None else pool
             self.instances[instance] = view._replace(state=new_state, pool=pool)
+            self.instances_changed[instance] = self.now
 
     def add_endpoint(self, endpoint: Endpoint) -> None:
         """Add an endpoint and update the newest one of its instance."""
