--- a/features/denials.feature
+++ b/features/denials.feature
@@ -36,3 +36,23 @@
     Given an intake whose configuration is about to be replaced
     When a caller requests a queue with an unknown name
     Then the response has status 200
+
+  # Guards against a queue whose host the operator has written in upper case, and that no
+  # request ever reaches.
+  Scenario Outline: A host is the same in upper and in lower case
+    Given a manifest with a queue of host <configured>
+    When a caller requests that queue at host <requested>
+    Then the response has status 200
+
+    Examples:
+      | configured | requested  |
+      | Rota.Steyr | rota.steyr |
+      | rota.steyr | ROTA.STEYR |
+      | Rota.Steyr | Rota.Steyr |
+
+  # Guards against refusing the ids of callers that write hexadecimal digits in upper
+  # case.
+  Scenario: An id may be written in upper case
+    Given a manifest with a queue of host h
+    When a caller asks for job 5C0E7A21D94B36F8 of that queue
+    Then the response has status 410
--- a/features/malformed_messages.feature
+++ b/features/malformed_messages.feature
@@ -279,3 +279,9 @@
   Scenario: A record that raises an unexpected error is skipped
     Given a change feed whose decoder raises an unexpected error for one of three records
     Then the other two are read, and the feed goes on
+
+  # Guards against reading the first page again and again, since the last one names an
+  # empty token instead of none.
+  Scenario: A list of machines ends with a page whose token is empty
+    Given a list of machines whose only page has an empty token
+    Then it is read once
--- a/features/steps/denials.py
+++ b/features/steps/denials.py
@@ -1,7 +1,9 @@
 """Steps for denials by a configuration that may be out of date."""
 
 import asyncio
+import json
 
+from adapter.configuration import decode_configuration
 from adapter.intake import HttpIntake
 from behave import given, then, when
 
@@ -9,6 +11,7 @@
 from primrosepitch.metrics import Metrics
 from primrosepitch.net.http_messages import HttpRequest
 from primrosepitch.net.http_server import Exchange
+from primrosepitch.node.job_intake import IntakeOutcome
 from primrosepitch.scheduling.configuration import Configuration, QueueSpec
 
 
@@ -44,6 +47,9 @@
     def count_queued(self, queue, cfg):
         return 0
 
+    async def find(self, job):
+        return IntakeOutcome.NO_SUCH_JOB
+
 
 class Connection:
     """Connection that stores the response."""
@@ -100,3 +106,39 @@
 @then("the response has status {status:d}")
 def step_status(context, status):
     assert context.response.status == status, context.response
+
+
+class ManifestInForce:
+    """Configuration in force that was decoded from an operator's manifest."""
+
+    outdated = False
+
+    def __init__(self, host):
+        route = {"name": "q", "host": host, "path_prefix": "/q/", "service": "s"}
+        tenant = {"name": "w", "api_keys": ["right"]}
+        manifest = {"version": 1, "routes": [route], "tenants": [tenant]}
+        self.cfg = decode_configuration(json.dumps(manifest).encode())
+
+    async def wait_until_current(self, deadline):
+        return True
+
+
+@given("a manifest with a queue of host {host}")
+def step_manifest(context, host):
+    context.host = host
+    context.intake = HttpIntake(EmptyIntake(), ManifestInForce(host), Metrics())
+
+
+@when("a caller requests that queue at host {host}")
+def step_host(context, host):
+    request_path(context, host, "/q/")
+
+
+@when("a caller asks for job {job} of that queue")
+def step_ask(context, job):
+    request_path(context, context.host, f"/q/{job}")
+
+
+def request_path(context, host, path):
+    headers = [(b"host", host.encode()), (b"authorization", b"Bearer right")]
+    _send(context, HttpRequest(b"GET", path.encode(), headers))
--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -1057,3 +1057,18 @@
     "an endpoint's report": (damaged(REPORT | {"remaining_ms": 5}), read_report),
     "the operators": (damaged(MANIFEST | WAVE), read_operator_records),
 }
+
+
+@given("a list of machines whose only page has an empty token")
+def step_empty_token(context):
+    context.client = platform_client(b'{"machines":[],"next_token":""}')
+
+
+@then("it is read once")
+def step_read_once(context):
+    async def body():
+        async with asyncio.timeout(1.0):
+            return await context.client.list_instances()
+
+    listing = asyncio.run(body())
+    assert listing.complete and not listing.instances, listing
