Store the cancelling of a job whose append may still be carried out

Cause: DELETE and GET took the end of the ledger as proof that there is no such job, while the node's own append had no outcome; other nodes, and the node after a restart, can't know of it. A cancelling of a job that the ledger lacked was not stored, and a scheduler passed over one that it read before its job.

Change: the cancelling is stored in any case, and acknowledged only then; a job whose cancelling came first never runs, whoever reads it in whatever order. It is removed after its retention. While an append of its own has no outcome (15 s), a node answers GET with 503 instead of 410, and a repeated POST gets no promise that the job never runs. A POST after such a cancelling is answered 503, as it never runs; its id may be used again after the retention.

Weighed against it: fencing the append by a higher epoch of the producer proves its absence to the node that sent it, and to no other.

--- a/primrosepitch/node/job_intake.py
+++ b/primrosepitch/node/job_intake.py
@@ -50,6 +50,10 @@
 OVERLOAD_RETRY_S = 5
 """Time after which a caller may submit a job again that was refused for that reason."""
 
+UNRESOLVED_S = 15.0
+"""Time for which an append without an answer may still be carried out. The platform
+documents seconds; afterwards the ledger is taken at its word."""
+
 BACKLOG_MAX_AGE_S = 2.0
 """Age beyond which the scheduler's backlog record is ignored; the scheduler writes it
 every 0.5 s."""
@@ -99,6 +103,7 @@
     NOT_ACCEPTED = "not_accepted"
     UNKNOWN = "unknown"
     NO_SUCH_JOB = "no_such_job"
+    WAS_CANCELLED = "was_cancelled"
     UNAVAILABLE = "unavailable"
     INVALID = "invalid"
 
@@ -106,7 +111,9 @@
 class JobIntake:
     """Accepts jobs into the ledger, and reports and cancels them.
 
-    A job counts as accepted only when the store has acknowledged its append.
+    A job counts as accepted only when the store has acknowledged its append. While an
+    append of this node has no outcome, the node knows neither that the job exists nor
+    that it does not.
 
     :param record_bytes: maximum size of a record in the store
     """
@@ -121,6 +128,8 @@
         self.first_attempts = FirstAttempts(follower, appender)
         self._pending: dict[JobId, asyncio.Task[IntakeOutcome]] = {}
         self._accepted: dict[JobId, JobSpec] = {}
+        self._unresolved: dict[JobId, float] = {}
+        self._cancelled: dict[JobId, float] = {}
 
     async def submit(
         self, spec: JobSpec, deadline: float
@@ -131,6 +140,10 @@
         """
         if self._is_known(spec.job):
             return IntakeOutcome.ACCEPTED
+        if self._was_cancelled(spec.job):
+            fields = {"job": spec.job, "queue": spec.queue, "workspace": spec.workspace}
+            emit(JOB_REFUSED, **fields, reason="the id was cancelled before")
+            return IntakeOutcome.WAS_CANCELLED
         first_ms = self.first_attempts.first_ms(spec.job, spec.accepted_ms)
         spec = replace(spec, first_attempt_ms=first_ms)
         size = record_size(*encode(spec))
@@ -140,7 +153,7 @@
             emit(JOB_REFUSED, **fields, reason=reason)
             return TooLarge(size, self._record_bytes)
         task = self._pending.get(spec.job)
-        if task is None:
+        if task is None and not self._is_unresolved(spec.job):
             rejection = await self._check_admission(spec)
             if rejection is not None:
                 return rejection
@@ -199,6 +212,18 @@
         """Store nothing more; what waits for the store gets its outcome now."""
         self._appender.close()
 
+    def _was_cancelled(self, job: JobId) -> bool:
+        """Return whether a job was cancelled before the ledger contained it."""
+        if self._cancelled.get(job, 0.0) > clock.monotonic():
+            return True
+        entry = self._follower.ledger.jobs.get(job)
+        return entry is not None and entry.spec is None and entry.cancelled is not None
+
+    def _is_unresolved(self, job: JobId) -> bool:
+        """Return whether an append of a job may still be carried out."""
+        unresolved_until = self._unresolved.get(job, 0.0)
+        return job in self._pending or unresolved_until > clock.monotonic()
+
     def _is_known(self, job: JobId) -> bool:
         return (
             job in self._accepted
@@ -215,11 +240,20 @@
             emit(JOB_REFUSED, **fields, reason=str(exc))
             return IntakeOutcome.INVALID
         except StoreUnavailableError as exc:
+            if self._unresolved.get(spec.job, 0.0) > clock.monotonic():
+                # An earlier append of the same job may still be carried out.
+                emit(JOB_OUTCOME_UNKNOWN, **fields, reason=str(exc))
+                return IntakeOutcome.UNKNOWN
             emit(JOB_REFUSED, **fields, reason=str(exc))
             return IntakeOutcome.NOT_ACCEPTED
         except StoreUnknownError as exc:
+            _remember(self._unresolved, spec.job)
             emit(JOB_OUTCOME_UNKNOWN, **fields, reason=str(exc))
             return IntakeOutcome.UNKNOWN
+        except asyncio.CancelledError:
+            _remember(self._unresolved, spec.job)
+            raise
+        self._unresolved.pop(spec.job, None)
         took_ms = round((clock.monotonic() - started_at) * 1000, 1)
         self._accepted[spec.job] = spec
         waited_ms = spec.accepted_ms - spec.attempted_ms
@@ -233,7 +267,8 @@
     async def find(self, job: JobId) -> JobEntry | IntakeOutcome:
         """Return the entry of a job.
 
-        ``NO_SUCH_JOB`` is returned only after reading to the end of the ledger.
+        ``NO_SUCH_JOB`` is returned only after reading to the end of the ledger, and
+        while no append of this node may still add the job.
         """
         entry = self._lookup(job)
         if entry is not None:
@@ -242,7 +277,11 @@
             await self._follower.catch_up()
         except StoreUnavailableError:
             return IntakeOutcome.UNAVAILABLE
-        return self._lookup(job) or IntakeOutcome.NO_SUCH_JOB
+        entry = self._lookup(job)
+        if entry is not None:
+            return entry
+        unresolved = self._is_unresolved(job)
+        return IntakeOutcome.UNAVAILABLE if unresolved else IntakeOutcome.NO_SUCH_JOB
 
     def _lookup(self, job: JobId) -> JobEntry | None:
         entry = self._follower.ledger.accepted_entry(job)
@@ -251,12 +290,27 @@
         return entry
 
     async def cancel(self, job: JobId, deadline: float) -> IntakeOutcome:
-        """Append the cancellation of a job, unless the job has ended."""
-        found = await self.find(job)
-        if isinstance(found, IntakeOutcome):
-            return found
-        if found.state.final:
+        """Append the cancellation of a job, unless the job has ended.
+
+        The cancellation of a job that the ledger lacks is stored as well: an append of
+        any node, or of an earlier process, may still be carried out, and the job must
+        not run then.
+
+        :returns: ``ACCEPTED`` if the job exists or may come to exist, ``NO_SUCH_JOB``
+            if the ledger lacks it; in both cases it never runs from now on
+        """
+        unresolved = self._is_unresolved(job)
+        found = self._lookup(job)
+        if found is None:
+            try:
+                await self._follower.catch_up()
+            except StoreUnavailableError:
+                return IntakeOutcome.UNAVAILABLE
+            found = self._lookup(job)
+        if found is not None and found.state.final:
             return IntakeOutcome.ACCEPTED
+        if found is None and self._was_cancelled(job):
+            return IntakeOutcome.NO_SUCH_JOB
         record = Cancellation(job, round(clock.wall() * 1000))
         try:
             await self._appender.append(KeyedRecord(*encode(record)), deadline)
@@ -264,8 +318,11 @@
             return IntakeOutcome.UNAVAILABLE
         except StoreUnknownError:
             return IntakeOutcome.UNKNOWN
-        emit(JOB_CANCELLED, job=job)
-        return IntakeOutcome.ACCEPTED
+        if found is None:
+            _remember(self._cancelled, job)
+        known = found is not None or unresolved
+        emit(JOB_CANCELLED, job=job, known=known)
+        return IntakeOutcome.ACCEPTED if known else IntakeOutcome.NO_SUCH_JOB
 
     def count_queued(self, queue: QueueName, cfg: Configuration) -> int:
         """Return how many accepted jobs have not started that belong to a queue now."""
@@ -276,3 +333,12 @@
             if (current := cfg.current_queue(*accepted_under)) is not None
             and current.name == queue
         )
+
+
+def _remember(jobs: dict[JobId, float], job: JobId) -> None:
+    """Add a job for ``UNRESOLVED_S``, and forget those whose time has passed."""
+    now = clock.monotonic()
+    while jobs and jobs[oldest := next(iter(jobs))] <= now:
+        del jobs[oldest]
+    jobs.pop(job, None)
+    jobs[job] = now + UNRESOLVED_S
--- a/primrosepitch/scheduling/runs.py
+++ b/primrosepitch/scheduling/runs.py
@@ -134,6 +134,8 @@
     """
     spec, status = entry.spec, entry.status
     if spec is None:
+        if entry.cancelled is not None:
+            state.finished[entry.cancelled.job] = entry.cancelled.at_ms
         return None
     if status is not None and status.state.final:
         state.finished[spec.job] = status.finished_ms
@@ -517,9 +519,15 @@
 
 
 def cancel_job(state: SchedulerState, job_id: JobId) -> list[Effect]:
-    """Cancel a job at a caller's request."""
+    """Cancel a job at a caller's request.
+
+    One that the ledger lacks counts as ended, so that it does not run if it comes late.
+    """
     job = state.jobs.get(job_id)
-    if job is None or job.cancelled or job.state.final:
+    if job is None:
+        state.finished.setdefault(job_id, state.wall_ms)
+        return []
+    if job.cancelled or job.state.final:
         return []
     job.cancelled = True
     state.replan = True
