Stop the runs of a cancelled job in proportion to their number

Cause: each end of a run walked all tasks of the job, and so did each pass. What remained: the tasks still to be stopped were looked for among all placed ones in each event, leases and orders of 8,000 tasks were reviewed every 20 ms, and a pass without waiting work prepared the placement.

Change: an ending job keeps what is still to be stopped. Reviews are at least 10 us a placed task apart, which is under a tick up to 2,000. A pass prepares the placement with its first waiting step.

--- a/features/steps/waiting_work.py
+++ b/features/steps/waiting_work.py
@@ -327,6 +327,22 @@
     )
 
 
+@when(
+    "a job of {tasks} tasks that run on {endpoints:d} endpoints is cancelled "
+    "and all runs end"
+)
+def step_cancel_larger(context, tasks, endpoints):
+    context.smaller = sum(context.work)
+    step_running_tasks(context, tasks, endpoints)
+    step_cancel_all(context)
+
+
+@then("that took at most {factor:g} times the work")
+def step_proportional(context, factor):
+    larger = sum(context.work)
+    assert larger <= factor * context.smaller, (larger, context.smaller)
+
+
 @then("it is cancelled, and no event executed over {most} instructions")
 def step_cancelled(context, most):
     state = context.state
--- a/features/waiting_work.feature
+++ b/features/waiting_work.feature
@@ -100,6 +100,14 @@
     When it is cancelled and all runs end
     Then it is cancelled, and no event executed over 1,500,000 instructions
 
+  # Guards against work that grows faster than the number of stopped runs: 1,786 of 8,000
+  # cancelled tasks still ran 40 s after the acknowledgement.
+  Scenario: The work of cancelling grows in proportion to the running tasks
+    Given a job of 500 tasks that run on 8 endpoints
+    When it is cancelled and all runs end
+    And a job of 2,000 tasks that run on 8 endpoints is cancelled and all runs end
+    Then that took at most 5 times the work
+
   # Guards against runs that a successor takes for orphans, or misses, because the jobs
   # of the ledger are restored piece by piece.
   Scenario: A takeover amid thousands of jobs loses no run and stops none
--- a/primrosepitch/scheduling/crashes.py
+++ b/primrosepitch/scheduling/crashes.py
@@ -293,6 +293,7 @@
     if not given_up:
         return []
     job.failing = True
+    job.to_stop = dict(job.placed)
     state.ending_jobs[job.spec.job] = job
     fields = {
         "job": task.key.job,
--- a/primrosepitch/scheduling/placement.py
+++ b/primrosepitch/scheduling/placement.py
@@ -162,16 +162,17 @@
     longer pass. One that was ranked in several slices goes on where it was cut short.
     """
     effects = update_warmth(state)
-    capacity = PlanningCapacity(state)
     state.pass_cut_short = False
     if not plan.waiting:
         state.passed_over.clear()
+    capacity: PlanningCapacity | None = None
     visits = 0
     while len(effects) < MAX_PLACEMENTS and visits < MAX_VISITS:
         ready = next_ready(plan)
         if ready is None:
             return effects
         visits += 1
+        capacity = capacity or PlanningCapacity(state)
         if ready.step.spec.gang:
             effects += _start_gang(state, capacity, ready)
         else:
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -100,6 +100,10 @@
 """Maximum time between planning passes of a scheduler whose ticks are late, or that has
 many open jobs."""
 
+REVIEW_INTERVAL_PER_TASK_S = 0.00001
+"""Minimum time between two reviews of leases, orders and endpoints, for each placed
+task; a review takes some microseconds for each."""
+
 MAX_RESTORED = 2000
 """Number of jobs, steps and tasks that are restored at a time at the begin of a term;
 the heartbeats of the term go on in between."""
@@ -361,7 +365,9 @@
         state.planned_at = state.now
         state.replan = False
         state.planning = begin_pass(state)
-        effects += _review(state)
+        tasks = sum(len(endpoint.tasks) for endpoint in state.endpoints.values())
+        if state.now - state.reviewed_at >= tasks * REVIEW_INTERVAL_PER_TASK_S:
+            effects += _review(state)
         effects += _plan_slice(state, state.planning)
     if state.now - state.reviewed_at >= MAX_SLOWED_INTERVAL_S:
         effects += _review(state)
--- a/primrosepitch/scheduling/runs.py
+++ b/primrosepitch/scheduling/runs.py
@@ -19,6 +19,7 @@
     JobSpec,
     JobState,
     Resources,
+    TaskKey,
     task_name,
 )
 from primrosepitch.jobs.records import JobEntry, StoredRuns, TaskRecord
@@ -153,6 +154,7 @@
     if entry.cancelled is not None:
         job.cancelled = True
     if job.ending:
+        job.to_stop = dict(job.placed)
         state.ending_jobs[spec.job] = job
     return job
 
@@ -461,6 +463,7 @@
     effects: list[Effect] = []
     if job.spec.job not in state.ending_jobs:
         state.ending_jobs[job.spec.job] = job
+        job.to_stop = dict(job.placed)
         effects += _stop_tasks(state, job, MAX_STOPS)
     if not job.placed:
         del state.ending_jobs[job.spec.job]
@@ -495,12 +498,13 @@
 def _stop_tasks(state: SchedulerState, job: JobRun, most: int) -> list[Effect]:
     effects: list[Effect] = []
     reason = "cancelled" if job.cancelled else "failed"
-    for task in list(job.placed.values()):
-        if task.phase is Phase.STOPPING:
-            continue
-        if len(effects) >= most * EFFECTS_PER_STOP:
-            break
-        effects += stop_task(state, task, reason)
+    unknown: dict[TaskKey, Task] = {}
+    while job.to_stop and len(effects) < most * EFFECTS_PER_STOP:
+        key, task = job.to_stop.popitem()
+        effects += stop_task(state, task, reason) if task.placed else []
+        if task.placed and task.phase is not Phase.STOPPING:
+            unknown[key] = task
+    job.to_stop |= unknown
     return effects
 
 
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -264,6 +264,7 @@
         endpoint has refused one without; infinite once one with a ticket was carried
         out
     :param placed: tasks for which capacity of an endpoint is reserved
+    :param to_stop: those of a cancelled or failing job that are still to be stopped
     :param parts: tasks created so far, by the part with whose record their runs are
         stored
     :param first_ordinals: ordinal of each step's first task within an occurrence
@@ -297,6 +298,7 @@
     advice: AdviceSpec | None = None
     demand_until: float = 0.0
     placed: dict[TaskKey, Task] = msgspec.field(default_factory=dict)
+    to_stop: dict[TaskKey, Task] = msgspec.field(default_factory=dict)
     parts: dict[int, list[Task]] = msgspec.field(default_factory=dict)
     first_ordinals: tuple[int, ...] = ()
     stored_parts: set[int] = msgspec.field(default_factory=set)
