Add the large jobs of one page of the ledger one after the other

Jobs of over 64 steps wait for a turn of the loop each; what is read after them keeps its order. A successor restores its jobs without pauses, as the leases of their runs are about to expire, and leaves out records of occurrences that its job does not have.

Evidence: a new scenario of waiting_work.feature; without the change all five jobs of the page are added in one iteration.

--- a/features/steps/waiting_work.py
+++ b/features/steps/waiting_work.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from behave import given, then, when
+from steps.claims_of_terms import build_runner
 from steps.intake import RECORD_BYTES, FailingStore
 from steps.large_jobs import count_instructions
 from steps.scheduler_rules import submit_job
@@ -20,7 +21,7 @@
     StepSpec,
     WorkspaceName,
 )
-from primrosepitch.jobs.records import JobEntry, JobStatus, encode
+from primrosepitch.jobs.records import Cancellation, JobEntry, JobStatus, encode
 from primrosepitch.node.follower import Appender, LedgerFollower
 from primrosepitch.node.job_intake import IntakeOutcome, JobIntake, Overload
 from primrosepitch.node.scheduler import SchedulerRunner
@@ -30,6 +31,7 @@
 from primrosepitch.scheduling.reducer import step
 from primrosepitch.scheduling.state import Phase
 from standins.large_jobs import build_pools
+from standins.memory_platform import MemoryPartition, MemoryPlatform, run_virtually
 from standins.waiting_jobs import WALL_MS, all_tasks, build_state
 
 TICK_S = 0.02
@@ -419,3 +421,43 @@
 @then("it is accepted")
 def step_accepted(context):
     assert context.outcome is IntakeOutcome.ACCEPTED, context.outcome
+
+
+@given(
+    "a node that schedules, and a page with {jobs:d} jobs of {steps} steps, "
+    "each cancelled"
+)
+def step_page(context, jobs, steps):
+    count = int(steps.replace(",", ""))
+    context.page = []
+    for number in range(jobs):
+        spec = job_spec(number, "w", count)
+        context.page += [spec, Cancellation(spec.job, WALL_MS)]
+
+
+@when("the page is read")
+def step_read_page(context):
+    async def body():
+        with asyncio.get_running_loop().as_clock():
+            runner = context.runner = build_runner(MemoryPlatform(MemoryPartition()))
+            runner.state.term = 1
+            for record in context.page:
+                runner.handle_record(record)
+            context.added = [len(runner.state.jobs)]
+            for _ in range(2 * len(context.page)):
+                await asyncio.sleep(0)
+                context.added.append(len(runner.state.jobs))
+
+    run_virtually(body())
+
+
+@then("no more than one job has been added in any iteration of the loop")
+def step_one_by_one(context):
+    added = context.added
+    assert max(b - a for a, b in zip([0, *added], added, strict=False)) <= 1, added
+
+
+@then("all {count:d} jobs have been added and cancelled")
+def step_all_cancelled(context, count):
+    states = [job.state for job in context.runner.state.jobs.values()]
+    assert states == [JobState.CANCELLED] * count, states
--- a/features/waiting_work.feature
+++ b/features/waiting_work.feature
@@ -47,6 +47,14 @@
     Then the last 20 steps of that job are done or running
     And no rule was broken
 
+  # Guards against a page of the ledger whose large jobs are all added in one go, and
+  # against cancellations that overtake the jobs that they concern.
+  Scenario: The large jobs of one page are added one after the other
+    Given a node that schedules, and a page with 5 jobs of 3,000 steps, each cancelled
+    When the page is read
+    Then no more than one job has been added in any iteration of the loop
+    And all 5 jobs have been added and cancelled
+
   # Guards against small jobs that wait for seconds behind thousands of others that can't
   # start, since their planning pass is cut into slices.
   Scenario: A job that has room starts within a second beside thousands that have none
--- a/primrosepitch/node/scheduler.py
+++ b/primrosepitch/node/scheduler.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import random
+from collections import deque
 from collections.abc import Awaitable, Callable, Coroutine, Iterator
 from math import inf
 from typing import Any
@@ -89,6 +90,9 @@
 LATE_TICK_S = 0.25
 """Delay of a tick that is logged: the interval between two heartbeats."""
 
+SMALL_JOB_STEPS = 64
+"""Number of steps up to which a job is added as soon as it is read."""
+
 LONG_HOLD_S = 0.05
 """Time for one event from which it is logged; the loop serves nothing else then."""
 
@@ -201,6 +205,7 @@
         self._release_task: asyncio.Task[None] | None = None
         self._release_waits_for = ""
         self._order_queue = OrderQueue()
+        self._arrivals: deque[ev.JobAccepted | ev.CancelRequested] = deque()
         self._move_slots = asyncio.Semaphore(MAX_CONCURRENT_MOVES)
         self._tasks: set[asyncio.Task[Any]] = set()
         self._instance_orders: set[asyncio.Task[Any]] = set()
@@ -304,9 +309,40 @@
             if isinstance(record, Term) and record.number > self.state.term > 0:
                 self._step_down(ef.StepDown("a newer term is in the ledger"))
         elif isinstance(record, JobSpec):
-            self._dispatch(ev.JobAccepted(record))
+            self._handle_arrival(ev.JobAccepted(record), len(record.steps))
         elif isinstance(record, Cancellation):
-            self._dispatch(ev.CancelRequested(record.job))
+            self._handle_arrival(ev.CancelRequested(record.job), 1)
+
+    def _handle_arrival(
+        self, event: ev.JobAccepted | ev.CancelRequested, steps: int
+    ) -> None:
+        """Dispatch what was read of a job; large jobs follow one after the other.
+
+        A page of the ledger may have several of them, and each takes up to 50 ms.
+        """
+        if not self.leading:
+            return
+        if steps <= SMALL_JOB_STEPS and not self._arrivals:
+            self._dispatch(event)
+            return
+        self._arrivals.append(event)
+        if len(self._arrivals) == 1:
+            asyncio.get_running_loop().call_soon(self._dispatch_arrivals)
+
+    def _dispatch_arrivals(self) -> None:
+        """Dispatch the arrivals that wait, up to the first large job."""
+        while self._arrivals:
+            event = self._arrivals[0]
+            self._dispatch(event)
+            # The dispatch may have ended the term, and with it all that waits.
+            if self._arrivals:
+                self._arrivals.popleft()
+            if isinstance(event, ev.JobAccepted) and (
+                len(event.spec.steps) > SMALL_JOB_STEPS
+            ):
+                break
+        if self._arrivals:
+            asyncio.get_running_loop().call_soon(self._dispatch_arrivals)
 
     # Claims and terms
 
@@ -317,7 +353,9 @@
             if self.leading:
                 self._tick()
                 self._check_handover()
-                await asyncio.sleep(TICK_INTERVAL_S)
+                # The leases of the runs that are being restored are about to expire.
+                pause_s = 0.0 if self.state.unrestored else TICK_INTERVAL_S
+                await asyncio.sleep(pause_s)
                 continue
             self._tick_delay.reset()
             await asyncio.sleep(WATCH_INTERVAL_S)
@@ -885,6 +923,7 @@
         self.state = SchedulerState(node=self._node, limits=self._limits)
         self.state.nonce = nonce
         self._order_queue = OrderQueue()
+        self._arrivals.clear()
         self._follower.leading = False
         self._heartbeat_at = clock.monotonic()
 
--- a/primrosepitch/scheduling/runs.py
+++ b/primrosepitch/scheduling/runs.py
@@ -167,7 +167,7 @@
 
 
 def _restore_task(state: SchedulerState, job: JobRun, record: TaskRecord) -> None:
-    if record.step >= len(job.spec.steps):
+    if record.step >= len(job.spec.steps) or record.occurrence >= job.spec.occurrences:
         return
     # An occurrence that has run once is due, even if the time of day of the earlier
     # scheduler was ahead of this one's.
