Rank more of a large job at a time, and place a step that was cut first

A step that was cut short in a sliced pass waited for the next pass, while steps behind it were placed.

A pass ranks up to 512 steps of a job, and the next one follows at once until each step has been looked at since the newest change. What was cut short comes first in the next slice. Steps whose needs are known to fit nowhere take less time.

Evidence: waiting_work.feature, nine jobs of 10,000 steps of which only the last 20 have room: done or running within 3 s; with the parts of 128 they waited.

--- a/features/steps/waiting_work.py
+++ b/features/steps/waiting_work.py
@@ -160,6 +160,12 @@
     assert Phase.WAITING not in phases, phases
 
 
+@when("{count:d} jobs of {steps:d} steps are accepted that have no room")
+def step_large_no_room(context, count, steps):
+    for number in range(count):
+        submit_job(context, f"large{number}", [LARGE] * steps)
+
+
 @when("{count:d} jobs are accepted that have no room")
 def step_no_room(context, count):
     for number in range(count):
--- a/features/waiting_work.feature
+++ b/features/waiting_work.feature
@@ -42,7 +42,8 @@
   Scenario: Each ready step of a job is considered within 3 seconds
     Given a scheduler with 6 endpoints
     When half of each endpoint is in use by lasting tasks
-    And a job of 5000 steps is accepted, of which only the last 20 have room
+    And 8 jobs of 10000 steps are accepted that have no room
+    And a job of 10000 steps is accepted, of which only the last 20 have room
     And 3 seconds pass
     Then the last 20 steps of that job are done or running
     And no rule was broken
--- a/primrosepitch/scheduling/ordering.py
+++ b/primrosepitch/scheduling/ordering.py
@@ -10,6 +10,7 @@
 import enum
 import functools
 import heapq
+import math
 import sys
 from collections.abc import Callable
 
@@ -66,11 +67,11 @@
     BEST_EFFORT = 6
 
 
-MAX_RANKED = 1000
+MAX_RANKED = 1500
 """Number of jobs and steps that one slice of a planning pass looks at."""
 
-MIN_WINDOW = 128
-"""Least number of a job's ready steps that are ranked in a planning pass. The others
+MAX_WINDOW = 512
+"""Maximum number of a job's ready steps that are ranked in a planning pass. The others
 follow in turn in the next passes."""
 
 
@@ -110,7 +111,7 @@
 
 def begin_pass(state: SchedulerState) -> PlanningPass:
     """Return a planning pass over all open jobs."""
-    return PlanningPass([*reversed(state.jobs.values())])
+    return PlanningPass([*reversed(state.jobs.values())], state.replan)
 
 
 def rank_steps(state: SchedulerState, plan: PlanningPass) -> list[Effect]:
@@ -120,11 +121,11 @@
     """
     effects: list[Effect] = []
     ranked: list[ReadyStep] = []
-    window = max(MIN_WINDOW, MAX_RANKED // max(1, len(state.jobs)))
     left = MAX_RANKED
     while plan.jobs and left > 0:
         job = plan.jobs.pop()
-        steps = _ready_steps_of(state, job, window)
+        plan.turns = max(plan.turns, math.ceil(job.ready_count / MAX_WINDOW))
+        steps = _ready_steps_of(state, job, MAX_WINDOW)
         effects += log_unplaceable(state, job)
         ranked += steps
         left -= 1 + len(steps)
@@ -222,10 +223,13 @@
 def still_waiting(ready: ReadyStep) -> ReadyStep | None:
     """Return a step with the tasks that wait now, or ``None`` without any."""
     step = ready.step
+    uncreated = step.spec.tasks - len(step.tasks)
+    if not (step.waiting or ready.tasks) and uncreated == ready.uncreated > 0:
+        return ready
     tasks = [task for task in step.waiting.values() if task.phase is Phase.WAITING]
-    if not (tasks or step.uncreated):
+    if not (tasks or uncreated):
         return None
-    return ready._replace(tasks=tasks, uncreated=step.uncreated)
+    return ready._replace(tasks=tasks, uncreated=uncreated)
 
 
 def _gang_waiting(step: StepRun) -> bool:
--- a/primrosepitch/scheduling/placement.py
+++ b/primrosepitch/scheduling/placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import itertools
 from collections import Counter, defaultdict
 
 from primrosepitch.jobs.model import Resources, ServiceName, StepSpec, WorkspaceName
@@ -52,7 +53,7 @@
 """Number of placements after which a planning pass is cut short. They take 20 to 40 ms
 with hundreds of endpoints."""
 
-MAX_VISITS = 2000
+MAX_VISITS = 3000
 """Number of steps after which a slice of a planning pass ends. Most of them take no
 time, as steps with the same needs were looked at before."""
 
@@ -174,12 +175,18 @@
         visits += 1
         capacity = capacity or PlanningCapacity(state)
         if ready.step.spec.gang:
-            effects += _start_gang(state, capacity, ready)
+            started = _start_gang(state, capacity, ready)
         else:
             most = MAX_PLACEMENTS - len(effects)
-            effects += _start_tasks(state, capacity, ready, most)
-        waits = still_waiting(ready)
-        if waits is not None and len(plan.waiting) < MAX_WAITING:
+            started = _start_tasks(state, capacity, ready, most)
+        effects += started
+        waits = still_waiting(ready) if started else ready
+        if waits is None:
+            continue
+        if len(effects) >= MAX_PLACEMENTS:
+            # It may have been cut short itself, so it comes before those behind it.
+            plan.order = itertools.chain((waits,), plan.order or ())
+        elif len(plan.waiting) < MAX_WAITING:
             plan.waiting.append(waits)
     state.pass_cut_short = True
     return effects
@@ -215,7 +222,9 @@
     isolated = [
         t for t in ready.tasks if t.crashes and (needs_isolation(t) or is_held(t))
     ]
-    effects = _start_isolated(state, capacity, ready, isolated)
+    effects: list[Effect] = []
+    if isolated:
+        effects += _start_isolated(state, capacity, ready, isolated)
     if len(isolated) == ready.task_count:
         if len(isolated) > sum(task.placed for task in isolated):
             _pass_over(state, ready, "isolation")
@@ -280,7 +289,7 @@
 ) -> list[Effect]:
     """Place tasks that may only start alone on the endpoints reserved for them."""
     reserved = capacity.isolated.reserved(ready.job.spec.service)
-    if not tasks or not reserved:
+    if not reserved:
         return []
     pool, effects = _restrict_to_advised(state, ready, list(reserved))
     candidates = StepCandidates(ready, pool)
--- a/primrosepitch/scheduling/reducer.py
+++ b/primrosepitch/scheduling/reducer.py
@@ -363,8 +363,8 @@
             effects += _plan_slice(state, state.planning)
     elif state.now - state.planned_at >= _planning_interval_s(state):
         state.planned_at = state.now
-        state.replan = False
         state.planning = begin_pass(state)
+        state.replan = False
         tasks = sum(len(endpoint.tasks) for endpoint in state.endpoints.values())
         if state.now - state.reviewed_at >= tasks * REVIEW_INTERVAL_PER_TASK_S:
             effects += _review(state)
@@ -380,7 +380,7 @@
     more_jobs = max(0, len(state.jobs) - SMALL_JOB_COUNT)
     interval_s = MIN_PLANNING_INTERVAL_S + more_jobs * PLANNING_INTERVAL_PER_JOB_S
     interval_s = min(interval_s, MAX_SLOWED_INTERVAL_S)
-    if state.pass_cut_short:
+    if state.pass_cut_short or state.turns_left > 0:
         interval_s = MIN_PLANNING_INTERVAL_S
     elif not state.replan:
         interval_s = max(interval_s, MAX_PLANNING_INTERVAL_S)
@@ -420,6 +420,8 @@
         return effects
     leave_waiting(plan)
     state.planning = None
+    turns = plan.turns if plan.after_change else state.turns_left
+    state.turns_left = max(0, turns - 1)
     effects += yield_best_effort(state, plan.waiting)
     with advisory(effects, "log of waits"):
         effects += log_waits(state, plan.waiting)
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -379,13 +379,17 @@
     """A planning pass, which is cut into slices so that none holds the loop for long.
 
     :param jobs: jobs whose steps have not been ranked yet, the next one last
+    :param after_change: whether anything has changed that it may be due to
     :param ranked: ranked steps, sorted within each slice
+    :param turns: number of passes in which the ready steps of each job are ranked
     :param order: all of them by rank, from the next one to be placed
     :param waiting: steps that were left waiting, by rank
     """
 
     jobs: list[JobRun]
+    after_change: bool = True
     ranked: list[list[ReadyStep]] = msgspec.field(default_factory=list)
+    turns: int = 0
     order: Iterator[ReadyStep] | None = None
     waiting: list[ReadyStep] = msgspec.field(default_factory=list)
 
@@ -689,6 +693,8 @@
     :param ticked_at: boot-time clock of the newest tick
     :param tick_gap_s: time between the newest two ticks
     :param planning: planning pass that is under way
+    :param turns_left: number of passes until each step has been looked at since the
+        newest change
     :param sliced_at: boot-time clock of the newest slice of a planning pass
     :param reviewed_at: boot-time clock at which leases and orders were last reviewed
     :param servability: what the known endpoints could run
@@ -789,6 +795,7 @@
     reviewed_at: float = 0.0
     replan: bool = False
     planning: PlanningPass | None = None
+    turns_left: int = 0
     servability: Servability = msgspec.field(default_factory=Servability)
     ticked_at: float = 0.0
     tick_gap_s: float = 0.0
