Judge a wave that is requested anew by its own instances

If its record was rewritten with other instances while nobody scheduled, or its scheduler ended before the next commit, the successor took the new request for complete.

The instances that had left when the wave was completed are stored instead; a wave is complete when each of its instances has begun or is among them.

Evidence: a new scenario of wave_evidence.feature fails without the change (no maintenance of e2).

--- a/features/steps/wave_evidence.py
+++ b/features/steps/wave_evidence.py
@@ -43,6 +43,14 @@
     context.wave_instances = instances_of(names)
 
 
+@when("wave {wave:d} over {names} is requested while node b takes the term")
+def step_request_at_takeover(context, wave, names):
+    world = context.world
+    world.nodes.clear()
+    request(context, wave, names)
+    world.take_term("b")
+
+
 @when("instances {names} come")
 def step_come(context, names):
     for name in names.split(","):
--- a/features/wave_evidence.feature
+++ b/features/wave_evidence.feature
@@ -97,6 +97,15 @@
     Then e1,e2 have had their maintenance for wave 1
     And each of e1,e2 had it once
 
+  # Guards against a successor that finds the wave completed as it was requested before.
+  Scenario: A wave that is requested anew during a takeover is carried out
+    Given a scheduler with 4 endpoints
+    When wave 1 over e1 is requested and 8 seconds pass
+    And wave 1 over e1,e2 is requested while node b takes the term
+    And 12 seconds pass
+    Then e1,e2 have had their maintenance for wave 1
+    And each of e1,e2 had it once
+
   # Guards against a list that was requested before an instance was ordered away, and
   # shows it as it was.
   Scenario: A list from before an order does not undo what the order has changed
--- a/primrosepitch/jobs/records.py
+++ b/primrosepitch/jobs/records.py
@@ -207,14 +207,14 @@
     :param begun: instances whose maintenance has begun
     :param ordered: instances whose maintenance order may take effect at any time
     :param seen: instances that were listed or had an endpoint
-    :param done: whether it is complete, which is reported to the operators
+    :param gone: instances that had left the platform when the wave was completed
     """
 
     wave: int
     begun: list[str]
     ordered: list[str] = []
     seen: list[str] = []
-    done: bool = False
+    gone: list[str] = []
 
 
 class OpenMoves(msgspec.Struct):
--- a/primrosepitch/scheduling/commits.py
+++ b/primrosepitch/scheduling/commits.py
@@ -259,7 +259,7 @@
                 sorted(wave.begun),
                 sorted(wave.ordered),
                 sorted(wave.seen),
-                wave.done,
+                sorted(wave.gone),
             )
             records.append(encode(progress))
     if renewal and not records:
--- a/primrosepitch/scheduling/instance_orders.py
+++ b/primrosepitch/scheduling/instance_orders.py
@@ -138,7 +138,7 @@
     if progress is not None:
         wave.begun.update(progress.begun)
         wave.seen.update(progress.seen)
-        wave.done = progress.done
+        wave.gone.update(progress.gone)
         open_orders = set(progress.ordered) - wave.begun
         wave.ordered |= open_orders
         wave.uncertain |= open_orders
--- a/primrosepitch/scheduling/maintenance.py
+++ b/primrosepitch/scheduling/maintenance.py
@@ -84,7 +84,7 @@
         wave = state.waves[spec.wave] = WaveRun(spec)
         restore_wave(state, wave)
     else:
-        wave.spec, wave.status, wave.done = spec, "", False
+        wave.spec, wave.status = spec, ""
         wave.absent.clear()
         wave.selected.intersection_update(spec.instances)
         wave.dirty = True
@@ -134,6 +134,7 @@
     for instance in wave.spec.instances:
         if instance in views:
             del wave.absent[instance]
+            wave.gone.discard(instance)
             _mark_seen(wave, instance)
         elif newer and state.listing_complete:
             wave.absent[instance] += 1
@@ -163,24 +164,22 @@
 
 def _advance(state: SchedulerState, wave: WaveRun) -> list[Effect]:
     effects: list[Effect] = []
-    if wave.done:
-        # Its status may not have been reported before the last scheduler ended.
+    not_begun = [i for i in wave.spec.instances if i not in wave.begun]
+    if all(i in wave.gone or _is_gone(state, wave, i) for i in not_begun):
+        # It may have been complete already, without a report by the last scheduler.
         wave.status = "completed"
-        return [ReportWaveStatus(wave.spec.wave, completed=True)]
+        wave.gone.update(not_begun)
+        wave.dirty = True
+        wave.selected.clear()
+        fields = {"wave": wave.spec.wave, "gone": len(not_begun)}
+        effects.append(WriteLog(WAVE_COMPLETED, fields))
+        return [*effects, ReportWaveStatus(wave.spec.wave, completed=True)]
     if not wave.status:
         wave.status = "running"
         effects.append(ReportWaveStatus(wave.spec.wave, completed=False))
     for instance in sorted(wave.repeat):
         effects.append(maintenance_order(state, instance, wave.spec.wave))
     wave.repeat.clear()
-    not_begun = [i for i in wave.spec.instances if i not in wave.begun]
-    if all(_is_gone(state, wave, instance) for instance in not_begun):
-        wave.status = "completed"
-        wave.done = wave.dirty = True
-        wave.selected.clear()
-        fields = {"wave": wave.spec.wave, "gone": len(not_begun)}
-        effects.append(WriteLog(WAVE_COMPLETED, fields))
-        return [*effects, ReportWaveStatus(wave.spec.wave, completed=True)]
     # Others have left the platform, or are not on it yet.
     remaining = [i for i in not_begun if i in state.instances]
     wave.selected &= set(remaining)
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -551,7 +551,7 @@
     :param absent: number of lists in succession that lacked an instance
     :param refusals: number of its orders in succession that an instance refused
     :param not_before: boot-time clock before which a refused order is not repeated
-    :param done: whether it is complete, as stored
+    :param gone: instances that had left the platform when it was completed
     :param down_until: boot-time clock until which an instance counts as down
     :param ordered: instances whose maintenance order has not been answered, or is about
         to be sent
@@ -569,7 +569,7 @@
     absent: Counter[str] = msgspec.field(default_factory=Counter)
     refusals: Counter[str] = msgspec.field(default_factory=Counter)
     not_before: dict[str, float] = msgspec.field(default_factory=dict)
-    done: bool = False
+    gone: set[str] = msgspec.field(default_factory=set)
     down_until: dict[str, float] = msgspec.field(default_factory=dict)
     ordered: set[str] = msgspec.field(default_factory=set)
     uncertain: set[str] = msgspec.field(default_factory=set)
