Count a gang that all endpoints together can't hold as unservable

A gang is servable if its members fit on all known instances of its pool, and on those that could be lent, if these were empty; it is looked at again when another instance appears.

--- a/features/extreme_numbers.feature
+++ b/features/extreme_numbers.feature
@@ -40,6 +40,16 @@
     And 3 seconds pass
     Then no wait over 1000 ms is published
 
+  # Guards against the same with a gang that all endpoints together can't hold.
+  Scenario: A gang larger than its pool has no other job refused
+    Given a scheduler with 6 endpoints
+    When job gang of a gang 200x1000 of 2 cores is accepted
+    And 3 seconds pass
+    Then no wait is published
+    When job sound of steps 2x500 is accepted
+    And 2 seconds pass
+    Then job sound is completed
+
   # Guards against instances of all pools that are lent for a minute to the pool of a job
   # in wrong units, since its work counts as demand.
   Scenario: A job in wrong units causes no demand for instances
--- a/features/steps/waiting_work.py
+++ b/features/steps/waiting_work.py
@@ -227,6 +227,9 @@
     spec = SMALL
     if need.startswith("label"):
         spec = StepSpec(1, 500, 100, estimate_ms=500, label="special")
+    elif need.startswith("a gang"):
+        # Eight members fit on each of the six endpoints.
+        spec = StepSpec(50, 2000, 100, estimate_ms=500, gang=True)
     elif need.endswith("cores"):
         spec = StepSpec(1, 32_000, 100, estimate_ms=500)
     else:
@@ -267,6 +270,12 @@
     world.crash_worker(worker)
 
 
+@when("2 endpoints of 16 cores join")
+def step_more_join(context):
+    for number in range(2):
+        context.world.add_worker(f"more{number}", "s")
+
+
 @when("an endpoint of 64 cores joins")
 def step_large_joins(context):
     context.world.add_worker("large", "s", cpu=64_000)
--- a/features/waiting_work.feature
+++ b/features/waiting_work.feature
@@ -93,6 +93,7 @@
       | label special       | an endpoint restarts as kind special  |
       | 32 cores            | an endpoint of 64 cores joins         |
       | more than its limit | its workspace's limit is raised       |
+      | a gang of 50        | 2 endpoints of 16 cores join          |
 
   # Guards against steps that depend on one that can't run, and against a job whose other
   # steps wait for the one that can't.
--- a/primrosepitch/scheduling/expansion.py
+++ b/primrosepitch/scheduling/expansion.py
@@ -98,7 +98,7 @@
 
 def assess_servability(state: SchedulerState, job: JobRun) -> None:
     """Find the steps of a job that the known endpoints can run, and its advice."""
-    job.servability_epoch = state.servability.epoch
+    job.servability_epoch = state.servability.epoch(job.has_gang)
     job.advice = state.cfg.advice_for(job.spec)
     if job.advice is None and state.now < job.demand_until:
         job.advice = job.spec.advice or DEMANDED_ADVICE
--- a/primrosepitch/scheduling/maintenance.py
+++ b/primrosepitch/scheduling/maintenance.py
@@ -108,7 +108,7 @@
         return []
     views = {view.instance: view for view in event.listing.instances}
     for view in views.values():
-        state.servability.add_instance(view.capacity, view.labels)
+        state.servability.add_instance(view.capacity, view.labels, view.instance)
     began_at = state.listing_began_at
     # The list may not show yet what an order has changed since it was requested.
     for instance, changed_at in list(state.instances_changed.items()):
--- a/primrosepitch/scheduling/ordering.py
+++ b/primrosepitch/scheduling/ordering.py
@@ -173,7 +173,8 @@
     if job.ending or job.state.final:
         return []
     demand_ends = 0.0 < job.demand_until <= state.now
-    if demand_ends or job.servability_epoch != state.servability.epoch:
+    epoch = state.servability.epoch(job.has_gang)
+    if demand_ends or job.servability_epoch != epoch:
         job.demand_until = 0.0 if demand_ends else job.demand_until
         assess_servability(state, job)
     open_due_occurrences(state, job)
--- a/primrosepitch/scheduling/servability.py
+++ b/primrosepitch/scheduling/servability.py
@@ -17,29 +17,44 @@
 
 
 class Servability:
-    """Kinds of endpoints that were known in this term, by pool.
-
-    ``epoch`` changes whenever a task that could not be run may be able to.
-    """
+    """Kinds of endpoints that were known in this term, by pool, and their instances."""
 
     def __init__(self) -> None:
         """Start without endpoints; every task may be served by those to come."""
-        self.epoch = 0
-        self._kinds: dict[ServiceName, set[Kind]] = {}
-        self._lendable: set[Kind] = set()
+        self._epoch = 0
+        self._instances_seen = 0
+        self._own: dict[ServiceName, dict[Kind, set[str]]] = {}
+        self._lendable: dict[Kind, set[str]] = {}
         self._lending = False
         self._known: dict[tuple[ServiceName, int, int, int, str], bool] = {}
+        self._known_gangs: dict[tuple[ServiceName, StepSpec], bool] = {}
+
+    def epoch(self, has_gang: bool) -> int:
+        """Return a number that changes when a job that could not run may be able to.
+
+        :param has_gang: whether the job has a gang, which may need further instances
+        """
+        return self._epoch + (self._instances_seen if has_gang else 0)
 
     def add_endpoint(
-        self, service: ServiceName, capacity: Resources, labels: Iterable[str]
+        self,
+        service: ServiceName,
+        capacity: Resources,
+        labels: Iterable[str],
+        instance: str,
     ) -> None:
-        """Add the kind of an endpoint."""
-        kinds = self._kinds.setdefault(service, set())
-        self._add(kinds, (capacity, frozenset(labels)))
+        """Add an endpoint of a pool.
 
-    def add_instance(self, capacity: Resources, labels: Iterable[str]) -> None:
-        """Add the kind of an instance, which may be lent to any pool."""
-        self._add(self._lendable, (capacity, frozenset(labels)))
+        :param instance: its instance, or another name that it keeps
+        """
+        kinds = self._own.setdefault(service, {})
+        self._add(kinds, (capacity, frozenset(labels)), instance)
+
+    def add_instance(
+        self, capacity: Resources, labels: Iterable[str], instance: str
+    ) -> None:
+        """Add an instance, which may be lent to any pool."""
+        self._add(self._lendable, (capacity, frozenset(labels)), instance)
 
     def set_lending(self, enabled: bool) -> None:
         """Set whether instances are lent to other pools."""
@@ -49,13 +64,19 @@
 
     def invalidate(self) -> None:
         """Let the servability of all tasks be found anew."""
-        self.epoch += 1
+        self._epoch += 1
         self._known.clear()
+        self._known_gangs.clear()
 
-    def _add(self, kinds: set[Kind], kind: Kind) -> None:
-        if kind not in kinds:
-            kinds.add(kind)
+    def _add(self, kinds: dict[Kind, set[str]], kind: Kind, instance: str) -> None:
+        instances = kinds.get(kind)
+        if instances is None:
+            instances = kinds[kind] = set()
             self.invalidate()
+        if instance not in instances:
+            instances.add(instance)
+            self._instances_seen += 1
+            self._known_gangs.clear()
 
     def may_run(self, service: ServiceName, spec: StepSpec) -> bool:
         """Return whether a known endpoint could run a task, or none is known yet."""
@@ -66,15 +87,44 @@
         return found
 
     def _find(self, service: ServiceName, needs: Resources, label: str) -> bool:
-        own = self._kinds.get(service)
-        if not own or (self._lending and not self._lendable):
+        if not self._is_known(service):
             return True
-        kinds = own | self._lendable if self._lending else own
         return any(
             needs.fits(capacity) and (not label or label in labels)
-            for capacity, labels in kinds
+            for capacity, labels in self._kinds(service)
         )
 
+    def _is_known(self, service: ServiceName) -> bool:
+        """Return whether the endpoints that a pool has or could be lent are known."""
+        lendable = not self._lending or bool(self._lendable)
+        return bool(self._own.get(service)) and lendable
+
+    def _kinds(self, service: ServiceName) -> set[Kind]:
+        own = self._own[service].keys()
+        return set(own | self._lendable.keys()) if self._lending else set(own)
+
+    def _has_room_for_gang(self, service: ServiceName, spec: StepSpec) -> bool:
+        """Return whether all members of a gang fit if the endpoints were empty."""
+        found = self._known_gangs.get((service, spec))
+        if found is None:
+            found = self._find_room_for_gang(service, spec)
+            self._known_gangs[service, spec] = found
+        return found
+
+    def _find_room_for_gang(self, service: ServiceName, spec: StepSpec) -> bool:
+        if not self._is_known(service):
+            return True
+        most = spec.most_per_endpoint or spec.tasks
+        members = 0
+        for kind in self._kinds(service):
+            capacity, labels = kind
+            if spec.needs.fits(capacity) and (not spec.label or spec.label in labels):
+                instances = set(self._own[service].get(kind, ()))
+                if self._lending:
+                    instances |= self._lendable.get(kind, set())
+                members += len(instances) * capacity.count_fitting(spec.needs, most)
+        return members >= spec.tasks
+
     def unservable_steps(self, spec: JobSpec, limit: Resources) -> frozenset[int]:
         """Return the numbers of a job's steps that can't run, or depend on such a step.
 
@@ -85,6 +135,7 @@
         for number, step in enumerate(spec.steps):
             if (
                 not self.may_run(spec.service, step)
+                or (step.gang and not self._has_room_for_gang(spec.service, step))
                 or (limited and _exceeds(step, limit))
                 or (found and not found.isdisjoint(step.after))
             ):
--- a/primrosepitch/scheduling/state.py
+++ b/primrosepitch/scheduling/state.py
@@ -869,8 +869,10 @@
         """Add an endpoint and update the newest one of its instance."""
         self.endpoints[endpoint.id] = endpoint
         report = endpoint.report
-        self.servability.add_endpoint(report.service, report.capacity, report.labels)
         instance = report.instance
+        self.servability.add_endpoint(
+            report.service, report.capacity, report.labels, instance or endpoint.id
+        )
         newest = self.newest_endpoint.get(instance)
         if newest is None or newest.report.born <= endpoint.report.born:
             self.newest_endpoint[instance] = endpoint
