--- a/primrosepitch/scheduling/expansion.py
+++ b/primrosepitch/scheduling/expansion.py
@@ -34,13 +34,12 @@
 ]
 
 MAX_READY_STEPS = 64
-"""Number of ready steps of a job from which no further occurrence is opened; a planning
-pass places fewer."""
-
+"""Number of ready steps of a job from which no further occurrence is opened, so that a
+schedule that is long overdue takes little memory."""
 
 DEMANDED_ADVICE = AdviceSpec(validity_ms=1000)
-"""Advice of a queue of which only the refusal of a start shows that it has any. Tickets
-count as valid for as long as those of the shortest advice that is of use."""
+"""Advice of a queue that has none as far as is known, although an endpoint has refused
+a start without a ticket. For how long its tickets are valid is not known either."""
 
 
 def expand_job(state: SchedulerState, spec: JobSpec) -> JobRun:
--- a/primrosepitch/scheduling/ordering.py
+++ b/primrosepitch/scheduling/ordering.py
@@ -172,38 +172,28 @@
     """
     if job.ending or job.state.final:
         return []
-    demand_ends = 0.0 < job.demand_until <= state.now
-    epoch = state.servability.epoch(job.has_gang)
-    if demand_ends or job.servability_epoch != epoch:
-        job.demand_until = 0.0 if demand_ends else job.demand_until
-        assess_servability(state, job)
-    open_due_occurrences(state, job)
+    _refresh(state, job)
     found: list[ReadyStep] = []
     rank_of = RANKINGS[state.ranking]
     rotates = job.ready_count > window
-    for occurrence_number in list(job.ready):
+    for occurrence_number, ready in list(job.ready.items()):
         steps = job.steps[occurrence_number]
-        done = job.done_in.get(occurrence_number, 0) > 0
-        occurrence = Occurrence(occurrence_number, steps, done)
-        ready = job.ready[occurrence_number]
-        for number in list(ready) if len(ready) <= window else [*ready][:window]:
-            step = ready[number]
+        any_done = job.done_in.get(occurrence_number, 0) > 0
+        occurrence = Occurrence(occurrence_number, steps, any_done)
+        for number in [*ready][: window - len(found)]:
+            step = ready.pop(number)
             tasks = [t for t in step.waiting.values() if t.phase is Phase.WAITING]
             uncreated = step.uncreated
             if not (tasks or uncreated):
-                del ready[number]
                 job.ready_count -= 1
                 continue
-            if rotates:
-                ready[number] = ready.pop(number)
+            ready[number] = step
             if step.spec.gang and not _gang_waiting(step):
                 continue
             rank = rank_of(state, job, occurrence, number, step)
             found.append(
                 ReadyStep(rank, job, step, occurrence_number, number, tasks, uncreated)
             )
-            if len(found) >= window:
-                break
         if not ready:
             del job.ready[occurrence_number]
         elif rotates:
@@ -213,6 +203,16 @@
     return found
 
 
+def _refresh(state: SchedulerState, job: JobRun) -> None:
+    """Update what of a job may start now."""
+    demand_ends = 0.0 < job.demand_until <= state.now
+    if demand_ends:
+        job.demand_until = 0.0
+    if demand_ends or job.servability_epoch != state.servability.epoch(job.has_gang):
+        assess_servability(state, job)
+    open_due_occurrences(state, job)
+
+
 def _as_it_waits(ready: ReadyStep) -> ReadyStep | None:
     """Return a step with the tasks that may start now, or ``None`` without any."""
     job, step = ready.job, ready.step
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -7,7 +7,11 @@
 from typing import Annotated
 
 import typer
+from msgspec import structs
 
+from primrosepitch.jobs.model import JobId, QueueName, StepSpec
+from primrosepitch.scheduling import events as ev
+from primrosepitch.scheduling.configuration import Configuration
 from standins.model import SETTLE_S
 from standins.patterns import LOAD_DURATION_S, PATTERNS, build
 from standins.scheduler_world import Node, SchedulerWorld, Worker
@@ -150,6 +154,61 @@
             world.cancel(job)
 
 
+def _submit_large(
+    world: SchedulerWorld, rng: random.Random, step: StepSpec, **options: int
+) -> JobId | None:
+    """Submit a job of one step beside the load; return its id."""
+    if not world.specs:
+        return None
+    like = rng.choice(list(world.specs.values()))
+    job = JobId(f"{rng.getrandbits(64):016x}")
+    accepted_ms = world.wall_ms
+    changes = {"job": job, "steps": (step,), "accepted_ms": accepted_ms, **options}
+    world.submit(structs.replace(like, **changes))
+    return job
+
+
+@fault
+def schedule_overdue(world: SchedulerWorld, rng: random.Random) -> None:
+    """Submit a schedule of many overdue occurrences; half of them can never run."""
+    label = rng.choice(("", "unknown"))
+    step = StepSpec(1, cpu=100, memory=64, estimate_ms=200, label=label)
+    count = 2000 if label else 100
+    first_ms = world.wall_ms - count * 1000
+    options = {"repetitions": count, "interval_ms": 1000, "first_run_ms": first_ms}
+    _submit_large(world, rng, step, **options)
+
+
+@fault
+def large_job_cancelled(world: SchedulerWorld, rng: random.Random) -> None:
+    """Submit a job of many small tasks, and cancel it while they run."""
+    step = StepSpec(500, cpu=20, memory=16, estimate_ms=20_000)
+    job = _submit_large(world, rng, step)
+    if job is not None:
+        world.call_later(rng.uniform(0.1, 4.0), lambda: world.cancel(job))
+
+
+@fault
+def queues_renamed(world: SchedulerWorld, rng: random.Random) -> None:
+    """Publish a version in which every queue has another name."""
+    cfg = world.cfg
+    version = cfg.version + 1
+    queues = [
+        structs.replace(queue, name=QueueName(f"{queue.service}-v{version}"))
+        for queue in cfg.queues.values()
+    ]
+    world.cfg = Configuration(
+        version,
+        {queue.name: queue for queue in queues},
+        cfg.services,
+        cfg.workspaces,
+        cfg.keys,
+    )
+    for node in world.nodes:
+        if not node.frozen:
+            node.feed(ev.ConfigurationChanged(world.cfg))
+
+
 def run_soak(seed: int) -> tuple[list[str], list[str]]:
     """Simulate one run.
 
